--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Everything runs with Go alone. BIN is where programs are built, OUT where results are written.
+BIN ?= bin
+OUT ?= out
+SEED ?= 1
+NAME ?= replace
+
+.PHONY: build test race demo bench experiment capacity generate lint fuzz clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+demo: build
+	$(BIN)/marigoldwood-experiment demo --bin $(BIN) --out $(OUT) --seed $(SEED)
+
+experiment: build
+	$(BIN)/marigoldwood-experiment run $(NAME) --bin $(BIN) --out $(OUT) --seed $(SEED)
+
+capacity: build
+	$(BIN)/marigoldwood-experiment capacity --bin $(BIN) --out $(OUT) --seed $(SEED)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/dataplane ./forward ./flow
+
+generate:
+	go generate ./...
+
+lint:
+	./.ci/lint
+
+fuzz:
+	./.ci/fuzz
+
+clean:
+	rm -rf $(BIN) $(OUT)
--- /dev/null
+++ b/bundle/document.go
@@ -0,0 +1,147 @@
+// Package bundle holds the versioned configuration of services, targets and placement: its document, its checks,
+// its signature, and the verdict on a received version.
+//
+// Everything in the package is a pure function of its arguments, so that every balancer comes to the same verdict.
+package bundle
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+)
+
+// MaxEnvelopeBytes is the largest value that the platform's configuration service stores.
+const MaxEnvelopeBytes = 1 << 20
+
+// Document is the YAML form of a bundle.
+type Document struct {
+	Version     uint64     `yaml:"version" validate:"min=1"`
+	Description string     `yaml:"description,omitempty"`
+	Activation  Activation `yaml:"activation,omitempty"`
+	Services    []Service  `yaml:"services" validate:"dive"`
+}
+
+// Activation bounds how long a staged bundle waits for the other balancers of its data centre.
+type Activation struct {
+	MaxStageMS int `yaml:"max_stage_ms,omitempty" validate:"min=0,max=5000"` // milliseconds; 0 means DefaultMaxStage
+}
+
+// DefaultMaxStage is how long a staged bundle waits for members that do not report it staged.
+const DefaultMaxStage = 1500 * time.Millisecond
+
+// Service classes, in the order in which work is kept when there is too much of it.
+const (
+	ClassUrgent = "urgent"
+	ClassBulk   = "bulk"
+)
+
+// Service kinds. A flow of a short service is one request; a flow of a session service is a long-lived connection.
+const (
+	KindSession = "session"
+	KindShort   = "short"
+)
+
+// Service describes one service behind one or more endpoints.
+type Service struct {
+	Name       string    `yaml:"name" validate:"required,max=63,excludesall=0x7C"`
+	VNI        uint32    `yaml:"vni" validate:"min=16,max=16777215"` // Geneve network identifier between balancers and targets
+	Protocol   string    `yaml:"protocol" validate:"oneof=tcp udp"`
+	Endpoints  []string  `yaml:"endpoints" validate:"min=1"` // "address:port"
+	Class      string    `yaml:"class" validate:"oneof=urgent bulk"`
+	Kind       string    `yaml:"kind" validate:"oneof=session short"`
+	Idempotent bool      `yaml:"idempotent"`
+	DeadlineMS int       `yaml:"deadline_ms,omitempty" validate:"min=0,max=3600000"` // milliseconds; 0 means none
+	Limits     Limits    `yaml:"limits,omitempty"`
+	Placement  Placement `yaml:"placement,omitempty"`
+	Retry      Retry     `yaml:"retry,omitempty"`
+	Targets    []Target  `yaml:"targets" validate:"dive"`
+}
+
+// Limits bound what one target of a service is given. Zero means no limit.
+type Limits struct {
+	SlotsPerTarget       int `yaml:"slots_per_target,omitempty" validate:"min=0,max=65535"`
+	ConnectionsPerTarget int `yaml:"connections_per_target,omitempty" validate:"min=0,max=10000000"`
+	ReservedUrgentSlots  int `yaml:"reserved_urgent_slots,omitempty" validate:"min=0,max=65535"`
+}
+
+// Placement selects how new flows are placed on targets.
+type Placement struct {
+	Strategy   string  `yaml:"strategy,omitempty" validate:"omitempty,oneof=hrw bounded p2c leastload"` // default bounded
+	LoadFactor float64 `yaml:"load_factor,omitempty" validate:"omitempty,min=1,max=10"`                 // bounded: limit as a multiple of the mean load; default 1.1
+}
+
+// Retry bounds retries of a service.
+type Retry struct {
+	BudgetPercent int `yaml:"budget_percent,omitempty" validate:"min=0,max=100"` // of requests; 0 means no retries
+}
+
+// Target is one process that does a service's work.
+type Target struct {
+	Address    string `yaml:"address" validate:"ip"`
+	DataCentre string `yaml:"data_centre" validate:"required"`
+	Weight     int    `yaml:"weight,omitempty" validate:"min=0,max=1000"` // default 1
+	Drain      bool   `yaml:"drain,omitempty"`
+	DataPort   int    `yaml:"data_port,omitempty" validate:"min=0,max=65535"`   // Geneve UDP port; default DefaultDataPort
+	HealthPort int    `yaml:"health_port,omitempty" validate:"min=0,max=65535"` // HTTP port of health and load; 0 means no probes
+}
+
+// DefaultDataPort is the UDP port that IANA assigned to Geneve (RFC 8926, section 3.3).
+const DefaultDataPort = 6081
+
+// Bundle is a parsed and checked document with its lookup tables. It is immutable.
+type Bundle struct {
+	Document
+	Digest    [32]byte // SHA-256 of the payload
+	Payload   []byte   // the YAML document
+	Envelope  []byte   // the signed envelope it came in; nil for an unsigned document
+	endpoints map[EndpointAddr]*Endpoint
+	byID      map[flow.EndpointID]*Endpoint
+	services  []*ServiceInfo
+	byVNI     map[uint32]*ServiceInfo
+}
+
+// EndpointAddr is what a packet shows of the endpoint that it is sent to.
+type EndpointAddr struct {
+	Protocol flow.Protocol
+	Addr     netip.AddrPort
+}
+
+// Endpoint is a resolved endpoint.
+type Endpoint struct {
+	ID      flow.EndpointID
+	Addr    EndpointAddr
+	Service *ServiceInfo
+}
+
+// ServiceInfo is a resolved service with defaults filled in.
+type ServiceInfo struct {
+	Service
+	ID       flow.ServiceID
+	Proto    flow.Protocol
+	Deadline time.Duration // 0 means none
+	Resolved []TargetInfo  // in the order of the document
+}
+
+// TargetInfo is a resolved target.
+type TargetInfo struct {
+	ID         flow.TargetID
+	Addr       netip.Addr
+	DataCentre string
+	Weight     uint32
+	Drain      bool
+	DataPort   uint16
+	HealthPort uint16
+}
+
+// Endpoint returns the endpoint at addr, or nil.
+func (b *Bundle) Endpoint(addr EndpointAddr) *Endpoint { return b.endpoints[addr] }
+
+// EndpointByID returns the endpoint with the ID, or nil.
+func (b *Bundle) EndpointByID(id flow.EndpointID) *Endpoint { return b.byID[id] }
+
+// ServiceByVNI returns the service with the VNI, or nil.
+func (b *Bundle) ServiceByVNI(vni uint32) *ServiceInfo { return b.byVNI[vni] }
+
+// ServiceInfos returns the services in the order of the document. The caller must not change the slice.
+func (b *Bundle) ServiceInfos() []*ServiceInfo { return b.services }
--- /dev/null
+++ b/bundle/yamlname.go
@@ -0,0 +1,12 @@
+package bundle
+
+import (
+	"reflect"
+	"strings"
+)
+
+// yamlName returns the YAML name of a struct field, so that errors name what the operator wrote.
+func yamlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
--- /dev/null
+++ b/cmd/marigoldwood/main.go
@@ -0,0 +1,4 @@
+// Command marigoldwood is the load balancer daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/forward/admission.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/placement"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Request is a new flow that asks for a target.
+type Request struct {
+	Key     flow.Key
+	Hash    uint64
+	Service *ServiceState
+	View    placement.View
+}
+
+// Verdict is the answer to a Request.
+type Verdict struct {
+	Outcome Outcome
+	Target  int             // position in the service's table; valid for Admitted
+	Code    resultcode.Code // reason; valid for Refused
+}
+
+// Outcome tells what to do with a new flow.
+type Outcome uint8
+
+// Outcomes of a request.
+const (
+	Admitted Outcome = iota
+	Refused          // answer with a refusal; nothing was sent to a target
+	Waiting          // hold the first packet; Poll returns the verdict later
+)
+
+// Released is the verdict on a request that was waiting.
+type Released struct {
+	Key     flow.Key
+	Verdict Verdict
+}
+
+// Admission decides about new flows. Implementations are safe for use by several goroutines.
+type Admission interface {
+	// Ask decides about a new flow at time now on the monotonic clock.
+	Ask(now time.Duration, r Request) Verdict
+	// Done reports that an admitted flow ended, after the given time; refused tells that the target itself refused it.
+	Done(now time.Duration, service flow.ServiceID, target flow.TargetID, took time.Duration, refused bool)
+	// Cancel withdraws a waiting request.
+	Cancel(now time.Duration, k flow.Key)
+	// Poll appends to dst the requests whose wait is over.
+	Poll(now time.Duration, dst []Released) []Released
+}
--- /dev/null
+++ b/forward/snapshot.go
@@ -0,0 +1,85 @@
+// Package forward decides what happens to each packet: pass it to the owner of its flow, deliver it to a target,
+// return it to its caller, refuse it, or drop it.
+//
+// The package does no I/O. Control state reaches it as immutable snapshots.
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/placement"
+)
+
+// Role is the part that this balancer plays for a bucket.
+type Role uint8
+
+// Roles of a balancer for a bucket.
+const (
+	RoleForward   Role = iota // another member owns the bucket: forward to Peer
+	RoleOwner                 // this balancer decides
+	RoleAcquiring             // this balancer will own the bucket; until the grant arrives, forward to Peer, the previous owner
+)
+
+// BucketState is the role for one bucket.
+type BucketState struct {
+	Role Role
+	// Peer is where packets of the bucket go unless the role is RoleOwner; 0 when no member is known.
+	Peer membership.HostID
+	// InSync reports that every copied exception of the bucket is installed: by a grant, by copies received as backup,
+	// or because no earlier owner existed.
+	InSync bool
+	// TakenOverAt is the time of an unplanned takeover on the monotonic clock, 0 when there was none.
+	TakenOverAt time.Duration
+}
+
+// TargetState is the state of a target as control knows it.
+type TargetState struct {
+	Eligible bool    // may get new flows
+	Usable   bool    // may get packets of running flows; false when the target is known to be down
+	Share    float64 // part of the full weight during slow start, 0 to 1
+	Reported float64 // load reported by the target, corrected for age
+}
+
+// ServiceState holds what the traffic goroutines need of one service.
+type ServiceState struct {
+	Info     *bundle.ServiceInfo
+	Table    *placement.Table
+	Strategy placement.Strategy
+	Targets  []TargetState // by position in Table.Targets
+}
+
+// Snapshot is the control state at one moment. It is immutable after it has been published.
+type Snapshot struct {
+	Self        membership.HostID
+	Incarnation uint64
+	DataCentre  string
+	Bundle      *bundle.Bundle // nil until one is in force
+	// Behind reports that a newer bundle version is in force elsewhere; new flows are forwarded to CurrentPeer.
+	Behind      bool
+	CurrentPeer membership.HostID
+	Map         *ownership.Map
+	Buckets     *[ownership.BucketCount]BucketState
+	Peers       map[membership.HostID]netip.AddrPort // data addresses
+	PeerAddrs   map[netip.Addr]membership.HostID
+	Services    map[flow.ServiceID]*ServiceState
+	TargetAddrs map[netip.Addr]*bundle.ServiceInfo // service of each target address of this data centre
+	Fenced      bool                               // the view is being refreshed after a pause
+	Stopping    bool                               // a graceful shutdown is under way
+}
+
+// Exception is a flow whose target is not its default target.
+type Exception struct {
+	Key    flow.Key
+	Target flow.TargetID
+}
+
+// ExceptionSink receives changes of exceptions, from any traffic goroutine. It must not block.
+type ExceptionSink interface {
+	ExceptionAdded(b ownership.Bucket, e Exception)
+	ExceptionRemoved(b ownership.Bucket, k flow.Key)
+}
--- /dev/null
+++ b/ownership/map_test.go
@@ -0,0 +1,31 @@
+package ownership
+
+import (
+	"testing"
+
+	"github.com/marigoldwood/marigoldwood/membership"
+	"pgregory.net/rapid"
+)
+
+// Guards against a takeover by a member that holds no copies: when the owner goes, the backup must follow it,
+// and buckets of other owners must not move.
+func TestBackupFollowsOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.Uint64Min(1), 3, 20, rapid.ID).Draw(t, "ids")
+		members := make([]membership.HostID, len(ids))
+		for i, id := range ids {
+			members[i] = membership.HostID(id)
+		}
+		before := Build(members)
+		after := Build(members[1:])
+		for b := Bucket(0); b < BucketCount; b++ {
+			want := before.Owner(b)
+			if want == members[0] {
+				want = before.Backup(b)
+			}
+			if got := after.Owner(b); got != want {
+				t.Fatalf("bucket %d: owner %d after removal, want %d", b, got, want)
+			}
+		}
+	})
+}
