--- /dev/null
+++ b/cmd/marigoldwoodctl/main_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"marigoldwoodctl": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata"})
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,139 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/marigoldwood/marigoldwood/internal/status"
+)
+
+type statusCommand struct {
+	command
+}
+
+// Execute prints the status of every host.
+func (c *statusCommand) Execute([]string) error {
+	cl, err := newClient(c.options)
+	if err != nil {
+		return err
+	}
+	answers := askAll[status.Status](cl, "/status")
+	var all []status.Status
+	for _, a := range answers {
+		if a.Err == nil {
+			all = append(all, a.Value)
+		}
+	}
+	if c.options.Output == "json" {
+		err = writeJSON(c.streams.Out, all)
+	} else {
+		err = writeStatus(c.streams.Out, all)
+	}
+	if err != nil {
+		return err
+	}
+	return reportMissing(c.streams.Err, answers)
+}
+
+func writeJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+func writeStatus(out io.Writer, all []status.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tDATA CENTRE\tSTATE\tREADY\tBUNDLE\tSTAGED\tBUCKETS\tFLOWS\tEXCEPTIONS\tCOPIES\tPLATFORM AGE\tNOTES")
+	for i := range all {
+		s := &all[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%d\t%d\t%d/%d\t%d\t%d\t%s\t%s\n", s.Host, s.DataCentre, s.State, s.Ready,
+			s.Bundle.InForce, s.Bundle.Staged, s.Buckets.Owned, s.Flows.Open, s.Flows.Capacity, s.Flows.Exceptions,
+			s.Flows.Copies, age(s.Bundle.PlatformAgeMS), notes(s))
+	}
+	fmt.Fprintln(w)
+	writeTargets(w, all)
+	return w.Flush()
+}
+
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1fs", float64(ms)/1000)
+}
+
+func notes(s *status.Status) string {
+	text := s.Reason
+	add := func(condition bool, note string) {
+		if !condition {
+			return
+		}
+		if text != "" {
+			text += "; "
+		}
+		text += note
+	}
+	add(s.Bundle.Behind, "behind a newer bundle")
+	add(s.Bundle.Conflict, "bundle version conflict")
+	add(s.Bundle.LastRefusal != "", "refused a bundle: "+s.Bundle.LastRefusal)
+	return text
+}
+
+// targetRow sums what the hosts say of one target.
+type targetRow struct {
+	states     map[string]int
+	eligible   int
+	flows      int64
+	reported   float64
+	distrusted bool
+}
+
+func writeTargets(w io.Writer, all []status.Status) {
+	rows := make(map[[3]string]*targetRow)
+	for i := range all {
+		for _, service := range all[i].Services {
+			for _, t := range service.Targets {
+				key := [3]string{service.Name, all[i].DataCentre, t.Address}
+				if rows[key] == nil {
+					rows[key] = &targetRow{states: make(map[string]int)}
+				}
+				rows[key].add(t)
+			}
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(rows), func(a, b [3]string) int { return slices.Compare(a[:], b[:]) })
+	fmt.Fprintln(w, "SERVICE\tDATA CENTRE\tTARGET\tSTATE (HOSTS)\tELIGIBLE ON\tFLOWS\tREPORTED LOAD\tNOTES")
+	for _, k := range keys {
+		r := rows[k]
+		note := ""
+		if r.distrusted {
+			note = "its reports are distrusted"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%s\n", k[0], k[1], k[2], r.stateText(), r.eligible, r.flows, r.reported, note)
+	}
+}
+
+func (r *targetRow) add(t status.Target) {
+	r.states[t.State]++
+	r.flows += t.Flows
+	r.reported = max(r.reported, t.Reported)
+	r.distrusted = r.distrusted || t.Distrusted
+	if t.Eligible {
+		r.eligible++
+	}
+}
+
+func (r *targetRow) stateText() string {
+	text := ""
+	for _, state := range slices.Sorted(maps.Keys(r.states)) {
+		if text != "" {
+			text += " "
+		}
+		text += fmt.Sprintf("%s(%d)", state, r.states[state])
+	}
+	return text
+}
--- /dev/null
+++ b/internal/docgen/generate.go
@@ -0,0 +1,3 @@
+package main
+
+//go:generate go run . ../../docs
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,45 @@
+// Package logging writes the log: one line of key=value pairs for each event.
+package logging
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/timeline"
+)
+
+// New returns a logger that writes lines at level or above to w. Every line carries the host.
+func New(w io.Writer, level, host string) (*logrus.Entry, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
+	return logger.WithField("host", host), nil
+}
+
+// Event writes an event of the time line to the log.
+func Event(log *logrus.Entry, e timeline.Event) {
+	fields := logrus.Fields{"event": e.Kind}
+	add := func(key, value string) {
+		if value != "" {
+			fields[key] = value
+		}
+	}
+	add("service", e.Service)
+	add("target", e.Target)
+	add("member", e.Member)
+	add("flow", e.Flow)
+	add("detail", e.Detail)
+	if e.Version != 0 {
+		fields["version"] = e.Version
+	}
+	if e.Code != 0 {
+		fields["code"] = e.Code
+	}
+	log.WithFields(fields).Info(e.Kind)
+}
