--- a/cmd/marigoldwood/main.go
+++ b/cmd/marigoldwood/main.go
@@ -1,4 +1,77 @@
 // Command marigoldwood is the load balancer daemon.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/marigoldwood/marigoldwood/internal/buildinfo"
+	"github.com/marigoldwood/marigoldwood/internal/daemon"
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file, YAML"`
+	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		return usage(err)
+	}
+	if o.Version {
+		fmt.Println(buildinfo.Version())
+		return exitOK
+	}
+	if o.Settings == "" {
+		return usage(errors.New("--settings FILE is required"))
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		return failed(fmt.Errorf("%s: %w", o.Settings, err))
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := daemon.Run(ctx, s, os.Stderr); err != nil {
+		return failed(err)
+	}
+	return exitOK
+}
+
+func usage(err error) int {
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "marigoldwood:", err)
+	return exitUsage
+}
+
+func failed(err error) int {
+	fmt.Fprintln(os.Stderr, "marigoldwood:", err)
+	return exitFailed
+}
