--- /dev/null
+++ b/membership/contact.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+)
+
+func (c *Core) setCandidates(list []Candidate) {
+	c.candidates = slices.Clone(list)
+	for _, h := range list {
+		if !h.Leaving {
+			continue
+		}
+		id := NewHostID(h.Name)
+		if m := c.members[id]; id == c.self.ID || m != nil && m.announced < Leaving {
+			c.emit(LeavingListed{Member: id})
+		}
+	}
+}
+
+// contactAbsent pings one host that is not a live member: a seed, a listed host or a member that is gone. This is how
+// members join and how the two sides of a partition find each other again.
+func (c *Core) contactAbsent() {
+	absent := c.absent()
+	if c.alone() {
+		c.nextContact = c.now + ProbeInterval
+	}
+	if len(absent) == 0 || c.self.announced >= Leaving {
+		return
+	}
+	c.contact++
+	to := absent[c.contact%len(absent)]
+	c.sequence++
+	msg := c.message(Ping, c.sequence, c.gone(to))
+	msg.Sync = c.alone()
+	c.emit(Send{To: to, Message: msg})
+}
+
+func (c *Core) alone() bool {
+	return !slices.ContainsFunc(c.order, func(id HostID) bool { return c.members[id].announced != Gone })
+}
+
+func (c *Core) gone(at netip.AddrPort) *member {
+	for _, m := range c.members {
+		if m.Probe == at && m.announced == Gone {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *Core) absent() []netip.AddrPort {
+	present := map[netip.AddrPort]bool{c.self.Probe: true}
+	var all []netip.AddrPort
+	add := func(a netip.AddrPort) {
+		if a.IsValid() && !present[a] {
+			present[a] = true
+			all = append(all, a)
+		}
+	}
+	for _, known := range []map[HostID]*member{c.members, c.remote} {
+		for _, m := range known {
+			if m.announced != Gone {
+				present[m.Probe] = true
+			}
+		}
+	}
+	for _, a := range c.cfg.Seeds {
+		add(a)
+	}
+	for _, h := range c.candidates {
+		if !h.Leaving {
+			add(h.Probe)
+		}
+	}
+	for _, id := range c.sortedMembers() {
+		add(c.members[id].Probe)
+	}
+	return all
+}
+
+// remoteMisses is the number of samples without answer after which a member of another data centre counts as gone
+// here. Nothing depends on it but the choice of whom to ask for bundles.
+const remoteMisses = 2
+
+func (c *Core) sampleRemote() {
+	var live []HostID
+	for id, m := range c.remote {
+		if m.announced != Gone {
+			live = append(live, id)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	slices.Sort(live)
+	m := c.remote[live[c.rng.IntN(len(live))]]
+	c.sequence++
+	c.probes = append(c.probes, &probe{
+		sequence: c.sequence, target: m.ID, sent: c.now, deadline: c.now + contactInterval/2, remote: true,
+	})
+	c.sendPing(m, c.sequence)
+}
+
+func (c *Core) remoteFailed(id HostID) {
+	m := c.remote[id]
+	if m == nil || m.announced == Gone {
+		return
+	}
+	if m.misses++; m.misses < remoteMisses {
+		return
+	}
+	previous := m.State
+	c.advance(m, Gone)
+	c.changed(m, previous, false)
+}
+
+// receiveRemote keeps members of other data centres. They are known only from their own messages, and nothing is
+// gossiped about them, so their number does not add to the cost of probing.
+func (c *Core) receiveRemote(from netip.AddrPort, msg *Message) {
+	u := &msg.Sender
+	m := c.remote[u.ID()]
+	if m == nil {
+		if u.State == Gone || len(c.remote) >= maxRemote {
+			return
+		}
+		m = &member{Member: u.member()}
+		c.remote[m.ID] = m
+		c.advance(m, u.State)
+		c.changed(m, Joining, true)
+	}
+	if u.Incarnation < m.Incarnation {
+		return
+	}
+	previous := m.State
+	if u.Incarnation > m.Incarnation || m.announced == Gone && m.misses >= remoteMisses {
+		fresh := u.member()
+		m.Data, m.Probe, m.Peer, m.Incarnation = fresh.Data, fresh.Probe, fresh.Peer, u.Incarnation
+		c.transition(m, "restart")
+		m.announced = Joining
+	}
+	m.misses = 0
+	c.advance(m, u.State)
+	if m.State != previous {
+		c.changed(m, previous, false)
+	}
+	c.readStatus(m, &msg.Status, false)
+	switch msg.Kind {
+	case Ping:
+		c.emit(Send{To: from, Message: c.message(Ack, msg.Sequence, m)})
+	case Ack:
+		c.acked(msg.Sequence, m.ID)
+	}
+}
--- /dev/null
+++ b/membership/events.go
@@ -0,0 +1,92 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Event is an input of a Core.
+type Event interface{ event() }
+
+// Tick lets time pass. Send it at Core.NextTick, or at least every 50 ms.
+type Tick struct{}
+
+// Received is the receipt of an authenticated message.
+type Received struct {
+	From    netip.AddrPort
+	Message Message
+}
+
+// Candidate is a host that the platform lists. It is only a hint: the list lags, so that a listed host may be dead and
+// a host may serve that is not listed.
+type Candidate struct {
+	Name, DataCentre string
+	Probe            netip.AddrPort
+	Leaving          bool
+}
+
+// HostList replaces the candidates.
+type HostList struct{ Candidates []Candidate }
+
+// LocalChanged replaces what this member tells about itself.
+type LocalChanged struct {
+	State           State // Joining, Warm, Serving or Leaving; an earlier state than the announced one is ignored
+	InForce, Staged VersionDigest
+	PlatformRead    time.Duration // last successful read on the monotonic clock; negative when there was none
+}
+
+// PauseDetected reports that the process did not run for a while.
+type PauseDetected struct{ Gap time.Duration }
+
+func (Tick) event()          {}
+func (Received) event()      {}
+func (HostList) event()      {}
+func (LocalChanged) event()  {}
+func (PauseDetected) event() {}
+
+// Effect is an output of a Core, to be carried out in order.
+type Effect interface{ effect() }
+
+// Send sends a message to a probe address.
+type Send struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// MemberChanged reports a new state or incarnation of a member.
+type MemberChanged struct {
+	Member   Member
+	Previous State // equal to Member.State when only the incarnation changed
+	New      bool  // the member was unknown
+}
+
+// ViewChanged reports another set of bucket owners in this data centre.
+type ViewChanged struct{ Owners []HostID }
+
+// StatusReceived reports the status of a member, once for each accepted message.
+type StatusReceived struct {
+	Member HostID
+	Local  bool // the member is in this data centre
+	Status Status
+}
+
+// SelfGone reports that others declared this member gone. It rejoins under a higher incarnation; Hold is how long it
+// announces Warm before it serves again.
+type SelfGone struct {
+	Incarnation uint64
+	Hold        time.Duration
+}
+
+// LeavingListed reports that the platform lists a member as leaving.
+type LeavingListed struct{ Member HostID }
+
+// Refreshed ends the refresh after a pause: a peer has answered with its view, or Alone is set because none did.
+type Refreshed struct{ Alone bool }
+
+func (Send) effect()           {}
+func (MemberChanged) effect()  {}
+func (ViewChanged) effect()    {}
+func (StatusReceived) effect() {}
+func (SelfGone) effect()       {}
+func (LeavingListed) effect()  {}
+func (Refreshed) effect()      {}
--- /dev/null
+++ b/membership/gossip.go
@@ -0,0 +1,168 @@
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// retransmitFactor times the logarithm of the size of the data centre is how often an update is sent. With 3, all of
+// 118 members learn an update with 10% loss.
+const retransmitFactor = 3
+
+// spread queues the update about a member.
+func (c *Core) spread(id HostID) {
+	c.gossip[id] = retransmitFactor * bits.Len(uint(len(c.order)+1))
+}
+
+// message builds a message to a member; to may be nil when the receiver is not known.
+func (c *Core) message(kind Kind, sequence uint64, to *member) Message {
+	msg := Message{Kind: kind, Sequence: sequence, Sender: c.update(c.self), Status: c.status()}
+	if to != nil && to.DataCentre != c.self.DataCentre {
+		return msg
+	}
+	msg.ViewDigest = c.viewDigest()
+	msg.Updates = c.pickUpdates(to)
+	return msg
+}
+
+func (c *Core) status() Status {
+	s := Status{InForce: c.local.InForce, Staged: c.local.Staged, PlatformAge: -1}
+	if c.local.PlatformRead >= 0 {
+		s.PlatformAge = c.now - c.local.PlatformRead
+	}
+	if c.cfg.Clock != nil {
+		s.Stamp = c.cfg.Clock.Next()
+	}
+	return s
+}
+
+func (c *Core) update(m *member) Update {
+	return Update{
+		Name: m.Name, DataCentre: m.DataCentre, Address: m.Probe.Addr(),
+		DataPort: m.Data.Port(), ProbePort: m.Probe.Port(), PeerPort: m.Peer.Port(),
+		Incarnation: m.Incarnation, State: m.announced, Suspected: m.suspected,
+	}
+}
+
+// pickUpdates chooses the updates that were sent least often. What is held against the receiver itself comes first,
+// so that it can refute it.
+func (c *Core) pickUpdates(to *member) []Update {
+	var updates []Update
+	if to != nil && (to.suspected || to.announced == Gone) {
+		updates = append(updates, c.update(to))
+	}
+	ids := make([]HostID, 0, len(c.gossip))
+	for id := range c.gossip {
+		if id != c.self.ID && (to == nil || id != to.ID) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b HostID) int {
+		return cmp.Or(cmp.Compare(c.gossip[b], c.gossip[a]), cmp.Compare(a, b))
+	})
+	for _, id := range ids[:min(len(ids), MaxUpdates-len(updates))] {
+		if m := c.members[id]; m != nil {
+			updates = append(updates, c.update(m))
+		}
+		if c.gossip[id]--; c.gossip[id] <= 0 {
+			delete(c.gossip, id)
+		}
+	}
+	return updates
+}
+
+// syncState is the transfer of the whole member list from one member, MaxUpdates at a time.
+type syncState struct {
+	peer     HostID
+	cursor   HostID
+	sequence uint64
+	at       time.Duration // last progress
+	tries    int
+	active   bool
+}
+
+// Differences between views are left to gossip for settleTime. After that the list is fetched, at most once per
+// syncInterval, which bounds its cost.
+const (
+	settleTime   = 2 * time.Second
+	syncInterval = 5 * time.Second
+	syncTries    = 4
+)
+
+func (c *Core) startSync(m *member) {
+	c.sync = syncState{peer: m.ID, at: c.now, active: true}
+	c.sendSync(m)
+}
+
+func (c *Core) sendSync(m *member) {
+	c.sequence++
+	c.sync.sequence = c.sequence
+	msg := c.message(Ping, c.sequence, m)
+	msg.Sync, msg.Cursor = true, c.sync.cursor
+	c.emit(Send{To: m.Probe, Message: msg})
+}
+
+func (c *Core) retrySync() {
+	if !c.sync.active || c.now-c.sync.at < ProbeInterval {
+		return
+	}
+	m := c.members[c.sync.peer]
+	if c.sync.tries++; m == nil || m.announced == Gone || c.sync.tries > syncTries {
+		c.sync.active = false
+		if other := c.pickMembers(1); len(other) == 1 && c.refreshUntil > 0 {
+			c.startSync(other[0])
+		}
+		return
+	}
+	c.sync.at = c.now
+	c.sendSync(m)
+}
+
+// fillSync replaces the updates of an ack by the next members in order of ID.
+func (c *Core) fillSync(ack *Message, to *member, after HostID) {
+	ack.Sync, ack.Updates = true, nil
+	if to.suspected {
+		ack.Updates = append(ack.Updates, c.update(to))
+	}
+	for _, id := range c.sortedMembers() {
+		if id <= after {
+			continue
+		}
+		if len(ack.Updates) == MaxUpdates {
+			return
+		}
+		ack.Updates = append(ack.Updates, c.update(c.members[id]))
+		ack.Cursor = id
+	}
+	ack.Cursor = 0
+}
+
+func (c *Core) continueSync(m *member, msg *Message) {
+	if c.refreshUntil > 0 && (!msg.Sync || msg.Cursor == 0) {
+		c.refreshUntil = 0
+		c.emit(Refreshed{})
+	}
+	if !msg.Sync {
+		return
+	}
+	if !c.sync.active {
+		c.sync = syncState{active: true}
+	}
+	c.sync.peer, c.sync.at, c.sync.tries, c.sync.cursor = m.ID, c.now, 0, msg.Cursor
+	if msg.Cursor == 0 {
+		c.sync.active = false
+		return
+	}
+	c.sendSync(m)
+}
+
+func (c *Core) compareViews(m *member, msg *Message) {
+	if msg.ViewDigest == 0 || msg.ViewDigest == c.viewDigest() || c.sync.active {
+		return
+	}
+	if c.now-c.lastChange >= settleTime && c.now-c.sync.at >= syncInterval {
+		c.startSync(m)
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,4 +60,9 @@
 	State         State
 	BundleInForce uint64 // bundle version, 0 when none
 	BundleStaged  uint64 // bundle version, 0 when none
+
+	InForceDigest [8]byte       // first bytes of the digest of the bundle in force
+	StagedDigest  [8]byte       // first bytes of the digest of the staged bundle
+	PlatformRead  time.Duration // last successful read of the platform on the local monotonic clock; negative when unknown
+	LastHeard     time.Duration // receipt of the last message on the local monotonic clock; negative when never
 }
--- /dev/null
+++ b/membership/probe.go
@@ -0,0 +1,204 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// probe is a ping that waits for its ack.
+type probe struct {
+	sequence uint64
+	target   HostID
+	sent     time.Duration
+	deadline time.Duration
+	indirect bool // the indirect pings have been sent
+	remote   bool // a sample of another data centre, which has no indirect pings
+}
+
+// relay remembers for whom this member pings another.
+type relay struct {
+	origin   netip.AddrPort
+	sequence uint64
+	target   HostID
+	expires  time.Duration
+}
+
+// maxSuspectPings bounds the extra pings per probe interval while many members are suspected, as after a partition;
+// other members ping the rest.
+const maxSuspectPings = 2
+
+// maxRelays bounds the pings that are under way for others.
+const maxRelays = 64
+
+func (c *Core) probeNext() {
+	for range len(c.order) + 1 {
+		if c.next >= len(c.order) {
+			c.rng.Shuffle(len(c.order), func(i, j int) { c.order[i], c.order[j] = c.order[j], c.order[i] })
+			c.next = 0
+		}
+		if len(c.order) == 0 {
+			return
+		}
+		m := c.members[c.order[c.next]]
+		if m == nil || m.announced == Gone {
+			c.order = slices.Delete(c.order, c.next, c.next+1)
+			continue
+		}
+		c.next++
+		c.probe(m)
+		return
+	}
+}
+
+func (c *Core) probe(m *member) {
+	c.sequence++
+	c.probes = append(c.probes, &probe{sequence: c.sequence, target: m.ID, sent: c.now, deadline: c.now + AckTimeout})
+	c.sendPing(m, c.sequence)
+}
+
+// probeSuspects pings the members whose suspicion this member raised, so that a member that lost single packets hears
+// of the suspicion and its refutation comes back within the suspicion time.
+func (c *Core) probeSuspects() {
+	var suspects []*member
+	for _, id := range c.sortedMembers() {
+		if m := c.members[id]; m.suspected && m.byProbe {
+			suspects = append(suspects, m)
+		}
+	}
+	c.rng.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	for _, m := range suspects[:min(maxSuspectPings, len(suspects))] {
+		c.sequence++
+		c.sendPing(m, c.sequence)
+	}
+}
+
+func (c *Core) sendPing(m *member, sequence uint64) {
+	msg := c.message(Ping, sequence, m)
+	c.emit(Send{To: m.Probe, Message: msg})
+}
+
+func (c *Core) expireProbes() {
+	due := c.probes
+	c.probes = nil
+	for _, p := range due {
+		if c.now < p.deadline {
+			c.probes = append(c.probes, p)
+			continue
+		}
+		c.probeFailed(p)
+	}
+	for sequence, r := range c.relays {
+		if c.now >= r.expires {
+			delete(c.relays, sequence)
+		}
+	}
+}
+
+func (c *Core) probeFailed(p *probe) {
+	if p.remote {
+		c.remoteFailed(p.target)
+		return
+	}
+	m := c.members[p.target]
+	if m == nil || m.announced == Gone {
+		return
+	}
+	if p.indirect {
+		c.suspect(m)
+		return
+	}
+	p.indirect, p.deadline = true, c.now+AckTimeout
+	c.probes = append(c.probes, p)
+	for _, helper := range c.pickHelpers(p.target) {
+		msg := c.message(PingReq, p.sequence, helper)
+		msg.Target, msg.TargetAddr = m.ID, m.Probe
+		c.emit(Send{To: helper.Probe, Message: msg})
+	}
+}
+
+func (c *Core) pickHelpers(target HostID) []*member {
+	var live []*member
+	for _, id := range c.sortedMembers() {
+		if m := c.members[id]; id != target && m.announced != Gone && !m.suspected {
+			live = append(live, m)
+		}
+	}
+	c.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(IndirectProbes, len(live))]
+}
+
+// suspect starts a suspicion after a failed probe. A member that has itself heard nothing for a while may be the one
+// that is cut off; it then keeps the suspicion to itself instead of disturbing the others.
+func (c *Core) suspect(m *member) {
+	if m.suspected {
+		return
+	}
+	previous := m.State
+	m.byProbe = true
+	c.setSuspected(m)
+	if m.State != previous {
+		c.changed(m, previous, false)
+	}
+	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
+		delete(c.gossip, m.ID)
+	}
+}
+
+func (c *Core) setSuspected(m *member) {
+	m.suspected, m.expires = true, c.now+SuspicionTime
+	if m.announced == Serving {
+		c.transition(m, "suspect")
+	}
+	c.spread(m.ID)
+}
+
+func (c *Core) expireSuspicions() {
+	for _, id := range c.sortedMembers() {
+		if m := c.members[id]; m.suspected && c.now >= m.expires {
+			c.declareGone(m)
+		}
+	}
+}
+
+func (c *Core) declareGone(m *member) {
+	previous := m.State
+	c.advance(m, Gone)
+	c.spread(m.ID)
+	c.changed(m, previous, false)
+}
+
+func (c *Core) sortedMembers() []HostID {
+	ids := make([]HostID, 0, len(c.members))
+	for id := range c.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) acked(sequence uint64, target HostID) {
+	c.probes = slices.DeleteFunc(c.probes, func(p *probe) bool { return p.sequence == sequence && p.target == target })
+	r, found := c.relays[sequence]
+	if !found || r.target != target {
+		return
+	}
+	delete(c.relays, sequence)
+	msg := c.message(Ack, r.sequence, nil)
+	msg.Target = target
+	c.emit(Send{To: r.origin, Message: msg})
+}
+
+func (c *Core) relayPing(from netip.AddrPort, m *Message) {
+	target := c.members[m.Target]
+	if len(c.relays) >= maxRelays || m.Target == c.self.ID {
+		return
+	}
+	to := m.TargetAddr
+	if target != nil {
+		to = target.Probe
+	}
+	c.sequence++
+	c.relays[c.sequence] = relay{origin: from, sequence: m.Sequence, target: m.Target, expires: c.now + AckTimeout}
+	c.emit(Send{To: to, Message: c.message(Ping, c.sequence, target)})
+}
