--- /dev/null
+++ b/ownership/handover.go
@@ -0,0 +1,236 @@
+package ownership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/membership"
+)
+
+// Timing of claims.
+const (
+	claimRetry     = 200 * time.Millisecond // first wait for an answer; doubles up to claimRetryMax
+	claimRetryMax  = 2 * time.Second
+	copiesLimit    = time.Second            // longest wait for the copies of an owner that is gone
+	maxRedirects   = 8                      // redirects after which nobody holds the bucket
+	offerDelay     = 500 * time.Millisecond // an owner that the map does not name waits so long for a claim
+	retainGranted  = 30 * time.Second       // granted exceptions are kept so long, in case the grant is lost
+	grantPartFlows = 1024                   // exceptions in one message; about 36 KB, below the limit of 64 KiB
+)
+
+// phase is the internal state of a bucket.
+type phase uint8
+
+const (
+	phaseOther     phase = iota // another member is the owner
+	phaseOwner                  // this member decides
+	phaseAcquiring              // claimed from peer
+	phaseReleasing              // granting to peer; waits for traffic to quiesce and exceptions to be collected
+)
+
+type bucket struct {
+	phase       phase
+	peer        membership.HostID // other: owner; acquiring: member that the claim goes to; releasing: claimer
+	holder      membership.HostID // other: member that may still hold the bucket while its owner acquires it
+	alternative membership.HostID // acquiring: member that holds copies if peer does not own the bucket
+	lost        bool              // acquiring: the previous owner is gone and peer is asked for copies
+	merging     bool              // owner: a claim to peer is out, to merge its exceptions
+	inSync      bool
+	takenOverAt time.Duration
+	since       time.Duration // acquiring: start; owner that the map does not name: since when
+	next        time.Duration // next claim or offer
+	wait        time.Duration
+	redirects   int
+	publication uint64 // releasing: publication that must be quiesced
+	collecting  bool
+}
+
+// Copies is the store of exception copies that this member holds as a backup.
+type Copies interface {
+	// Take returns the copies of a bucket and whether they are complete.
+	Take(b Bucket) (Exceptions, bool)
+	// Source returns the member that the copies of a bucket came from, or 0 when there are none.
+	Source(b Bucket) membership.HostID
+}
+
+// granted keeps what was granted until the new owner must have it.
+type granted struct {
+	to         membership.HostID
+	exceptions Exceptions
+	inSync     bool
+	until      time.Duration
+}
+
+// Handover moves buckets between this member and others. It is not safe for use by several goroutines.
+type Handover struct {
+	self      membership.HostID
+	copies    Copies
+	rng       *rand.Rand
+	now       time.Duration
+	out       []Effect
+	current   *Map // nil before the first map
+	reachable map[membership.HostID]bool
+	buckets   [BucketCount]bucket
+	granted   map[Bucket]granted
+	number    uint64
+	dirty     bool
+	quiesce   bool
+}
+
+// NewHandover returns a handover that owns nothing.
+func NewHandover(self membership.HostID, copies Copies, rng *rand.Rand) *Handover {
+	return &Handover{self: self, copies: copies, rng: rng, granted: make(map[Bucket]granted)}
+}
+
+// Handle applies an event at time now and returns the effects.
+func (h *Handover) Handle(now time.Duration, e Event) []Effect {
+	h.now, h.out, h.dirty, h.quiesce = max(h.now, now), nil, false, false
+	switch e := e.(type) {
+	case NewMap:
+		h.setMap(e.Map, e.Reachable)
+	case ClaimReceived:
+		h.claimed(e.From, e.Buckets)
+	case GrantReceived:
+		h.receiveGrant(e.From, &e.Grant)
+	case Quiesced:
+		h.collect(e.Number)
+	case Collected:
+		h.sendGranted(&e)
+	case Tick:
+	}
+	h.expire()
+	h.send()
+	if h.dirty {
+		h.number++
+		for b := range h.buckets {
+			if k := &h.buckets[b]; k.phase == phaseReleasing && k.publication == 0 {
+				k.publication = h.number
+			}
+		}
+		h.emit(Publish{Number: h.number, Quiesce: h.quiesce})
+	}
+	return h.out
+}
+
+// States returns the bucket states to publish.
+func (h *Handover) States() *[BucketCount]BucketState {
+	var states [BucketCount]BucketState
+	for b := range h.buckets {
+		states[b] = h.buckets[b].state()
+	}
+	return &states
+}
+
+func (k *bucket) state() BucketState {
+	switch k.phase {
+	case phaseOwner:
+		return BucketState{Role: RoleOwner, InSync: k.inSync, TakenOverAt: k.takenOverAt}
+	case phaseAcquiring:
+		if k.lost {
+			return BucketState{Role: RoleAcquiring}
+		}
+		return BucketState{Role: RoleAcquiring, Peer: k.peer}
+	}
+	return BucketState{Role: RoleForward, Peer: k.peer}
+}
+
+// Owned returns the number of buckets that this member still has to answer for. A leaving member stops at 0.
+func (h *Handover) Owned() int {
+	n := 0
+	for b := range h.buckets {
+		if p := h.buckets[b].phase; p == phaseOwner || p == phaseReleasing {
+			n++
+		}
+	}
+	return n
+}
+
+// Pending returns the number of buckets that wait for a grant.
+func (h *Handover) Pending() int {
+	n := 0
+	for b := range h.buckets {
+		if h.buckets[b].phase == phaseAcquiring {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *Handover) emit(e Effect) { h.out = append(h.out, e) }
+
+// own makes this member the owner of a bucket. takenOver is the time of an unplanned takeover, or 0.
+func (h *Handover) own(k *bucket, inSync bool, takenOver time.Duration) {
+	*k = bucket{phase: phaseOwner, inSync: inSync, takenOverAt: takenOver}
+	h.dirty = true
+}
+
+func (h *Handover) acquire(k *bucket, from, alternative membership.HostID, lost bool) {
+	*k = bucket{
+		phase: phaseAcquiring, peer: from, alternative: alternative, lost: lost,
+		since: h.now, next: h.now, wait: claimRetry,
+	}
+	h.dirty = true
+}
+
+func (h *Handover) release(k *bucket, to membership.HostID) {
+	*k = bucket{phase: phaseReleasing, peer: to, inSync: k.inSync, takenOverAt: k.takenOverAt}
+	h.dirty, h.quiesce = true, true
+}
+
+// send sends the claims and offers that are due, one message for each member.
+func (h *Handover) send() {
+	claims := make(map[membership.HostID][]Bucket)
+	offers := make(map[membership.HostID][]Bucket)
+	for b := range h.buckets {
+		k := &h.buckets[b]
+		if h.now < k.next {
+			continue
+		}
+		switch {
+		case k.phase == phaseAcquiring, k.phase == phaseOwner && k.merging:
+			claims[k.peer] = append(claims[k.peer], Bucket(b))
+		case k.phase == phaseOwner && k.since > 0:
+			to := h.current.Owner(Bucket(b))
+			if !h.reachable[to] {
+				continue
+			}
+			offers[to] = append(offers[to], Bucket(b))
+		default:
+			continue
+		}
+		k.wait = min(max(2*k.wait, claimRetry), claimRetryMax)
+		k.next = h.now + k.wait/2 + time.Duration(h.rng.Int64N(int64(k.wait)/2))
+	}
+	for _, to := range sortedIDs(claims) {
+		h.emit(SendClaim{To: to, Buckets: claims[to]})
+	}
+	for _, to := range sortedIDs(offers) {
+		h.emit(SendGrant{To: to, Grant: Grant{Result: Offer, Buckets: offers[to]}})
+	}
+}
+
+func sortedIDs[V any](m map[membership.HostID]V) []membership.HostID {
+	ids := make([]membership.HostID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, cmp.Compare[membership.HostID])
+	return ids
+}
+
+// expire ends waits that have lasted too long and drops what was kept of old grants.
+func (h *Handover) expire() {
+	for b := range h.buckets {
+		k := &h.buckets[b]
+		if k.phase == phaseAcquiring && k.lost && h.now-k.since >= copiesLimit {
+			h.own(k, false, h.now)
+		}
+	}
+	for b, g := range h.granted {
+		if h.now >= g.until {
+			delete(h.granted, b)
+		}
+	}
+}
--- /dev/null
+++ b/ownership/wire.go
@@ -0,0 +1,215 @@
+package ownership
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+	"slices"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+)
+
+// Batch carries changes of exceptions to a backup. Batches of a stream are applied in order.
+type Batch struct {
+	Epoch    uint64 // identifies the stream; rises when the owner starts a new one
+	Sequence uint64 // 1 for the first batch of a stream
+	Data     []byte // encoded changes
+}
+
+// BatchAck acknowledges all batches of a stream up to Sequence.
+type BatchAck struct {
+	Epoch, Sequence uint64
+}
+
+// maxBatchItems bounds each list of a decoded batch. A batch of 64 KiB cannot hold more.
+const maxBatchItems = 1 << 16
+
+// changes is the content of a batch. Endpoints and targets are sent once per stream and then named by their position;
+// exceptions are numbered in the order in which they are added, so that a removal needs only the number.
+type changes struct {
+	start, complete []Bucket // buckets whose copies begin anew, and whose copies are all sent
+	endpoints       []flow.EndpointID
+	targets         []flow.TargetID
+	retired         []Retired
+	firstID         uint32
+	added           []addition
+	removed         []uint32 // ascending
+}
+
+type addition struct {
+	caller           [16]byte
+	port             uint16
+	endpoint, target uint32 // positions in the dictionaries of the stream
+}
+
+var errBatch = errors.New("exception batch cannot be decoded")
+
+func (c *changes) encode() []byte {
+	var b []byte
+	b = appendBuckets(b, c.start)
+	b = appendBuckets(b, c.complete)
+	b = binary.AppendUvarint(b, uint64(len(c.endpoints)))
+	for _, e := range c.endpoints {
+		b = binary.BigEndian.AppendUint64(b, uint64(e))
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.targets)))
+	for _, t := range c.targets {
+		b = binary.BigEndian.AppendUint64(b, uint64(t))
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.retired)))
+	for _, r := range c.retired {
+		b = appendRetired(b, r)
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.added)))
+	if len(c.added) > 0 {
+		b = binary.AppendUvarint(b, uint64(c.firstID))
+	}
+	for i := range c.added {
+		b = c.added[i].append(b)
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.removed)))
+	last := uint32(0)
+	for _, id := range c.removed {
+		b = binary.AppendUvarint(b, uint64(id-last))
+		last = id
+	}
+	return b
+}
+
+// append encodes an addition: 8 bytes for an IPv4 caller and small dictionaries.
+func (a *addition) append(b []byte) []byte {
+	addr := netip.AddrFrom16(a.caller)
+	if addr.Is4In6() {
+		b = binary.AppendUvarint(b, uint64(a.endpoint)<<1)
+		b = append(b, a.caller[12:]...)
+	} else {
+		b = binary.AppendUvarint(b, uint64(a.endpoint)<<1|1)
+		b = append(b, a.caller[:]...)
+	}
+	b = binary.BigEndian.AppendUint16(b, a.port)
+	return binary.AppendUvarint(b, uint64(a.target))
+}
+
+func appendRetired(b []byte, r Retired) []byte {
+	addr := r.Addr.As16()
+	b = binary.BigEndian.AppendUint64(b, uint64(r.ID))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Service))
+	b = append(b, addr[:]...)
+	return binary.BigEndian.AppendUint16(b, r.DataPort)
+}
+
+func appendBuckets(b []byte, buckets []Bucket) []byte {
+	b = binary.AppendUvarint(b, uint64(len(buckets)))
+	last := Bucket(0)
+	for _, k := range buckets {
+		b = binary.AppendUvarint(b, uint64(k-last))
+		last = k
+	}
+	return b
+}
+
+// reader decodes a batch. After the first fault every read returns zero.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) uvarint(limit uint64) uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > limit {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) bytes(n int) []byte {
+	if len(r.b) < n {
+		r.bad, r.b = true, nil
+		return make([]byte, n)
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.bytes(8)) }
+
+// count reads the length of a list whose items take at least size bytes.
+func (r *reader) count(size int) int {
+	n := int(r.uvarint(maxBatchItems))
+	if n*size > len(r.b) {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	return n
+}
+
+func (r *reader) buckets() []Bucket {
+	n := r.count(1)
+	if n == 0 {
+		return nil
+	}
+	out, last := make([]Bucket, n), uint64(0)
+	for i := range out {
+		last += r.uvarint(BucketCount)
+		r.bad = r.bad || last >= BucketCount || i > 0 && Bucket(last) <= out[i-1]
+		out[i] = Bucket(last % BucketCount)
+	}
+	return out
+}
+
+func (r *reader) addition() addition {
+	var a addition
+	e := r.uvarint(2 * maxBatchItems)
+	a.endpoint = uint32(e >> 1)
+	if e&1 == 0 {
+		a.caller[10], a.caller[11] = 0xff, 0xff
+		copy(a.caller[12:], r.bytes(4))
+	} else {
+		copy(a.caller[:], r.bytes(16))
+	}
+	a.port = binary.BigEndian.Uint16(r.bytes(2))
+	a.target = uint32(r.uvarint(maxBatchItems))
+	return a
+}
+
+func (r *reader) retired() Retired {
+	out := Retired{ID: flow.TargetID(r.uint64()), Service: flow.ServiceID(r.uint64())}
+	out.Addr = netip.AddrFrom16([16]byte(r.bytes(16))).Unmap()
+	out.DataPort = binary.BigEndian.Uint16(r.bytes(2))
+	return out
+}
+
+func decodeChanges(b []byte) (*changes, error) {
+	r := &reader{b: b}
+	c := &changes{start: r.buckets(), complete: r.buckets()}
+	for range r.count(8) {
+		c.endpoints = append(c.endpoints, flow.EndpointID(r.uint64()))
+	}
+	for range r.count(8) {
+		c.targets = append(c.targets, flow.TargetID(r.uint64()))
+	}
+	for range r.count(34) {
+		c.retired = append(c.retired, r.retired())
+	}
+	n := r.count(8)
+	if n > 0 {
+		c.firstID = uint32(r.uvarint(1<<32 - 1))
+		c.added = slices.Grow(c.added, n)
+	}
+	for range n {
+		c.added = append(c.added, r.addition())
+	}
+	last := uint64(0)
+	for range r.count(1) {
+		last += r.uvarint(1<<32 - 1)
+		r.bad = r.bad || last >= 1<<32
+		c.removed = append(c.removed, uint32(last))
+	}
+	if r.bad || len(r.b) > 0 {
+		return nil, errBatch
+	}
+	return c, nil
+}
