--- /dev/null
+++ b/bundle/lifecycle.go
@@ -0,0 +1,30 @@
+package bundle
+
+import (
+	_ "embed"
+
+	"github.com/marigoldwood/marigoldwood/chart"
+)
+
+//go:embed bundle.yaml
+var chartYAML []byte
+
+// Chart is the state chart of one bundle version on one balancer.
+var Chart = chart.MustLoad(chartYAML)
+
+// States of a bundle version, as in the chart.
+const (
+	StateReceived   = "received"
+	StateStaged     = "staged"
+	StateInForce    = "in_force"
+	StateSuperseded = "superseded"
+	StateRefused    = "refused"
+)
+
+// Events of a bundle version, as in the chart.
+const (
+	EventAccept   = "accept"
+	EventRefuse   = "refuse"
+	EventActivate = "activate"
+	EventReplace  = "replace"
+)
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -55,6 +55,9 @@
 }
 
 func decode(payload []byte, doc *Document) error {
+	if decodeCompact(payload, doc) {
+		return nil
+	}
 	err := yaml.NewDecoder(bytes.NewReader(payload), yaml.DisallowUnknownField()).Decode(doc)
 	if err == nil {
 		return nil
