--- /dev/null
+++ b/bundle/judge_test.go
@@ -0,0 +1,271 @@
+package bundle_test
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+var (
+	now     = time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
+	private = keyFrom("a")
+	other   = keyFrom("b")
+	keys    = mustRing(
+		bundle.Key{ID: "k1", Public: private.Public().(ed25519.PublicKey)},
+		bundle.Key{ID: "old", Public: private.Public().(ed25519.PublicKey), NotAfter: now.Add(-2 * time.Hour)},
+		bundle.Key{ID: "edge", Public: private.Public().(ed25519.PublicKey), NotAfter: now.Add(-59 * time.Minute)},
+		bundle.Key{ID: "next", Public: private.Public().(ed25519.PublicKey), NotBefore: now.Add(2 * time.Hour)},
+	)
+)
+
+func keyFrom(seed string) ed25519.PrivateKey {
+	sum := sha256.Sum256([]byte(seed))
+	return ed25519.NewKeyFromSeed(sum[:])
+}
+
+func mustRing(ks ...bundle.Key) bundle.Keyring {
+	ring, err := bundle.NewKeyring(ks...)
+	if err != nil {
+		panic(err)
+	}
+	return ring
+}
+
+// document returns a bundle of n targets in services of 40 targets each.
+func document(version, n int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version: %d\ndescription: \"a <b> & c\"\nservices:\n", version)
+	for k := range n {
+		if k%40 == 0 {
+			s := k / 40
+			fmt.Fprintf(&b, "- name: svc%d\n  vni: %d\n  protocol: tcp\n  endpoints: [\"10.0.%d.%d:443\"]\n  class: urgent\n  kind: session\n  idempotent: false\n  limits: {slots_per_target: 3}\n  placement: {strategy: bounded, load_factor: 1.1}\n  targets:\n", s, 100+s, s/256, s%256)
+		}
+		fmt.Fprintf(&b, "  - address: 10.%d.%d.%d\n    data_centre: Krāslava\n    weight: 10\n    health_port: 8080\n", 1+k/65536, k/256%256, k%256)
+	}
+	return []byte(b.String())
+}
+
+func sign(t testing.TB, doc []byte) []byte {
+	t.Helper()
+	envelope, err := bundle.Sign(doc, "k1", private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return envelope
+}
+
+func signRaw(t testing.TB, payload []byte, id string, key ed25519.PrivateKey) []byte {
+	t.Helper()
+	envelope, err := bundle.SignPayload(payload, id, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return envelope
+}
+
+func accept(t testing.TB, current *bundle.Bundle, envelope []byte) *bundle.Bundle {
+	t.Helper()
+	v := bundle.Judge(current, envelope, keys, now)
+	if v.Outcome != bundle.Accepted {
+		t.Fatalf("got %v, %v", v.Outcome, v.Err)
+	}
+	return v.Bundle
+}
+
+// Guards against a balancer that takes a damaged, foreign, expired or older bundle, or refuses a good one.
+func TestJudge(t *testing.T) {
+	v5 := accept(t, nil, sign(t, document(5, 2)))
+	good := sign(t, document(6, 2))
+	unsigned, err := (&bundle.Envelope{KeyID: "k1", Payload: document(6, 2)}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	flipped := bytes.Replace(bytes.Clone(good), []byte("svc0"), []byte("svc1"), 1)
+	for name, tt := range map[string]struct {
+		envelope []byte
+		outcome  bundle.Outcome
+		code     resultcode.Code
+	}{
+		"newer":              {good, bundle.Accepted, resultcode.OK},
+		"newer, plain YAML":  {signRaw(t, document(6, 2), "k1", private), bundle.Accepted, resultcode.OK},
+		"key in tolerance":   {signRaw(t, document(6, 2), "edge", private), bundle.Accepted, resultcode.OK},
+		"same":               {v5.Envelope, bundle.Unchanged, resultcode.OK},
+		"same, other key":    {signRaw(t, v5.Payload, "edge", private), bundle.Unchanged, resultcode.OK},
+		"stale":              {sign(t, document(4, 2)), bundle.Refused, resultcode.BundleStaleVersion},
+		"conflict":           {sign(t, document(5, 3)), bundle.Refused, resultcode.BundleVersionConflict},
+		"empty":              {nil, bundle.Refused, resultcode.BundleEnvelope},
+		"truncated":          {good[:len(good)-9], bundle.Refused, resultcode.BundleEnvelope},
+		"trailing bytes":     {append(bytes.Clone(good), 0), bundle.Refused, resultcode.BundleEnvelope},
+		"corrupt":            {flipped, bundle.Refused, resultcode.BundleBadSignature},
+		"oversized":          {make([]byte, bundle.MaxEnvelopeBytes+1), bundle.Refused, resultcode.BundleTooLarge},
+		"unsigned":           {unsigned, bundle.Refused, resultcode.BundleUnsigned},
+		"wrongly signed":     {signRaw(t, document(6, 2), "k1", other), bundle.Refused, resultcode.BundleBadSignature},
+		"unknown key":        {signRaw(t, document(6, 2), "k9", private), bundle.Refused, resultcode.BundleUnknownKey},
+		"key expired":        {signRaw(t, document(6, 2), "old", private), bundle.Refused, resultcode.BundleKeyNotValid},
+		"key not yet valid":  {signRaw(t, document(6, 2), "next", private), bundle.Refused, resultcode.BundleKeyNotValid},
+		"signed but invalid": {signRaw(t, []byte("version: 6\nservices: [{}]"), "k1", private), bundle.Refused, resultcode.BundleInvalidValue},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := bundle.Judge(v5, tt.envelope, keys, now)
+			if v.Outcome != tt.outcome || v.Code != tt.code || (v.Bundle != nil) != (tt.outcome == bundle.Accepted) {
+				t.Fatalf("got %v %v (%v), want %v %v", v.Outcome, v.Code, v.Err, tt.outcome, tt.code)
+			}
+		})
+	}
+}
+
+// Guards against a compact form that means something else than the document it was made from, under either decoder.
+func TestCompactMeansTheSame(t *testing.T) {
+	b, err := bundle.Parse(document(3, 90))
+	if err != nil {
+		t.Fatal(err)
+	}
+	payload, err := bundle.Compact(&b.Document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fast, err := bundle.Parse(payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow, err := bundle.Parse(append(bytes.Clone(payload), '\n')) // a further line break makes the YAML library decode it
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, got := range map[string]*bundle.Bundle{"compact": fast, "YAML": slow} {
+		if c := bundle.Diff(b, got); len(c) != 0 {
+			t.Errorf("%s decoder: %v", name, c)
+		}
+	}
+}
+
+// Guards against fields that only one of the two decoders would accept: names in other letter case and repeated names.
+func TestCompactIsStrict(t *testing.T) {
+	for _, payload := range []string{`{"Version":1,"services":[]}`, `{"version":1,"version":2,"services":[]}`, `{"version":1,"services":[],"x":1}`} {
+		if _, err := bundle.Parse([]byte(payload)); err == nil {
+			t.Errorf("accepted %s", payload)
+		}
+	}
+}
+
+// Guards against a small change of a large bundle that costs more than 16 KB on the wire.
+func TestDeltaSize(t *testing.T) {
+	older := sign(t, document(7, 11000))
+	edited := bytes.Replace(document(8, 11000), []byte("weight: 10"), []byte("drain: true"), 3)
+	newer := sign(t, edited)
+	data := bundle.MakeDelta(older, newer)
+	got, err := bundle.ApplyDelta(older, data)
+	if err != nil || !bytes.Equal(got, newer) {
+		t.Fatalf("the delta does not give the new envelope: %v", err)
+	}
+	t.Logf("envelope %d bytes, delta %d bytes", len(newer), len(data))
+	if len(data) > 16<<10 {
+		t.Fatalf("%d bytes", len(data))
+	}
+	if _, err := bundle.ApplyDelta(newer, data); err == nil {
+		t.Fatal("applied to content that it was not made for")
+	}
+}
+
+// Guards against a diff that leaves out a change which an operator has to see.
+func TestDiff(t *testing.T) {
+	parse := func(text string) *bundle.Bundle {
+		b, err := bundle.Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	const service = "{name: a, vni: 16, protocol: tcp, endpoints: [\"10.0.0.1:1\"], class: bulk, kind: short, idempotent: true, targets: [%s]}"
+	older := parse("version: 1\nservices: [" + fmt.Sprintf(service, "{address: 10.1.0.1, data_centre: x}, {address: 10.1.0.2, data_centre: x}") + "]")
+	newer := parse("version: 2\nservices: [" + fmt.Sprintf(strings.Replace(service, "bulk", "urgent", 1), "{address: 10.1.0.1, data_centre: x, drain: true, weight: 3}, {address: 10.1.0.3, data_centre: y}") + "]")
+	want := "version: 1 -> 2\na: class: \"bulk\" -> \"urgent\"\na: target 10.1.0.1: drains, weight 0 -> 3\na: target 10.1.0.3 added in y\na: target 10.1.0.2 removed from x\n"
+	var got strings.Builder
+	for _, c := range bundle.Diff(older, newer) {
+		got.WriteString(c.String() + "\n")
+	}
+	if got.String() != want {
+		t.Fatalf("got\n%swant\n%s", got.String(), want)
+	}
+}
+
+func FuzzJudge(f *testing.F) {
+	current := accept(f, nil, sign(f, document(5, 2)))
+	f.Add(sign(f, document(6, 2)))
+	f.Add(signRaw(f, []byte("version: 6"), "k1", private))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, b := bundle.Judge(current, data, keys, now), bundle.Judge(current, bytes.Clone(data), keys, now)
+		if a.Outcome != b.Outcome || a.Code != b.Code {
+			t.Fatalf("two verdicts: %v %v, %v %v", a.Outcome, a.Code, b.Outcome, b.Code)
+		}
+		if (a.Outcome == bundle.Refused) != (a.Code != resultcode.OK) || a.Code == resultcode.Internal {
+			t.Fatalf("%v with code %v", a.Outcome, a.Code)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(document(5, 2))
+	f.Add([]byte(`{"version":1,"services":[` + "\n]}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := bundle.Parse(data)
+		if err != nil {
+			if resultcode.Of(err) == resultcode.Internal {
+				t.Fatalf("an error without a code: %v", err)
+			}
+			return
+		}
+		payload, err := bundle.Compact(&b.Document)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := bundle.Parse(payload)
+		if err != nil || len(bundle.Diff(b, again)) != 0 {
+			t.Fatalf("the compact form differs: %v", err)
+		}
+	})
+}
+
+func FuzzDelta(f *testing.F) {
+	f.Add([]byte("old content"), []byte("new content"))
+	f.Fuzz(func(t *testing.T, older, newer []byte) {
+		got, err := bundle.ApplyDelta(older, bundle.MakeDelta(older, newer))
+		if err != nil || !bytes.Equal(got, newer) {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		if out, err := bundle.ApplyDelta(older, newer); err == nil && len(out) > bundle.MaxEnvelopeBytes {
+			t.Fatal("a result over the limit")
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	yaml := document(7, 11000)
+	doc, err := bundle.Parse(yaml)
+	if err != nil {
+		b.Fatal(err)
+	}
+	payload, _ := bundle.Compact(&doc.Document)
+	for name, data := range map[string][]byte{"yaml": yaml, "compact": payload} {
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				_, _ = bundle.Parse(data)
+			}
+		})
+	}
+}
+
+func BenchmarkMakeDelta(b *testing.B) {
+	older, newer := sign(b, document(7, 11000)), sign(b, bytes.Replace(document(8, 11000), []byte("weight: 10"), []byte("weight: 9"), 1))
+	for b.Loop() {
+		bundle.MakeDelta(older, newer)
+	}
+}
