--- /dev/null
+++ b/internal/standin/minitcp/stack.go
@@ -0,0 +1,246 @@
+// Package minitcp is a small TCP endpoint over inner IP packets, for stand-ins that hold tens of thousands of
+// connections. A stack needs no goroutine of its own: packets and the time go in, and packets and callbacks come out.
+//
+// It implements what requests and long sessions need of RFC 9293: the handshake, data in both directions,
+// retransmission with backoff, FIN and RST. The congestion window is fixed, and there are no options.
+package minitcp
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/wire"
+)
+
+// Config configures a stack. Send is required.
+type Config struct {
+	// Send transmits a packet. The packet is valid only during the call.
+	Send func(p *wire.Packet)
+	// Accept decides about a SYN. A nil function refuses every SYN with a reset.
+	Accept func(syn *wire.Packet) (Handler, Verdict)
+	Random *rand.Rand
+	// GiveUp is how long the same bytes are retransmitted before the connection is given up.
+	GiveUp time.Duration
+}
+
+// Verdict is the answer to a SYN.
+type Verdict uint8
+
+// Verdicts on a SYN.
+const (
+	Accepted Verdict = iota
+	Rejected         // answer with a reset
+	Ignored          // no answer
+)
+
+// Handler receives the events of one connection. Its methods run inside calls of the stack; they may call methods of
+// the connection and of the stack's timers, but not Input, Advance or Do.
+type Handler interface {
+	Opened(c *Conn)
+	// Received passes bytes in order. They are valid only during the call.
+	Received(c *Conn, data []byte)
+	// PeerClosed reports that the other side sends no more.
+	PeerClosed(c *Conn)
+	// Closed reports the end of the connection, once.
+	Closed(c *Conn, reason Reason)
+}
+
+// Reason tells why a connection ended.
+type Reason uint8
+
+// Reasons for the end of a connection.
+const (
+	Finished Reason = iota // both sides closed
+	Reset                  // reset by the other side
+	Refused                // reset in answer to the SYN
+	TimedOut               // no answer to retransmissions
+	Aborted                // reset by this side
+)
+
+var reasonNames = [...]string{"finished", "reset", "refused", "timed-out", "aborted"}
+
+// String returns the lower-case name of the reason.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Counters of a stack.
+type Counters struct {
+	Strays          uint64 // segments other than SYN and RST without a connection
+	Retransmissions uint64
+	Resets          uint64 // received resets that ended a connection
+}
+
+type pair struct{ local, remote netip.AddrPort }
+
+// Stack is a TCP endpoint. It is safe for use by several goroutines.
+type Stack struct {
+	mu       sync.Mutex
+	config   Config
+	conns    map[pair]*Conn
+	timers   timerHeap
+	now      time.Duration
+	counters Counters
+}
+
+// Retransmission times. The first is that of common kernels for data; the largest is lower than theirs, so that a run
+// of some seconds sees whether a connection survives.
+const (
+	firstTimeout    = 200 * time.Millisecond
+	firstSYNTimeout = 500 * time.Millisecond
+	largestTimeout  = 3 * time.Second
+	defaultGiveUp   = 30 * time.Second
+	timeWait        = time.Second
+)
+
+// NewStack returns a stack.
+func NewStack(config Config) *Stack {
+	if config.Random == nil {
+		config.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	if config.GiveUp == 0 {
+		config.GiveUp = defaultGiveUp
+	}
+	return &Stack{config: config, conns: make(map[pair]*Conn)}
+}
+
+// Do runs fn with the stack locked, so that fn may use connections and timers.
+func (s *Stack) Do(now time.Duration, fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setNow(now)
+	fn()
+}
+
+func (s *Stack) setNow(now time.Duration) {
+	if now > s.now {
+		s.now = now
+	}
+}
+
+// Now returns the time of the current call. It is valid inside callbacks and Do.
+func (s *Stack) Now() time.Duration { return s.now }
+
+// After runs fn once after d, inside Advance. It must be called from a callback or Do.
+func (s *Stack) After(d time.Duration, fn func()) *Timer {
+	t := &Timer{run: fn}
+	s.timers.schedule(t, s.now+d)
+	return t
+}
+
+// Stop stops a timer. It must be called from a callback or Do.
+func (s *Stack) Stop(t *Timer) {
+	if t != nil {
+		s.timers.stop(t)
+	}
+}
+
+// Advance runs the timers that are due.
+func (s *Stack) Advance(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setNow(now)
+	for t := s.timers.due(s.now); t != nil; t = s.timers.due(s.now) {
+		t.run()
+	}
+}
+
+// Dial opens a connection. It must be called from a callback or Do.
+func (s *Stack) Dial(local, remote netip.AddrPort, h Handler) *Conn {
+	c := s.newConn(pair{local, remote}, h)
+	c.state = synSent
+	c.transmit(wire.SYN, c.sendUnacked, nil)
+	c.armRetransmission(firstSYNTimeout)
+	return c
+}
+
+func (s *Stack) newConn(p pair, h Handler) *Conn {
+	c := &Conn{stack: s, pair: p, handler: h}
+	c.timer.run = c.timeout
+	c.sendUnacked = s.config.Random.Uint32()
+	c.sendNext = c.sendUnacked + 1
+	s.conns[p] = c
+	return c
+}
+
+// Len returns the number of connections, with those that wait to end.
+func (s *Stack) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Counters returns a copy of the counters.
+func (s *Stack) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// Input handles a received packet.
+func (s *Stack) Input(now time.Duration, p *wire.Packet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setNow(now)
+	if c := s.conns[pair{p.Dst, p.Src}]; c != nil {
+		if c.state != timeWaiting || !p.Flags.Has(wire.SYN) {
+			c.input(p)
+			return
+		}
+		c.remove()
+	}
+	s.inputWithoutConn(p)
+}
+
+func (s *Stack) inputWithoutConn(p *wire.Packet) {
+	switch {
+	case p.Flags.Has(wire.RST):
+		return
+	case p.Flags.Has(wire.SYN) && !p.Flags.Has(wire.ACK):
+		s.inputSYN(p)
+	default:
+		s.counters.Strays++
+		s.reject(p)
+	}
+}
+
+func (s *Stack) inputSYN(p *wire.Packet) {
+	verdict := Rejected
+	var h Handler
+	if s.config.Accept != nil {
+		h, verdict = s.config.Accept(p)
+	}
+	switch verdict {
+	case Accepted:
+		c := s.newConn(pair{p.Dst, p.Src}, h)
+		c.state = synReceived
+		c.receiveNext = p.Seq + 1
+		c.peerWindow = uint32(p.Window)
+		c.transmit(wire.SYN|wire.ACK, c.sendUnacked, nil)
+		c.armRetransmission(firstSYNTimeout)
+	case Rejected:
+		s.reject(p)
+	}
+}
+
+// reject answers a segment that belongs to no connection with a reset (RFC 9293, section 3.10.7.1).
+func (s *Stack) reject(p *wire.Packet) {
+	answer := wire.Packet{Kind: wire.TCP, Src: p.Dst, Dst: p.Src, Flags: wire.RST, Seq: p.Ack}
+	if !p.Flags.Has(wire.ACK) {
+		answer.Flags = wire.RST | wire.ACK
+		answer.Seq, answer.Ack = 0, p.Seq+segmentLength(p)
+	}
+	s.config.Send(&answer)
+}
+
+// segmentLength returns the length of a segment in sequence numbers.
+func segmentLength(p *wire.Packet) uint32 {
+	n := uint32(len(p.Payload))
+	if p.Flags.Has(wire.SYN) {
+		n++
+	}
+	if p.Flags.Has(wire.FIN) {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,254 @@
+// Package platform stands in for the platform's configuration service and host list.
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/process"
+)
+
+// MaxValue is the largest value in bytes that the configuration service stores.
+const MaxValue = 1 << 20
+
+// longestWait bounds a watch whatever the reader asks for.
+const longestWait = 60 * time.Second
+
+// Options configure the stand-in.
+type Options struct {
+	Address string `long:"address" required:"true" description:"address:port of the platform API"`
+	Control string `long:"control" required:"true" description:"address:port of the control port"`
+	Bundle  string `long:"bundle" description:"file with the first value"`
+}
+
+// Host is one entry of the host list.
+type Host struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"` // live or leaving
+}
+
+// Faults are the faults that the control port can turn on.
+type Faults struct {
+	Down       bool `json:"down"`         // every connection is closed without an answer
+	Hang       bool `json:"hang"`         // no call is answered
+	Stale      bool `json:"stale"`        // calls see the value and hosts of the time when it was turned on
+	SlowMS     int  `json:"slow_ms"`      // added to every answer
+	CallsPerS  int  `json:"calls_per_s"`  // further calls get status 429; 0 means no limit
+	StaleHosts bool `json:"stale_hosts"`  // as Stale, for the host list alone
+	HostsLagMS int  `json:"hosts_lag_ms"` // age of the host list that is shown
+}
+
+// Counters count calls.
+type Counters struct {
+	Config   uint64            `json:"config"`
+	Hosts    uint64            `json:"hosts"`
+	Refused  uint64            `json:"refused"`
+	Waiting  int               `json:"waiting"`
+	Revision uint64            `json:"revision"`
+	Bytes    uint64            `json:"bytes"` // of values sent
+	ByReader map[string]uint64 `json:"by_reader"`
+}
+
+type value struct {
+	revision uint64
+	bytes    []byte
+	changed  chan struct{} // closed when a newer value is shown
+}
+
+// Platform is the stand-in.
+type Platform struct {
+	log *logrus.Entry
+
+	mu       sync.Mutex
+	stored   value // what was published last
+	shown    value // what readers see
+	hosts    []Host
+	shownAt  []Host
+	faults   Faults
+	counters Counters
+	second   int64 // Unix second that calls is about
+	calls    int
+}
+
+// New returns a platform without a value.
+func New(log *logrus.Entry) *Platform {
+	p := &Platform{log: log, counters: Counters{ByReader: make(map[string]uint64)}}
+	p.shown.changed = make(chan struct{})
+	return p
+}
+
+// Run runs the stand-in until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	p := New(process.NewLog("platform"))
+	if o.Bundle != "" {
+		b, err := os.ReadFile(o.Bundle)
+		if err != nil {
+			return err
+		}
+		p.Publish(b)
+	}
+	failed := make(chan error, 2)
+	go func() { failed <- process.Serve(ctx, o.Address, p.API()) }()
+	go func() { failed <- process.Serve(ctx, o.Control, p.Control()) }()
+	p.log.WithField("address", o.Address).Info("started")
+	return <-failed
+}
+
+// Publish stores a new value under the next revision.
+func (p *Platform) Publish(b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stored = value{revision: p.stored.revision + 1, bytes: b}
+	p.log.WithFields(logrus.Fields{"event": "published", "revision": p.stored.revision, "bytes": len(b)}).Info("value")
+	p.refresh()
+}
+
+// refresh shows what was published, unless it is stale on demand.
+func (p *Platform) refresh() {
+	if !p.faults.Stale && p.shown.revision != p.stored.revision {
+		close(p.shown.changed)
+		p.shown = p.stored
+		p.shown.changed = make(chan struct{})
+	}
+	if !p.faults.Stale && !p.faults.StaleHosts {
+		p.shownAt = p.hosts
+	}
+}
+
+// SetHosts replaces the host list, after the lag that was set.
+func (p *Platform) SetHosts(hosts []Host) {
+	p.mu.Lock()
+	lag := time.Duration(p.faults.HostsLagMS) * time.Millisecond
+	p.mu.Unlock()
+	apply := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.hosts = hosts
+		p.refresh()
+	}
+	if lag == 0 {
+		apply()
+		return
+	}
+	time.AfterFunc(lag, apply)
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.log.WithFields(logrus.Fields{"event": "faults", "down": f.Down, "stale": f.Stale, "hang": f.Hang, "slow_ms": f.SlowMS}).Info("faults")
+	p.refresh()
+}
+
+// API returns the handler of the platform API.
+func (p *Platform) API() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/config/bundle", p.admit(&p.counters.Config, p.config))
+	mux.HandleFunc("GET /v1/hosts", p.admit(&p.counters.Hosts, p.listHosts))
+	return mux
+}
+
+// admit counts a call and applies the faults.
+func (p *Platform) admit(counter *uint64, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		reader, _, _ := net.SplitHostPort(r.RemoteAddr)
+		p.mu.Lock()
+		*counter++
+		p.counters.ByReader[reader]++
+		f := p.faults
+		over := p.overLimit(time.Now().Unix())
+		p.mu.Unlock()
+		switch {
+		case f.Down:
+			panic(http.ErrAbortHandler) // closes the connection
+		case f.Hang:
+			<-r.Context().Done()
+			return
+		case over:
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
+		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+		next(w, r)
+	}
+}
+
+func (p *Platform) overLimit(second int64) bool {
+	if second != p.second {
+		p.second, p.calls = second, 0
+	}
+	p.calls++
+	over := p.faults.CallsPerS > 0 && p.calls > p.faults.CallsPerS
+	if over {
+		p.counters.Refused++
+	}
+	return over
+}
+
+func (p *Platform) config(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait := min(time.Duration(waitMS)*time.Millisecond, longestWait)
+	p.mu.Lock()
+	v := p.shown
+	p.mu.Unlock()
+	if wait > 0 && v.revision == after {
+		v = p.watch(r.Context(), v, wait)
+	}
+	w.Header().Set("X-Revision", strconv.FormatUint(v.revision, 10))
+	switch {
+	case v.revision == 0:
+		http.Error(w, "no value", http.StatusNotFound)
+	case v.revision == after:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		p.mu.Lock()
+		p.counters.Bytes += uint64(len(v.bytes))
+		p.mu.Unlock()
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(v.bytes)
+	}
+}
+
+// watch waits until a newer value than v is shown. It returns the value then shown.
+func (p *Platform) watch(ctx context.Context, v value, wait time.Duration) value {
+	p.addWaiting(1)
+	defer p.addWaiting(-1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-v.changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shown
+}
+
+func (p *Platform) addWaiting(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.Waiting += n
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	hosts := p.shownAt
+	p.mu.Unlock()
+	if hosts == nil {
+		hosts = []Host{}
+	}
+	process.WriteJSON(w, hosts)
+}
