--- a/internal/standin/minitcp/stack.go
+++ b/internal/standin/minitcp/stack.go
@@ -244,3 +244,6 @@
 	}
 	return n
 }
+
+// Conn returns the connection between two addresses, or nil. It must be called from a callback or Do.
+func (s *Stack) Conn(local, remote netip.AddrPort) *Conn { return s.conns[pair{local, remote}] }
--- /dev/null
+++ b/internal/standin/proxy/tcp.go
@@ -0,0 +1,139 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+)
+
+const (
+	copyBuffer  = 32 << 10
+	dialTimeout = 5 * time.Second
+	// cutPoll is how often a connection looks whether a cut has ended or connections are to be closed.
+	cutPoll = 20 * time.Millisecond
+	// readPoll bounds how long a blocked read takes to notice ResetConns.
+	readPoll = 200 * time.Millisecond
+	// queuedChunks bounds the bytes that are delayed on one connection.
+	queuedChunks = 256
+)
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+func (l *link) startTCP(ctx context.Context) error {
+	listener, err := net.Listen("tcp", l.Listen.String())
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.serveTCP(ctx, conn)
+		}
+	}()
+	return nil
+}
+
+func (l *link) serveTCP(ctx context.Context, near net.Conn) {
+	defer near.Close()
+	source := near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	p := l.path(source)
+	if !awaitCut(ctx, &p.forward) {
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if l.KeepSource {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	far, err := dialer.DialContext(ctx, "tcp", l.Forward.String())
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = near.Close(); _ = far.Close() })
+	defer stop()
+	done := make(chan struct{}, 2)
+	go func() { l.copyTCP(ctx, &p.forward, far, near); done <- struct{}{} }()
+	go func() { l.copyTCP(ctx, &p.back, near, far); done <- struct{}{} }()
+	<-done
+	// The second direction may still have bytes to send after one side has closed.
+	select {
+	case <-done:
+	case <-time.After(dialTimeout):
+	}
+}
+
+// awaitCut waits while the direction is cut. It reports false when the connection is to be closed.
+func awaitCut(ctx context.Context, d *direction) bool {
+	for {
+		f := d.faults.Load()
+		if f.ResetConns || ctx.Err() != nil {
+			return false
+		}
+		if !f.Cut {
+			return true
+		}
+		time.Sleep(cutPoll)
+	}
+}
+
+type chunk struct {
+	at   time.Time
+	data []byte
+}
+
+// copyTCP copies one direction. Bytes keep their order; each chunk is written when its delay is over.
+func (l *link) copyTCP(ctx context.Context, d *direction, to, from net.Conn) {
+	queue := make(chan chunk, queuedChunks)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.writeChunks(ctx, d, to, queue)
+	}()
+	buffer := make([]byte, copyBuffer)
+	for ctx.Err() == nil && !d.faults.Load().ResetConns {
+		_ = from.SetReadDeadline(time.Now().Add(readPoll))
+		n, err := from.Read(buffer)
+		if n > 0 {
+			wait := l.proxy.delay(d.faults.Load())
+			if limiter := d.limiter.Load(); limiter != nil {
+				wait += limiter.ReserveN(time.Now(), n).Delay()
+			}
+			select {
+			case queue <- chunk{time.Now().Add(wait), append([]byte(nil), buffer[:n]...)}:
+			case <-written:
+				return
+			}
+		}
+		if ne, ok := err.(net.Error); err != nil && (!ok || !ne.Timeout()) {
+			break
+		}
+	}
+	close(queue)
+	<-written
+	if t, ok := to.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+}
+
+func (l *link) writeChunks(ctx context.Context, d *direction, to net.Conn, queue <-chan chunk) {
+	for c := range queue {
+		time.Sleep(time.Until(c.at))
+		if !awaitCut(ctx, d) {
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(c.data); err != nil {
+			return
+		}
+		d.packets.Add(1)
+		d.bytes.Add(uint64(len(c.data)))
+	}
+}
--- /dev/null
+++ b/internal/standin/target/registry.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"net/netip"
+	"sync"
+)
+
+// FlowID identifies a flow in the registry.
+type FlowID struct {
+	Caller  netip.AddrPort `json:"caller"`
+	Service string         `json:"service"`
+}
+
+// registryLimit bounds the flows and requests that are remembered, about 400 MB.
+const registryLimit = 2_000_000
+
+// Registry records which flows reached which targets and how often each request was run. It is shared by all targets
+// of a process, and safe for use by several goroutines.
+type Registry struct {
+	mu        sync.Mutex
+	flows     map[FlowID]flowRecord
+	runs      map[uint64]uint8
+	twice     []uint64
+	moved     []FlowID
+	forgotten uint64
+}
+
+type flowRecord struct {
+	target  netip.Addr
+	refused bool // the target itself refused the flow
+	moved   bool
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{flows: make(map[FlowID]flowRecord), runs: make(map[uint64]uint8)}
+}
+
+// Reached records that a packet of a flow came to a target that did not know the flow. The target refused it or not.
+func (r *Registry) Reached(id FlowID, target netip.Addr, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, known := r.flows[id]
+	switch {
+	case !known && len(r.flows) >= registryLimit:
+		r.forgotten++
+	case !known:
+		r.flows[id] = flowRecord{target: target, refused: refused}
+	case record.refused: // a flow that its target refused may be given to another one
+		r.flows[id] = flowRecord{target: target, refused: refused}
+	case record.target != target && !record.moved:
+		record.moved = true
+		r.flows[id] = record
+		r.moved = append(r.moved, id)
+	}
+}
+
+// Run records that a request starts to run.
+func (r *Registry) Run(request uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, known := r.runs[request]
+	if !known && len(r.runs) >= registryLimit {
+		r.forgotten++
+		return
+	}
+	if n == 1 {
+		r.twice = append(r.twice, request)
+	}
+	if n < 255 {
+		r.runs[request] = n + 1
+	}
+}
+
+// Summary is what the registry shows.
+type Summary struct {
+	Flows     int      `json:"flows"`
+	Requests  int      `json:"requests"`  // requests that were run
+	Twice     []uint64 `json:"twice"`     // requests that were run more than once
+	Moved     []FlowID `json:"moved"`     // flows that came to a second target
+	Forgotten uint64   `json:"forgotten"` // flows and requests beyond the limit of the registry
+}
+
+// Summary returns a copy of the results.
+func (r *Registry) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Summary{
+		Flows: len(r.flows), Requests: len(r.runs), Forgotten: r.forgotten,
+		Twice: append([]uint64{}, r.twice...), Moved: append([]FlowID{}, r.moved...),
+	}
+}
+
+// Known returns those of the flows that reached a target and were not refused by it.
+func (r *Registry) Known(ids []FlowID) []FlowID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := []FlowID{}
+	for _, id := range ids {
+		if record, ok := r.flows[id]; ok && !record.refused {
+			known = append(known, id)
+		}
+	}
+	return known
+}
--- /dev/null
+++ b/internal/standin/target/spec.go
@@ -0,0 +1,92 @@
+// Package target stands in for targets: the processes that do a service's work.
+package target
+
+import "net/netip"
+
+// Options configure the stand-in. One process holds many targets.
+type Options struct {
+	Specs      string         `long:"specs" required:"true" description:"JSON file with the list of targets"`
+	Control    string         `long:"control" required:"true" description:"address:port of the control port"`
+	Fabric     netip.AddrPort `long:"fabric" required:"true" description:"Geneve address:port that answers are sent to"`
+	DataPort   uint16         `long:"data-port" required:"true" description:"Geneve port of every target"`
+	HealthPort uint16         `long:"health-port" required:"true" description:"HTTP port of health and load of every target"`
+	Seed       uint64         `long:"seed" default:"1" description:"seed of random choices"`
+}
+
+// Spec describes one target.
+type Spec struct {
+	Address     netip.Addr       `json:"address"`
+	Service     string           `json:"service"`
+	VNI         uint32           `json:"vni"`
+	Endpoints   []netip.AddrPort `json:"endpoints"`   // inner addresses that packets may have; empty allows any
+	Slots       int              `json:"slots"`       // requests that run at once; 0 means no limit
+	Connections int              `json:"connections"` // 0 means no limit
+	Work        Work             `json:"work"`
+	Behaviour   Behaviour        `json:"behaviour"`
+}
+
+// Work is the distribution of service times of requests that do not ask for one.
+type Work struct {
+	ShortMicros  uint32  `json:"short_micros"`
+	LongMicros   uint32  `json:"long_micros"`
+	LongFraction float64 `json:"long_fraction"` // part of the requests that take LongMicros
+	Exponential  bool    `json:"exponential"`   // times are exponential with these means instead of constant
+}
+
+// Ways to shed.
+const (
+	ShedReset = "reset" // a RST in answer to a SYN
+	ShedICMP  = "icmp"  // ICMP communication administratively prohibited
+)
+
+// Behaviour is what the control port can change while the target runs.
+type Behaviour struct {
+	Drain   bool `json:"drain"`   // health says draining; new flows are counted as late after the notice limit
+	Leaving bool `json:"leaving"` // as Drain, but health says nothing of it
+	// Shed refuses new flows in the given way; empty accepts them.
+	Shed string `json:"shed"`
+	// ColdMS makes the target cold now: work takes ColdFactor times as long at first, falling to 1 over this time.
+	ColdMS     int     `json:"cold_ms"`
+	ColdFactor float64 `json:"cold_factor"`
+	SlowFactor float64 `json:"slow_factor"` // work takes this many times as long; 0 means 1
+	// ReportLagMS is the age of the load and health that the HTTP port shows.
+	ReportLagMS int    `json:"report_lag_ms"`
+	ReportIdle  bool   `json:"report_idle"`  // load says idle whatever is true
+	ReportState string `json:"report_state"` // health says this instead of the truth
+	HealthDown  bool   `json:"health_down"`  // the HTTP port closes connections without an answer
+	Silent      bool   `json:"silent"`       // packets are neither handled nor answered
+	// SilentOld does the same for flows that are open now, while new ones work.
+	SilentOld bool `json:"silent_old"`
+}
+
+// NoticeLimitMS is the time in milliseconds after which a leaving target must get no new flow.
+const NoticeLimitMS = 3000
+
+// Counters count what one target saw.
+type Counters struct {
+	Address       string `json:"address"`
+	Service       string `json:"service"`
+	Packets       uint64 `json:"packets"`
+	Malformed     uint64 `json:"malformed"`
+	Foreign       uint64 `json:"foreign"` // packets with another VNI, endpoint or service name
+	Connections   int    `json:"connections"`
+	NewFlows      uint64 `json:"new_flows"`
+	LateFlows     uint64 `json:"late_flows"`    // new flows after the notice limit of a leaving target
+	LastNewFlowMS int64  `json:"last_new_flow"` // milliseconds from the notice to the last new flow; 0 when none
+	Shed          uint64 `json:"shed"`          // refused on demand
+	OverLimit     uint64 `json:"over_limit"`    // refused by the connection limit
+	Requests      uint64 `json:"requests"`      // received, without duplicates
+	Duplicates    uint64 `json:"duplicates"`    // repeated UDP requests
+	Answered      uint64 `json:"answered"`
+	Late          uint64 `json:"late"` // not run because of their deadline
+	Canceled      uint64 `json:"canceled"`
+	InFlight      int    `json:"in_flight"`
+	Queue         int    `json:"queue"`
+	MaxInFlight   int    `json:"max_in_flight"` // most requests held at once, with those that wait
+	MaxConns      int    `json:"max_connections"`
+	Overruns      uint64 `json:"overruns"` // requests that found all slots in use
+	Strays        uint64 `json:"strays"`   // TCP segments of unknown connections
+	Resets        uint64 `json:"resets"`
+	Retransmitted uint64 `json:"retransmitted"`
+	BusyMicros    uint64 `json:"busy_micros"` // total service time of finished work
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,147 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/process"
+)
+
+// tick is how often timers of all targets are run. Service times are rounded up to it.
+const tick = time.Millisecond
+
+// expireEvery is how often old UDP flows are looked for.
+const expireEvery = 5 * time.Second
+
+// Process holds the targets of one process.
+type Process struct {
+	log      *logrus.Entry
+	registry *Registry
+	nodes    []*Node
+}
+
+// Run runs the stand-in until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	b, err := os.ReadFile(o.Specs)
+	if err != nil {
+		return err
+	}
+	var specs []Spec
+	if err := json.Unmarshal(b, &specs); err != nil {
+		return err
+	}
+	p, err := Start(ctx, specs, o)
+	if err != nil {
+		return err
+	}
+	p.log.WithField("targets", len(specs)).Info("started")
+	return process.Serve(ctx, o.Control, p.Control())
+}
+
+// Start starts the targets. They stop when ctx ends.
+func Start(ctx context.Context, specs []Spec, o Options) (*Process, error) {
+	p := &Process{log: process.NewLog("target"), registry: NewRegistry()}
+	clock := process.NewClock()
+	for i, spec := range specs {
+		n := newNode(spec, o, clock, p.registry, uint64(i), p.log)
+		if err := n.listen(o.DataPort); err != nil {
+			return nil, err
+		}
+		p.nodes = append(p.nodes, n)
+		context.AfterFunc(ctx, func() { _ = n.conn.Close() })
+		go n.receive()
+		go p.serveHealth(ctx, n, o.HealthPort)
+	}
+	go p.runTimers(ctx, clock)
+	return p, nil
+}
+
+func (p *Process) serveHealth(ctx context.Context, n *Node, port uint16) {
+	address := netip.AddrPortFrom(n.spec.Address, port).String()
+	if err := process.Serve(ctx, address, n.health()); err != nil && ctx.Err() == nil {
+		p.log.WithError(err).WithField("target", n.spec.Address).Error("health port failed")
+	}
+}
+
+func (p *Process) runTimers(ctx context.Context, clock process.Clock) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var sampled, expired time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := clock.Now()
+		sample, expire := now-sampled >= reportInterval, now-expired >= expireEvery
+		for _, n := range p.nodes {
+			n.stack.Advance(now)
+			if sample {
+				n.do(n.sample)
+			}
+			if expire {
+				n.do(n.expireUDP)
+			}
+		}
+		if sample {
+			sampled = now
+		}
+		if expire {
+			expired = now
+		}
+	}
+}
+
+// Counters returns the counters of all targets.
+func (p *Process) Counters() []Counters {
+	all := make([]Counters, len(p.nodes))
+	for i, n := range p.nodes {
+		all[i] = n.Counters()
+	}
+	return all
+}
+
+// Control returns the handler of the control port: GET /counters, PUT /behaviour?target=ADDRESS (every target when
+// left out), GET /runs, and POST /known with a list of flows.
+func (p *Process) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { process.WriteJSON(w, p.Counters()) })
+	mux.HandleFunc("PUT /behaviour", p.putBehaviour)
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { process.WriteJSON(w, p.registry.Summary()) })
+	mux.HandleFunc("POST /known", func(w http.ResponseWriter, r *http.Request) {
+		var ids []FlowID
+		if process.ReadJSON(w, r, &ids) {
+			process.WriteJSON(w, p.registry.Known(ids))
+		}
+	})
+	return mux
+}
+
+func (p *Process) putBehaviour(w http.ResponseWriter, r *http.Request) {
+	var b Behaviour
+	if !process.ReadJSON(w, r, &b) {
+		return
+	}
+	address := r.URL.Query().Get("target")
+	found := false
+	for _, n := range p.nodes {
+		if address == "" || n.spec.Address.String() == address {
+			found = true
+			n.SetBehaviour(b)
+			n.log.WithFields(logrus.Fields{"event": "behaviour", "drain": b.Drain, "leaving": b.Leaving, "shed": strconv.Quote(b.Shed)}).Info("behaviour")
+		}
+	}
+	if !found {
+		http.Error(w, "no such target", http.StatusNotFound)
+		return
+	}
+	process.Done(w)
+}
