--- /dev/null
+++ b/health/tracker.go
@@ -0,0 +1,245 @@
+package health
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/membership"
+)
+
+// Settings are the periods and thresholds of a Tracker. Zero fields take the value of DefaultSettings.
+type Settings struct {
+	ProbeInterval  time.Duration // between probes of one target by one prober
+	SlowStart      time.Duration // time in which the share of a warming target rises to 1
+	ReportHalfLife time.Duration // age at which a load report counts half
+	Fresh          time.Duration // age after which an observation says nothing about reachability
+	DistrustFor    time.Duration // how long a report stays distrusted after the last contradiction
+	EjectFor       time.Duration // first ejection of an outlier; doubles with each further one
+	EjectMax       time.Duration // longest ejection
+}
+
+// DefaultSettings returns the settings used in production. The two probers of a target are half an interval apart, so
+// that the target's own drain signal is seen in 0.5 s, or in 1 s when one prober is dead, plus 0.5 s of probe timeout;
+// this leaves 1.5 s of the 3 s allowed for the report to reach the other balancers.
+func DefaultSettings() Settings {
+	return Settings{
+		ProbeInterval:  time.Second,
+		SlowStart:      10 * time.Second,
+		ReportHalfLife: 2 * time.Second,
+		Fresh:          8 * time.Second,
+		DistrustFor:    30 * time.Second,
+		EjectFor:       5 * time.Second,
+		EjectMax:       80 * time.Second,
+	}
+}
+
+func (s *Settings) fill() {
+	d := DefaultSettings()
+	s.ProbeInterval = cmp.Or(s.ProbeInterval, d.ProbeInterval)
+	s.SlowStart = cmp.Or(s.SlowStart, d.SlowStart)
+	s.ReportHalfLife = cmp.Or(s.ReportHalfLife, d.ReportHalfLife)
+	s.Fresh = cmp.Or(s.Fresh, d.Fresh)
+	s.DistrustFor = cmp.Or(s.DistrustFor, d.DistrustFor)
+	s.EjectFor = cmp.Or(s.EjectFor, d.EjectFor)
+	s.EjectMax = cmp.Or(s.EjectMax, d.EjectMax)
+}
+
+// Tracker holds the state of all targets of one data centre. It is used by one goroutine.
+type Tracker struct {
+	settings    Settings
+	self        membership.HostID
+	incarnation uint64
+	members     []membership.HostID
+	services    []*service
+	targets     map[flow.TargetID]*target
+	byAddr      map[netip.Addr][]*target
+	leaving     map[netip.Addr]bool // by the host list; kept for targets that a later bundle adds
+	lastBatch   time.Duration
+	sequence    uint64
+	effects     []Effect
+}
+
+type service struct {
+	id        flow.ServiceID
+	targets   []*target // in the order of placement.Table
+	evaluated time.Duration
+}
+
+type target struct {
+	info       bundle.TargetInfo
+	state      State
+	since      time.Duration
+	warmSince  time.Duration
+	hostLeaves bool
+	seen       []observation // newest of each prober
+	traffic    traffic
+	ejections  int
+	ejectedTil time.Duration
+	distrustTo time.Duration
+	distrusted bool
+	reason     string
+	nextProbe  time.Duration
+	unsent     bool // the newest own observation must go out at once
+	repeats    int  // further own observations that must go out at once
+	lastSent   time.Duration
+}
+
+// NewTracker returns a tracker for the balancer self.
+func NewTracker(self membership.HostID, incarnation uint64, settings Settings) *Tracker {
+	settings.fill()
+	return &Tracker{
+		settings: settings, self: self, incarnation: incarnation,
+		targets: make(map[flow.TargetID]*target), byAddr: make(map[netip.Addr][]*target), leaving: make(map[netip.Addr]bool),
+	}
+}
+
+// Handle takes an event at time now and returns its effects. The slice is valid until the next call.
+func (t *Tracker) Handle(now time.Duration, event Event) []Effect {
+	t.effects = t.effects[:0]
+	switch e := event.(type) {
+	case Bundle:
+		t.setBundle(now, e)
+	case HostList:
+		t.setHosts(now, e)
+	case Members:
+		t.setMembers(e)
+	case Probed:
+		t.probed(now, e)
+	case Reports:
+		t.reports(now, e)
+	case Seen:
+		t.traffic(now, e)
+	case Tick:
+		t.tick(now)
+	}
+	return t.effects
+}
+
+func (t *Tracker) emit(e Effect) { t.effects = append(t.effects, e) }
+
+// setBundle replaces services and targets; targets that stay keep their state.
+func (t *Tracker) setBundle(now time.Duration, e Bundle) {
+	old := t.targets
+	t.targets, t.byAddr, t.services = make(map[flow.TargetID]*target), make(map[netip.Addr][]*target), nil
+	for _, info := range e.Services {
+		s := &service{id: info.ID}
+		for _, ti := range info.Resolved {
+			if ti.DataCentre != e.DataCentre {
+				continue
+			}
+			x := old[ti.ID]
+			if x == nil {
+				x = &target{since: now, hostLeaves: t.leaving[ti.Addr]}
+			}
+			x.info = ti
+			t.targets[ti.ID] = x
+			t.byAddr[ti.Addr] = append(t.byAddr[ti.Addr], x)
+			s.targets = append(s.targets, x)
+		}
+		t.services = append(t.services, s)
+	}
+	t.evaluateAll(now)
+}
+
+// setHosts applies the platform's host list. A host that the list no longer names keeps its last notice: the list lags,
+// and a target that is gone from it is not known to have returned.
+func (t *Tracker) setHosts(now time.Duration, e HostList) {
+	for addr, leaving := range e.Leaving {
+		t.leaving[addr] = leaving
+		for _, x := range t.byAddr[addr] {
+			x.hostLeaves = leaving
+		}
+	}
+	t.evaluateAll(now)
+}
+
+func (t *Tracker) setMembers(e Members) {
+	t.members = slices.Clone(e.Members)
+	slices.Sort(t.members)
+}
+
+func (t *Tracker) tick(now time.Duration) {
+	t.scheduleProbes(now)
+	t.evaluateAll(now)
+	t.sendReports(now)
+}
+
+func (t *Tracker) evaluateAll(now time.Duration) {
+	for _, s := range t.services {
+		t.evaluateService(now, s)
+	}
+}
+
+func (t *Tracker) evaluateService(now time.Duration, s *service) {
+	for _, x := range s.targets {
+		t.advance(now, x)
+	}
+	t.ejectOutliers(now, s)
+	t.judgeReports(now, s)
+}
+
+func (t *Tracker) serviceOf(id flow.ServiceID) *service {
+	for _, s := range t.services {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// States appends to dst the state of the service's targets, in the order of placement.Table, as the traffic goroutines
+// need them. When no target is eligible, all that are neither down nor leaving become eligible: a doubtful target is
+// better than none, but a leaving target gets no new work in any case.
+func (t *Tracker) States(now time.Duration, id flow.ServiceID, dst []forward.TargetState) []forward.TargetState {
+	s := t.serviceOf(id)
+	if s == nil {
+		return dst
+	}
+	first, any := len(dst), false
+	mean := t.meanLoad(now, s)
+	for _, x := range s.targets {
+		any = any || x.state.acceptsNew()
+		dst = append(dst, forward.TargetState{
+			Eligible: x.state.acceptsNew(), Usable: x.state != Down,
+			Share: t.share(now, x), Reported: t.effectiveLoad(now, s, x, mean),
+		})
+	}
+	if !any {
+		for i, x := range s.targets {
+			dst[first+i].Eligible = x.state != Down && !x.isLeaving()
+		}
+	}
+	return dst
+}
+
+// Status describes a target for operators.
+type Status struct {
+	Target     flow.TargetID
+	State      State
+	Since      time.Duration
+	Notices    []string // which notices say that it is leaving
+	Distrusted string   // why its reports are distrusted, empty when they are trusted
+	Ejections  int
+	Age        time.Duration // of the newest observation; -1 when there is none
+}
+
+// Status returns the description of a target and whether it is known.
+func (t *Tracker) Status(now time.Duration, id flow.TargetID) (Status, bool) {
+	x := t.targets[id]
+	if x == nil {
+		return Status{}, false
+	}
+	s := Status{Target: id, State: x.state, Since: x.since, Notices: x.notices(), Ejections: x.ejections, Age: -1}
+	if x.distrusted {
+		s.Distrusted = x.reason
+	}
+	if o := x.newest(); o != nil {
+		s.Age = now - o.at
+	}
+	return s, true
+}
