--- a/ownership/wire.go
+++ b/ownership/wire.go
@@ -213,3 +213,46 @@
 	}
 	return c, nil
 }
+
+// EncodeBuckets encodes buckets in ascending order, in about one byte each.
+func EncodeBuckets(buckets []Bucket) []byte {
+	sorted := slices.Compact(slices.Sorted(slices.Values(buckets)))
+	return appendBuckets(nil, sorted)
+}
+
+// DecodeBuckets decodes what EncodeBuckets returned.
+func DecodeBuckets(b []byte) ([]Bucket, error) {
+	r := &reader{b: b}
+	buckets := r.buckets()
+	if r.bad || len(r.b) > 0 {
+		return nil, errBatch
+	}
+	return buckets, nil
+}
+
+// EncodeExceptions encodes a set of exceptions in the form of a batch that stands alone.
+func EncodeExceptions(e Exceptions) []byte {
+	s, c := newStream(0, 0), &changes{retired: e.Retired}
+	for _, x := range e.Flows {
+		s.append(c, x)
+	}
+	return c.encode()
+}
+
+// DecodeExceptions decodes what EncodeExceptions returned.
+func DecodeExceptions(b []byte) (Exceptions, error) {
+	c, err := decodeChanges(b)
+	if err != nil {
+		return Exceptions{}, err
+	}
+	e := Exceptions{Retired: c.retired}
+	for i := range c.added {
+		a := &c.added[i]
+		if int(a.endpoint) >= len(c.endpoints) || int(a.target) >= len(c.targets) {
+			return Exceptions{}, errBatch
+		}
+		key := flow.Key{Caller: a.caller, Endpoint: c.endpoints[a.endpoint], CallerPort: a.port}
+		e.Flows = append(e.Flows, Exception{Key: key, Target: c.targets[a.target]})
+	}
+	return e, nil
+}
