--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -27,6 +27,14 @@
 	maxFetchTimeout = time.Second
 )
 
+// steadyAttempts is the number of attempts before the time between them grows: a lost message is more likely at first
+// than a peer that cannot answer, and a peer that waits for a bundle places no flows.
+const steadyAttempts = 4
+
+// askedOnRetry is the number of holders that a repeated request goes to while no chunk has arrived. The answer to it
+// is usually a small delta, so that asking twice costs less than losing one message more.
+const askedOnRetry = 2
+
 // retryRefused is the time for which a refused bundle is not fetched from peers again. A later try can succeed, because
 // the validity of keys depends on the time.
 const retryRefused = 30 * time.Second
@@ -85,7 +93,7 @@
 // request asks a random holder of the version, in the own data centre if there is one, for what is missing.
 func (c *Core) request() {
 	f := c.fetch
-	f.from = 0
+	var to []membership.HostID
 	for _, ids := range c.allPeers() {
 		var holders []membership.HostID
 		for _, id := range ids {
@@ -93,15 +101,16 @@
 				holders = append(holders, id)
 			}
 		}
-		if f.from == 0 && len(holders) > 0 {
-			f.from = c.sample(holders, 1)[0]
+		if len(to) == 0 && len(holders) > 0 {
+			to = c.sample(holders, askedOnRetry)
 		}
 	}
-	if f.from == 0 {
+	if len(to) == 0 {
 		c.fetch = nil
 		return
 	}
-	f.deadline = c.now + min(minFetchTimeout<<min(f.attempts, 8), maxFetchTimeout)
+	f.from = to[0]
+	f.deadline = c.now + min(minFetchTimeout<<min(max(f.attempts-steadyAttempts, 0), 8), maxFetchTimeout)
 	f.attempts++
 	r := Request{Version: f.version, Digest: f.digest}
 	if f.chunks != nil {
@@ -111,6 +120,9 @@
 		r.HeldSum = base.sum
 	}
 	c.emit(RequestBundle{To: f.from, Request: r})
+	if f.attempts > 1 && f.chunks == nil && len(to) > 1 {
+		c.emit(RequestBundle{To: to[1], Request: r})
+	}
 }
 
 // nextChunks marks up to n chunks as requested and returns them.
--- a/rollout/platform.go
+++ b/rollout/platform.go
@@ -36,14 +36,16 @@
 	readBurst      = 4
 )
 
-// Bounds of the delay after failed reads. The longest delay of a balancer that is not a reader grows with the
-// members, so that the calls to a failing platform do not.
+// Bounds of the delay of a reader after failed reads.
 const (
-	minBackoff          = 250 * time.Millisecond
-	maxReaderBackoff    = 2 * time.Second
-	maxBackoffPerMember = 500 * time.Millisecond
+	minBackoff = 250 * time.Millisecond
+	maxBackoff = 2 * time.Second
 )
 
+// backoffPerMember times the number of members is the mean delay after a failed read of a balancer that is not a
+// reader, so that the calls to a failing platform do not grow with the members.
+const backoffPerMember = 500 * time.Millisecond
+
 // answerGrace is how long after its wait a read is taken for lost. The platform client gives up earlier.
 const answerGrace = 30 * time.Second
 
@@ -164,12 +166,11 @@
 
 func (c *Core) platformFailed(e PlatformFailed) {
 	r := &c.reading
-	longest := maxReaderBackoff
+	delay := min(minBackoff<<min(r.failures, 10), maxBackoff)
 	if !c.isReader() {
-		longest = max(longest, time.Duration(len(c.local)+1)*maxBackoffPerMember)
+		delay = max(delay, time.Duration(len(c.local)+1)*backoffPerMember)
 		r.fallbackAt = 0
 	}
-	delay := min(minBackoff<<min(r.failures, 10), longest)
 	r.pending, r.failures = false, r.failures+1
 	r.nextAt = c.now + delay/2 + c.jitter(delay)
 	if r.failures == 1 {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -78,7 +79,7 @@
 }
 
 func quantile(sorted []time.Duration, q float64) time.Duration {
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+	return sorted[int(math.Ceil(q*float64(len(sorted))))-1]
 }
 
 // Guards against activation that takes longer than its goal, p99 2 s and at most 6 s, with 10% loss and 50 ms delay.
