--- a/forward/admission.go
+++ b/forward/admission.go
@@ -20,6 +20,7 @@
 type Verdict struct {
 	Outcome Outcome
 	Target  int             // position in the service's table; valid for Admitted
+	ID      flow.TargetID   // if not 0, the target for Admitted; a position may be out of date after a wait
 	Code    resultcode.Code // reason; valid for Refused
 }
 
--- /dev/null
+++ b/forward/copies.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+func bucketOf(k *flow.Key) ownership.Bucket { return ownership.BucketOf(k.Hash()) }
+
+// Install enters exceptions of a bucket that this balancer is about to own, from a grant or from the copies that it
+// held as backup. It returns the number that found no room.
+func (e *Engine) Install(now time.Duration, b ownership.Bucket, exceptions []Exception) (lost int) {
+	st := e.state.Load()
+	if st == nil {
+		return len(exceptions)
+	}
+	for i := range exceptions {
+		if !e.install(st, now, b, &exceptions[i]) {
+			lost++
+		}
+	}
+	return lost
+}
+
+func (e *Engine) install(st *state, now time.Duration, b ownership.Bucket, x *Exception) (stored bool) {
+	nowMS := uint32(now.Milliseconds())
+	state := flow.Established
+	if ep := st.byID[x.Key.Endpoint]; ep != nil && ep.service.Info.Proto == flow.UDP {
+		state = flow.Confirmed
+	}
+	e.table.Visit(&x.Key, x.Key.Hash(), nowMS, func(en *flow.Entry, room flow.Room) bool {
+		if room == flow.NoRoom {
+			return false
+		}
+		stored = true
+		if room == flow.Found {
+			if st.owns(b) && en.Epoch == st.epochs[b] && en.State().Open() {
+				return true // the flow has sent packets here since; its entry is newer
+			}
+			en.Flags &^= flow.FlagException
+			e.finish(st, now, &x.Key, en)
+			en.Renew(nowMS)
+		}
+		en.Target, en.Epoch, en.Flags = x.Target, st.epochs[b], flow.FlagException
+		en.SetState(state)
+		e.addOpen(st, x.Target, 1)
+		return true
+	})
+	return stored
+}
+
+// Collect removes the entries of buckets that this balancer no longer owns and returns their exceptions. It is called
+// after Quiesce, when no traffic goroutine decides about the buckets any more.
+func (e *Engine) Collect(now time.Duration, buckets ...ownership.Bucket) []Exception {
+	st := e.state.Load()
+	if st == nil {
+		return nil
+	}
+	var wanted [ownership.BucketCount]bool
+	for _, b := range buckets {
+		wanted[b%ownership.BucketCount] = true
+	}
+	var out []Exception
+	e.table.Range(func(en *flow.Entry) bool {
+		k := en.Key()
+		hash := k.Hash()
+		b := ownership.BucketOf(hash)
+		if !wanted[b] || st.owns(b) {
+			return true
+		}
+		if en.Epoch+1 == st.epochs[b] && en.State() != flow.Waiting && e.isException(st, &k, hash, en) {
+			out = append(out, Exception{Key: k, Target: en.Target})
+		}
+		en.Flags &^= flow.FlagException // the grant carries the copy on; it is not removed
+		e.finish(st, now, &k, en)
+		return false
+	})
+	return out
+}
+
+// isException reports whether a flow needs a copy now or will need one under a staged bundle.
+func (e *Engine) isException(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
+	if en.Has(flow.FlagException) {
+		return true
+	}
+	ep := st.byID[k.Endpoint]
+	return ep != nil && ep.service.needsCopy(hash, en.Target)
+}
+
+// Exceptions returns the exceptions of the owned buckets for which want returns true, for a new backup.
+func (e *Engine) Exceptions(want func(ownership.Bucket) bool) []Exception {
+	st := e.state.Load()
+	if st == nil {
+		return nil
+	}
+	var out []Exception
+	e.table.Range(func(en *flow.Entry) bool {
+		if en.Has(flow.FlagException) {
+			k := en.Key()
+			if b := bucketOf(&k); st.owns(b) && en.Epoch == st.epochs[b] && want(b) {
+				out = append(out, Exception{Key: k, Target: en.Target})
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// Rebase compares the flows of owned buckets with the defaults and the eligibility in next, a snapshot that is about to
+// be published or has been, for example with a staged bundle. It reports flows that need a copy under next to the
+// sink and returns their number. Copies that are no longer needed are removed only when next holds the bundle in
+// force, since a staged bundle may take effect at some balancers before others.
+func (e *Engine) Rebase(next *Snapshot) (added int) {
+	st := e.state.Load()
+	if st == nil || next == nil || next.Bundle == nil {
+		return 0
+	}
+	inForce := st.Bundle == next.Bundle
+	services := rebaseServices(next)
+	e.table.Range(func(en *flow.Entry) bool {
+		if !en.State().Open() {
+			return true
+		}
+		k := en.Key()
+		ep := next.Bundle.EndpointByID(k.Endpoint)
+		if ep == nil || services[ep.Service.ID] == nil {
+			return true
+		}
+		hash := k.Hash()
+		b := ownership.BucketOf(hash)
+		if !st.owns(b) || en.Epoch != st.epochs[b] {
+			return true
+		}
+		needs := services[ep.Service.ID].needsCopy(hash, en.Target)
+		switch {
+		case needs && !en.Has(flow.FlagException):
+			en.Flags |= flow.FlagException
+			e.sink.ExceptionAdded(b, Exception{Key: k, Target: en.Target})
+			added++
+		case !needs && en.Has(flow.FlagException) && inForce:
+			en.Flags &^= flow.FlagException
+			e.sink.ExceptionRemoved(b, k)
+		}
+		return true
+	})
+	return added
+}
+
+func rebaseServices(s *Snapshot) map[flow.ServiceID]*service {
+	out := make(map[flow.ServiceID]*service)
+	for _, info := range s.Bundle.ServiceInfos() {
+		ss := s.Services[info.ID]
+		if ss == nil {
+			continue
+		}
+		copied := info.Kind != bundle.KindShort || !info.Idempotent
+		sv := &service{ServiceState: ss, id: info.ID, copied: copied, steady: copied && info.Proto == flow.UDP}
+		for i := range ss.Table.Targets {
+			sv.targets = append(sv.targets, &target{id: ss.Table.Targets[i].ID, service: sv, position: i})
+		}
+		out[info.ID] = sv
+	}
+	return out
+}
--- /dev/null
+++ b/forward/engine.go
@@ -0,0 +1,326 @@
+package forward
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// takeoverWindow is the time after a change of owner in which packets that the earlier owner forwarded may come again.
+const takeoverWindow = 5 * time.Second
+
+// Config holds what an Engine needs.
+type Config struct {
+	Flows     int           // capacity of the flow table
+	Admission Admission     // nil means StrategyAdmission
+	Sink      ExceptionSink // nil means that exceptions are not reported
+}
+
+// Engine decides about packets. It is safe for use by several goroutines, but for Poll and Sweep, each of which one
+// goroutine may call at a time.
+type Engine struct {
+	table     *flow.Table
+	admission Admission
+	sink      ExceptionSink
+	state     atomic.Pointer[state]
+	counters  counters
+	newest    atomic.Uint64 // highest bundle version seen at a peer
+	clock     atomic.Int64  // time of the last sweep, nanoseconds
+
+	mu       sync.Mutex // guards Publish and open
+	open     map[flow.TargetID]*atomic.Int64
+	released []Released // scratch space of Poll
+}
+
+// NewEngine returns an engine that drops every packet until a snapshot is published.
+func NewEngine(c Config) *Engine {
+	e := &Engine{
+		table: flow.NewTable(c.Flows), admission: c.Admission, sink: c.Sink, open: make(map[flow.TargetID]*atomic.Int64),
+	}
+	if e.admission == nil {
+		e.admission = StrategyAdmission{}
+	}
+	if e.sink == nil {
+		e.sink = noSink{}
+	}
+	return e
+}
+
+type noSink struct{}
+
+func (noSink) ExceptionAdded(ownership.Bucket, Exception)  {}
+func (noSink) ExceptionRemoved(ownership.Bucket, flow.Key) {}
+
+// Publish puts a snapshot in force. Exceptions of buckets that it makes this balancer the owner of must have been
+// installed before. The snapshot must not be changed afterwards.
+func (e *Engine) Publish(s *Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := compile(s, e.counterLocked)
+	st.inherit(e.state.Load(), time.Duration(e.clock.Load()))
+	e.state.Store(st)
+	for id, c := range e.open {
+		if st.targets[id] == nil && c.Load() == 0 {
+			delete(e.open, id)
+		}
+	}
+}
+
+// Snapshot returns the snapshot in force, or nil.
+func (e *Engine) Snapshot() *Snapshot {
+	if st := e.state.Load(); st != nil {
+		return st.Snapshot
+	}
+	return nil
+}
+
+// NewestVersion returns the highest bundle version that a packet has shown to be in force at a peer.
+func (e *Engine) NewestVersion() uint64 { return e.newest.Load() }
+
+// Flows returns the number of flows in the table.
+func (e *Engine) Flows() int { return e.table.Len() }
+
+// OpenFlows returns the number of open flows of a target on this balancer.
+func (e *Engine) OpenFlows(id flow.TargetID) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.open[id]; c != nil {
+		return c.Load()
+	}
+	return 0
+}
+
+func (e *Engine) counterLocked(id flow.TargetID) *atomic.Int64 {
+	c := e.open[id]
+	if c == nil {
+		c = new(atomic.Int64)
+		e.open[id] = c
+	}
+	return c
+}
+
+// serviceOf returns the service that a target had in the last snapshot that knew it, 0 when there was none.
+func (e *Engine) serviceOf(id flow.TargetID) flow.ServiceID {
+	if st := e.state.Load(); st != nil && st.targets[id] != nil {
+		return st.targets[id].service.id
+	}
+	return 0
+}
+
+// addOpen changes the number of open flows of a target.
+func (e *Engine) addOpen(st *state, id flow.TargetID, delta int64) {
+	if t := st.targets[id]; t != nil {
+		t.open.Add(delta)
+		return
+	}
+	e.mu.Lock()
+	e.counterLocked(id).Add(delta)
+	e.mu.Unlock()
+}
+
+// query is one packet under decision.
+type query struct {
+	st        *state
+	now       time.Duration
+	nowMS     uint32
+	p         *Packet
+	direction Direction
+	ep        *endpoint
+	key       flow.Key
+	hash      uint64
+	bucket    ownership.Bucket
+	source    uint16            // low bits of the ID of the sending target
+	sender    membership.HostID // peer that passed the packet on, 0 for none
+	info      PeerInfo          // of that peer
+}
+
+// FromCaller decides about a packet that the fabric brought from a caller.
+func (e *Engine) FromCaller(now time.Duration, p *Packet) Decision {
+	q := query{now: now, p: p, direction: ToTarget}
+	code := e.begin(&q)
+	if code == resultcode.OK {
+		code = q.find(p.Source, p.Destination)
+	}
+	if code != resultcode.OK {
+		return e.count(&q, e.lost(&q, code))
+	}
+	return e.count(&q, e.route(&q))
+}
+
+// FromTarget decides about a packet that the target at source sent with the VNI.
+func (e *Engine) FromTarget(now time.Duration, p *Packet, source netip.Addr, vni uint32) Decision {
+	q := query{now: now, p: p, direction: ToCaller}
+	code := e.begin(&q)
+	if code == resultcode.OK {
+		code = q.findTarget(source, vni)
+	}
+	if code != resultcode.OK {
+		return e.count(&q, drop(code))
+	}
+	return e.count(&q, e.route(&q))
+}
+
+// FromPeer decides about a packet that the balancer at source passed on.
+func (e *Engine) FromPeer(now time.Duration, p *Packet, source netip.Addr, info PeerInfo) Decision {
+	q := query{now: now, p: p, direction: info.Direction, info: info, source: info.Target}
+	code := e.begin(&q)
+	if code == resultcode.OK {
+		code = e.findPeer(&q, source)
+	}
+	if code == resultcode.OK {
+		code = q.findFromPeer()
+	}
+	if code != resultcode.OK {
+		return e.count(&q, e.lost(&q, code))
+	}
+	return e.count(&q, e.route(&q))
+}
+
+// begin loads the state and reports why nothing can be decided.
+func (e *Engine) begin(q *query) resultcode.Code {
+	q.st, q.nowMS = e.state.Load(), uint32(q.now.Milliseconds())
+	switch {
+	case q.st == nil || q.st.Bundle == nil || q.st.Buckets == nil:
+		return resultcode.BundleNotAvailable
+	case q.st.Fenced:
+		return resultcode.PacketFenced
+	}
+	return resultcode.OK
+}
+
+func (e *Engine) findPeer(q *query, source netip.Addr) resultcode.Code {
+	q.sender = q.st.PeerAddrs[source]
+	if q.sender == 0 {
+		return resultcode.PacketForeignSource
+	}
+	if q.info.Hops == 0 || q.info.Hops > HopLimit || q.info.Direction != ToTarget && q.info.Direction != ToCaller {
+		return resultcode.PacketMalformed
+	}
+	for seen := e.newest.Load(); q.info.Version > seen; seen = e.newest.Load() {
+		e.newest.CompareAndSwap(seen, q.info.Version)
+	}
+	return resultcode.OK
+}
+
+// find sets the flow of the packet.
+func (q *query) find(caller, at netip.AddrPort) resultcode.Code {
+	q.ep = q.st.endpoints[newEndpointKey(q.p.Protocol, at)]
+	if q.ep == nil {
+		return resultcode.PacketUnknownEndpoint
+	}
+	q.key = flow.NewKey(caller, q.ep.id)
+	q.hash = q.key.Hash()
+	q.bucket = ownership.BucketOf(q.hash)
+	return resultcode.OK
+}
+
+// findTarget checks that a target of the endpoint's service sent the packet.
+func (q *query) findTarget(source netip.Addr, vni uint32) resultcode.Code {
+	t := q.st.byAddr[source]
+	if t == nil || t.vni != vni {
+		if q.st.Bundle.ServiceByVNI(vni) == nil && t == nil {
+			return resultcode.PacketUnknownVNI
+		}
+		return resultcode.PacketForeignSource
+	}
+	if code := q.find(q.p.Destination, q.p.Source); code != resultcode.OK {
+		return code
+	}
+	if q.ep.service != t.service {
+		return resultcode.PacketForeignSource
+	}
+	q.source = uint16(t.id)
+	return resultcode.OK
+}
+
+// findFromPeer sets the flow of a packet from a peer and checks that both balancers take it for the same service.
+func (q *query) findFromPeer() resultcode.Code {
+	caller, at := q.p.Source, q.p.Destination
+	if q.direction == ToCaller {
+		caller, at = at, caller
+	}
+	if code := q.find(caller, at); code != resultcode.OK {
+		return code
+	}
+	if q.info.VNI == q.ep.service.Info.VNI {
+		return resultcode.OK
+	}
+	if q.direction == ToTarget && q.info.Version != q.st.version {
+		return resultcode.OK // the newer bundle decides, here or at a current member
+	}
+	return resultcode.PacketForeignSource
+}
+
+func drop(code resultcode.Code) Decision { return Decision{Action: Drop, Code: code} }
+
+// lost decides about a packet whose flow cannot be found. A newer bundle may know its endpoint.
+func (e *Engine) lost(q *query, code resultcode.Code) Decision {
+	if code == resultcode.PacketUnknownEndpoint && q.direction == ToTarget && q.behind() {
+		return q.toPeer(q.currentPeer(), code)
+	}
+	return drop(code)
+}
+
+// route decides by the role for the bucket.
+func (e *Engine) route(q *query) Decision {
+	b := &q.st.Buckets[q.bucket]
+	if b.Role == RoleOwner {
+		if q.direction == ToTarget {
+			return e.ownerFromCaller(q)
+		}
+		return e.ownerFromTarget(q)
+	}
+	if q.sender != 0 && q.sender == b.Peer && q.info.Version < q.st.version {
+		return e.byDefault(q) // the owner is behind and has passed on a flow that it does not know
+	}
+	if q.info.Hops >= HopLimit {
+		return e.atHopLimit(q, b)
+	}
+	return q.toPeer(b.Peer, resultcode.PacketNoOwner)
+}
+
+// atHopLimit decides when the views of the balancers conflict. During a handover the previous owner may still decide
+// about the flow, so an acquiring balancer drops the packet; a retransmission finds the new owner.
+func (e *Engine) atHopLimit(q *query, b *BucketState) Decision {
+	m, self := q.st.Map, q.st.Self
+	if b.Role == RoleAcquiring || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
+		return drop(resultcode.PacketHopLimit)
+	}
+	return e.byDefault(q)
+}
+
+// toPeer passes the packet to a balancer, or drops it with the code when that has no address.
+func (q *query) toPeer(id membership.HostID, code resultcode.Code) Decision {
+	addr, found := q.st.Peers[id]
+	if id == 0 || !found || id == q.st.Self {
+		return drop(code)
+	}
+	if q.info.Hops >= HopLimit {
+		return drop(resultcode.PacketHopLimit)
+	}
+	d := Decision{Action: ForwardPeer, Addr: addr, Direction: q.direction}
+	d.Peer = PeerInfo{
+		Version: q.st.version, Incarnation: q.st.Incarnation, Hops: q.info.Hops + 1, Direction: q.direction, Target: q.source,
+	}
+	if q.ep != nil {
+		d.Peer.VNI = q.ep.service.Info.VNI
+	}
+	return d
+}
+
+// behind reports whether a newer bundle is known to be in force elsewhere.
+func (q *query) behind() bool { return q.st.Behind || q.info.Version > q.st.version }
+
+// currentPeer returns a member that has the newer bundle, or 0.
+func (q *query) currentPeer() membership.HostID {
+	if q.info.Version > q.st.version {
+		return q.sender
+	}
+	return q.st.CurrentPeer
+}
--- /dev/null
+++ b/forward/explain.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+// Rule names the rule by which a flow has its target.
+type Rule string
+
+// Rules.
+const (
+	RuleEntry     Rule = "entry"      // the flow table holds the flow, on its default target
+	RuleException Rule = "exception"  // the flow table holds the flow, off its default target
+	RuleWaiting   Rule = "waiting"    // the flow waits for admission
+	RuleDefault   Rule = "default"    // no entry: a running flow would be adopted on its default target
+	RulePlacement Rule = "placement"  // no entry: a new flow would be placed by the strategy
+	RuleReset     Rule = "reset"      // no entry: a running connection would be reset
+	RulePeer      Rule = "peer"       // another balancer decides
+	RuleNoService Rule = "no-service" // no bundle, or the endpoint belongs to no service
+)
+
+// Explanation tells which target a flow has and why.
+type Explanation struct {
+	Rule     Rule
+	Service  string
+	Bucket   ownership.Bucket
+	Role     Role
+	Owner    membership.HostID
+	Backup   membership.HostID
+	Peer     membership.HostID
+	InSync   bool
+	State    flow.State
+	Idle     time.Duration
+	TargetID flow.TargetID
+	Target   netip.AddrPort // not valid when no target is known
+	Default  netip.AddrPort // not valid when there is no default target
+	Version  uint64         // of the bundle
+}
+
+// Explain tells which target the flow has or would get, and by which rule.
+func (e *Engine) Explain(now time.Duration, k flow.Key) Explanation {
+	st := e.state.Load()
+	if st == nil || st.byID[k.Endpoint] == nil || st.Buckets == nil {
+		return Explanation{Rule: RuleNoService}
+	}
+	sv, hash := st.byID[k.Endpoint].service, k.Hash()
+	b := ownership.BucketOf(hash)
+	state := st.Buckets[b]
+	x := Explanation{
+		Service: sv.Info.Name, Bucket: b, Role: state.Role, Peer: state.Peer, InSync: state.InSync, Version: st.version,
+	}
+	if st.Map != nil {
+		x.Owner, x.Backup = st.Map.Owner(b), st.Map.Backup(b)
+	}
+	d := sv.defaultTarget(hash)
+	if d != nil {
+		x.Default = d.addr
+	}
+	if state.Role != RoleOwner {
+		x.Rule = RulePeer
+		return x
+	}
+	if e.explainEntry(st, now, k, hash, &x) {
+		return x
+	}
+	switch {
+	case sv.Info.Proto == flow.UDP:
+		x.Rule = RulePlacement
+	case d == nil || !state.InSync && !sv.Info.Idempotent:
+		x.Rule = RuleReset
+	default:
+		x.Rule, x.TargetID, x.Target = RuleDefault, d.id, d.addr
+	}
+	return x
+}
+
+func (e *Engine) explainEntry(st *state, now time.Duration, k flow.Key, hash uint64, x *Explanation) (found bool) {
+	nowMS := uint32(now.Milliseconds())
+	e.table.Visit(&k, hash, nowMS, func(en *flow.Entry, room flow.Room) bool {
+		if room != flow.Found {
+			return false
+		}
+		if en.Epoch != st.epochs[x.Bucket] || en.Expired(nowMS) {
+			return true
+		}
+		found = true
+		x.State, x.TargetID, x.Idle = en.State(), en.Target, time.Duration(en.IdleMS(nowMS))*time.Millisecond
+		if t := st.targets[en.Target]; t != nil {
+			x.Target = t.addr
+		}
+		switch {
+		case en.State() == flow.Waiting:
+			x.Rule = RuleWaiting
+		case x.Target != x.Default:
+			x.Rule = RuleException
+		default:
+			x.Rule = RuleEntry
+		}
+		return true
+	})
+	return found
+}
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -68,10 +68,19 @@
 	PeerAddrs   map[netip.Addr]membership.HostID
 	Services    map[flow.ServiceID]*ServiceState
 	TargetAddrs map[netip.Addr]*bundle.ServiceInfo // service of each target address of this data centre
+	Retired     map[flow.TargetID]RetiredTarget    // targets that the bundle has dropped and that flows still use
 	Fenced      bool                               // the view is being refreshed after a pause
 	Stopping    bool                               // a graceful shutdown is under way
 }
 
+// RetiredTarget is a target that is no longer in the bundle. It gets packets of running flows only.
+type RetiredTarget struct {
+	Addr     netip.Addr
+	DataPort uint16
+	Service  flow.ServiceID
+	VNI      uint32 // VNI of the service when the target was dropped
+}
+
 // Exception is a flow whose target is not its default target.
 type Exception struct {
 	Key    flow.Key
--- /dev/null
+++ b/forward/state.go
@@ -0,0 +1,228 @@
+package forward
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+// state is a snapshot with the lookup tables that decisions use. It is immutable.
+type state struct {
+	*Snapshot
+	version   uint64
+	endpoints map[endpointKey]*endpoint
+	byID      map[flow.EndpointID]*endpoint
+	targets   map[flow.TargetID]*target
+	byAddr    map[netip.Addr]*target
+	services  map[flow.ServiceID]*service
+	// epochs counts for each bucket how often this balancer ceased to own it. Entries of an earlier epoch are not
+	// valid, because another owner may have moved their flows.
+	epochs [ownership.BucketCount]uint8
+	// gained is the time at which this balancer became the owner, 0 when it was the first one.
+	gained [ownership.BucketCount]time.Duration
+}
+
+// endpointKey holds an address as bytes, which hash faster than a netip.Addr.
+type endpointKey struct {
+	addr     [16]byte
+	port     uint16
+	protocol flow.Protocol
+}
+
+func newEndpointKey(p flow.Protocol, a netip.AddrPort) endpointKey {
+	return endpointKey{addr: a.Addr().As16(), port: a.Port(), protocol: p}
+}
+
+type endpoint struct {
+	id      flow.EndpointID
+	addr    netip.AddrPort
+	service *service
+}
+
+type service struct {
+	*ServiceState
+	id      flow.ServiceID
+	targets []*target // by position in Table.Targets; nil where the isolation check failed
+	view    serviceView
+	// copied reports that flows off their default target are exceptions. Flows of short idempotent services are not:
+	// they can be placed again.
+	copied bool
+	// steady reports that a new flow goes to its default target whenever that is eligible. A new owner cannot tell
+	// a packet of an unknown UDP flow from a new flow, so both owners must resolve it alike.
+	steady bool
+	short  bool
+}
+
+type target struct {
+	id       flow.TargetID
+	addr     netip.AddrPort
+	vni      uint32
+	service  *service
+	position int // in the service's table, -1 when retired
+	open     *atomic.Int64
+}
+
+// usable reports whether the target is not known to be down.
+func (t *target) usable() bool {
+	return t.position < 0 || t.position >= len(t.service.Targets) || t.service.Targets[t.position].Usable
+}
+
+// counterOf returns the counter of open flows of a target.
+type counterOf func(flow.TargetID) *atomic.Int64
+
+func compile(s *Snapshot, counter counterOf) *state {
+	st := &state{
+		Snapshot: s, endpoints: make(map[endpointKey]*endpoint), byID: make(map[flow.EndpointID]*endpoint),
+		targets: make(map[flow.TargetID]*target), byAddr: make(map[netip.Addr]*target),
+		services: make(map[flow.ServiceID]*service),
+	}
+	if s.Bundle == nil {
+		return st
+	}
+	st.version = s.Bundle.Version
+	for _, info := range s.Bundle.ServiceInfos() {
+		if ss := s.Services[info.ID]; ss != nil {
+			st.addService(info, ss, counter)
+		}
+	}
+	for id, r := range s.Retired {
+		st.addRetired(id, r, counter)
+	}
+	return st
+}
+
+func (st *state) addService(info *bundle.ServiceInfo, ss *ServiceState, counter counterOf) {
+	short := info.Kind == bundle.KindShort
+	copied := !short || !info.Idempotent
+	sv := &service{ServiceState: ss, id: info.ID, short: short, copied: copied, steady: copied && info.Proto == flow.UDP}
+	st.services[info.ID] = sv
+	members := 1
+	if st.Map != nil {
+		members = max(len(st.Map.Members()), 1)
+	}
+	sv.view = serviceView{service: sv, members: float64(members)}
+	sv.targets = make([]*target, len(ss.Table.Targets))
+	for i := range ss.Table.Targets {
+		t := &ss.Table.Targets[i]
+		if owner := st.TargetAddrs[t.Addr]; owner != nil && owner.ID != info.ID {
+			continue // isolation: the address belongs to another service
+		}
+		ref := &target{
+			id: t.ID, addr: netip.AddrPortFrom(t.Addr, t.DataPort), vni: info.VNI, service: sv, position: i, open: counter(t.ID),
+		}
+		sv.targets[i] = ref
+		st.targets[t.ID], st.byAddr[t.Addr] = ref, ref
+	}
+	for _, text := range info.Endpoints {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			continue // Parse has refused such a bundle
+		}
+		addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+		e := st.Bundle.Endpoint(bundle.EndpointAddr{Protocol: info.Proto, Addr: addr})
+		if e == nil || e.Service.ID != info.ID {
+			continue
+		}
+		ref := &endpoint{id: e.ID, addr: addr, service: sv}
+		st.endpoints[newEndpointKey(info.Proto, addr)] = ref
+		st.byID[e.ID] = ref
+	}
+}
+
+// addRetired adds a target that is no longer in the bundle, unless its address now belongs to another service.
+func (st *state) addRetired(id flow.TargetID, r RetiredTarget, counter counterOf) {
+	sv := st.services[r.Service]
+	if sv == nil || st.targets[id] != nil || st.byAddr[r.Addr] != nil || st.TargetAddrs[r.Addr] != nil {
+		return
+	}
+	ref := &target{id: id, addr: netip.AddrPortFrom(r.Addr, r.DataPort), vni: r.VNI, service: sv, position: -1, open: counter(id)}
+	st.targets[id], st.byAddr[r.Addr] = ref, ref
+}
+
+// inherit carries the epochs and gain times over from the state before.
+func (st *state) inherit(old *state, now time.Duration) {
+	if old == nil {
+		return
+	}
+	st.epochs, st.gained = old.epochs, old.gained
+	for b := range st.epochs {
+		was, is := old.owns(ownership.Bucket(b)), st.owns(ownership.Bucket(b))
+		switch {
+		case was && !is:
+			st.epochs[b]++
+		case is && !was:
+			st.gained[b] = max(now, 1)
+		}
+	}
+}
+
+func (st *state) owns(b ownership.Bucket) bool {
+	return st.Buckets != nil && st.Buckets[b].Role == RoleOwner
+}
+
+// defaultTarget returns the default target of a flow, or nil.
+func (sv *service) defaultTarget(hash uint64) *target {
+	i := sv.Table.Default(hash)
+	if i < 0 {
+		return nil
+	}
+	return sv.targets[i]
+}
+
+// eligible reports whether the target may get new flows.
+func (sv *service) eligible(t *target) bool {
+	return t != nil && t.position >= 0 && t.position < len(sv.Targets) && sv.Targets[t.position].Eligible
+}
+
+// needsCopy reports whether a new owner without an entry would resolve the next packet of a flow differently.
+func (sv *service) needsCopy(hash uint64, id flow.TargetID) bool {
+	if !sv.copied {
+		return false
+	}
+	d := sv.defaultTarget(hash)
+	return d == nil || d.id != id || sv.steady && !sv.eligible(d)
+}
+
+// serviceView shows a placement strategy the targets of a service.
+type serviceView struct {
+	service *service
+	members float64
+}
+
+// Eligible implements placement.View.
+func (v *serviceView) Eligible(i int) bool { return v.service.eligible(v.service.targets[i]) }
+
+// Load returns the open flows of the target on this balancer, or this balancer's share of the load that the target
+// reports if that is higher: a target that wrongly reports no load then still counts with the flows it was given.
+func (v *serviceView) Load(i int) float64 {
+	t := v.service.targets[i]
+	if t == nil {
+		return 0
+	}
+	open := float64(t.open.Load())
+	if i < len(v.service.Targets) {
+		return max(open, v.service.Targets[i].Reported/v.members)
+	}
+	return open
+}
+
+// Share implements placement.View.
+func (v *serviceView) Share(i int) float64 {
+	if i < len(v.service.Targets) {
+		return v.service.Targets[i].Share
+	}
+	return 0
+}
+
+// onlyView shows one target as eligible.
+type onlyView struct {
+	*serviceView
+	only int
+}
+
+// Eligible implements placement.View.
+func (v onlyView) Eligible(i int) bool { return i == v.only && v.serviceView.Eligible(i) }
--- /dev/null
+++ b/forward/sweep.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Ending is a connection that is reset at both ends.
+type Ending struct {
+	Key              flow.Key
+	Caller, Endpoint netip.AddrPort
+	Target           netip.AddrPort // outer address; not valid when the target is not known
+	VNI              uint32
+	ToCaller         uint32 // sequence number that the caller accepts
+	ToTarget         uint32 // sequence number that the target accepts
+	Code             resultcode.Code
+}
+
+const (
+	// sweepParts is the number of Sweep calls that pass over the whole table.
+	sweepParts = 10
+	// foreignIdleMS keeps entries of buckets that another balancer owns long enough for Collect.
+	foreignIdleMS = 30_000
+)
+
+// Sweep passes over a tenth of the table. It removes entries that are expired or out of date, and appends to dst the
+// silent connections, which end. It is meant to be called every 100 ms.
+func (e *Engine) Sweep(now time.Duration, dst []Ending) []Ending {
+	st := e.state.Load()
+	e.clock.Store(int64(now))
+	if st == nil {
+		return dst
+	}
+	nowMS := uint32(now.Milliseconds())
+	e.table.Sweep(sweepParts, func(en *flow.Entry) bool {
+		k := en.Key()
+		b := bucketOf(&k)
+		owned := st.owns(b)
+		switch {
+		case en.Expired(nowMS),
+			owned && en.Epoch != st.epochs[b],
+			!owned && en.IdleMS(nowMS) > foreignIdleMS && en.State() != flow.Waiting:
+			if !owned {
+				en.Flags &^= flow.FlagException // the copies belong to the new owner
+			}
+			e.finish(st, now, &k, en)
+			return false
+		case owned && en.Has(flow.FlagSilent) && connected(en.State()):
+			dst = e.end(st, now, &k, en, resultcode.FlowSilent, dst)
+		}
+		return true
+	})
+	return dst
+}
+
+func connected(s flow.State) bool {
+	return s == flow.Established || s == flow.CallerClosing || s == flow.TargetClosing || s == flow.Adopted
+}
+
+// ResetTarget ends the TCP flows of a target that is dead and appends them to dst. Entries of UDP flows of idempotent
+// services are removed, so that their next packet is placed anew; those of other services stay, because their
+// requests may have run.
+func (e *Engine) ResetTarget(now time.Duration, id flow.TargetID, dst []Ending) []Ending {
+	st := e.state.Load()
+	if st == nil {
+		return dst
+	}
+	e.table.Range(func(en *flow.Entry) bool {
+		if en.Target != id || !en.State().Open() {
+			return true
+		}
+		k := en.Key()
+		ep := st.byID[k.Endpoint]
+		if b := bucketOf(&k); ep == nil || !st.owns(b) || en.Epoch != st.epochs[b] {
+			return true
+		}
+		if ep.service.Info.Proto == flow.UDP {
+			if !ep.service.Info.Idempotent {
+				return true
+			}
+			e.finish(st, now, &k, en)
+			return false
+		}
+		dst = e.end(st, now, &k, en, resultcode.OutcomeUnknown, dst)
+		return true
+	})
+	return dst
+}
+
+// end closes a flow and appends the resets for its two ends to dst.
+func (e *Engine) end(st *state, now time.Duration, k *flow.Key, en *flow.Entry, code resultcode.Code, dst []Ending) []Ending {
+	ending := Ending{Key: *k, Caller: k.CallerAddrPort(), Code: code}
+	ending.ToCaller, ending.ToTarget = en.ResetSequences()
+	ep, t := st.byID[k.Endpoint], st.targets[en.Target]
+	e.finish(st, now, k, en)
+	en.SetState(flow.Closed)
+	en.Touch(uint32(now.Milliseconds()))
+	e.counters.code(code)
+	if ep == nil {
+		return dst
+	}
+	ending.Endpoint = ep.addr
+	if t != nil && t.service == ep.service {
+		ending.Target, ending.VNI = t.addr, t.vni
+	}
+	return append(dst, ending)
+}
+
+// Placed is the decision about a flow that waited.
+type Placed struct {
+	Key      flow.Key
+	Decision Decision
+}
+
+// Poll appends to dst the decisions about flows whose wait is over.
+func (e *Engine) Poll(now time.Duration, dst []Placed) []Placed {
+	st := e.state.Load()
+	if st == nil {
+		return dst
+	}
+	e.released = e.admission.Poll(now, e.released[:0])
+	for i := range e.released {
+		r := &e.released[i]
+		dst = append(dst, Placed{Key: r.Key, Decision: e.release(st, now, r)})
+	}
+	return dst
+}
+
+func (e *Engine) release(st *state, now time.Duration, r *Released) Decision {
+	q := query{st: st, now: now, nowMS: uint32(now.Milliseconds()), direction: ToTarget, key: r.Key, hash: r.Key.Hash()}
+	q.bucket = ownership.BucketOf(q.hash)
+	q.ep = st.byID[r.Key.Endpoint]
+	d := drop(resultcode.PacketUnknownFlow)
+	if q.ep == nil {
+		e.giveBack(&q, flow.ServiceID(0), r)
+		e.remove(&q)
+		return d
+	}
+	q.p = &Packet{Protocol: q.ep.service.Info.Proto, Flags: SYN}
+	if !st.owns(q.bucket) || st.Fenced {
+		e.giveBack(&q, q.ep.service.id, r)
+		e.remove(&q)
+		return e.count(&q, q.toPeer(st.Buckets[q.bucket].Peer, resultcode.PacketNoOwner))
+	}
+	taken := false
+	e.table.Visit(&q.key, q.hash, q.nowMS, func(en *flow.Entry, room flow.Room) (keep bool) {
+		if room != flow.Found || en.State() != flow.Waiting || en.Epoch != st.epochs[q.bucket] {
+			return room == flow.Found
+		}
+		taken = true
+		if r.Verdict.Outcome != Admitted {
+			d = q.refuse(r.Verdict.Code)
+			return false
+		}
+		en.Touch(q.nowMS)
+		d, keep = e.admit(&q, en, r.Verdict)
+		return keep
+	})
+	if !taken {
+		e.giveBack(&q, q.ep.service.id, r)
+	}
+	return e.count(&q, d)
+}
+
+// giveBack returns the slot of an admitted flow that is no longer wanted.
+func (e *Engine) giveBack(q *query, id flow.ServiceID, r *Released) {
+	if r.Verdict.Outcome != Admitted {
+		return
+	}
+	target := r.Verdict.ID
+	if sv := q.st.services[id]; sv != nil && target == 0 && r.Verdict.Target >= 0 && r.Verdict.Target < len(sv.Table.Targets) {
+		target = sv.Table.Targets[r.Verdict.Target].ID
+	}
+	e.admission.Done(q.now, id, target, 0, false)
+}
+
+// remove drops the entry of a waiting flow whose verdict has been taken.
+func (e *Engine) remove(q *query) {
+	e.table.Visit(&q.key, q.hash, q.nowMS, func(en *flow.Entry, room flow.Room) bool {
+		return room == flow.Found && en.State() != flow.Waiting
+	})
+}
+
+// Cancel gives up a waiting flow whose packet could not be kept.
+func (e *Engine) Cancel(now time.Duration, k flow.Key) {
+	st := e.state.Load()
+	e.table.Visit(&k, k.Hash(), uint32(now.Milliseconds()), func(en *flow.Entry, room flow.Room) bool {
+		if room != flow.Found || en.State() != flow.Waiting {
+			return room == flow.Found
+		}
+		e.finish(st, now, &k, en)
+		return false
+	})
+}
--- /dev/null
+++ b/forward/unknown.go
@@ -0,0 +1,239 @@
+package forward
+
+import (
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// unknownFromCaller decides about a packet of a flow that has no entry. It fills in the entry when the flow is to have
+// one.
+func (e *Engine) unknownFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
+	if q.behind() {
+		return q.toPeer(q.currentPeer(), resultcode.PacketNoOwner), false
+	}
+	if q.p.Protocol == flow.TCP && (!q.p.Has(SYN) || q.p.Has(ACK)) {
+		return e.adoptFromCaller(q, en, room)
+	}
+	if q.unknownOutcome() {
+		return drop(resultcode.OutcomeUnknown), false
+	}
+	return e.place(q, en, room)
+}
+
+// recentTakeover reports whether the bucket was taken over by failure so recently that its earlier owner may have
+// forwarded packets of flows that are not known here.
+func (q *query) recentTakeover() bool {
+	at := q.st.Buckets[q.bucket].TakenOverAt
+	return at != 0 && q.now-at < takeoverWindow
+}
+
+// unknownOutcome reports whether a datagram may repeat a request that the earlier owner sent to a target other than
+// the default.
+func (q *query) unknownOutcome() bool {
+	sv := q.ep.service
+	return q.p.Protocol == flow.UDP && !sv.Info.Idempotent && q.recentTakeover() && !sv.eligible(sv.defaultTarget(q.hash))
+}
+
+// adoptable reports whether a connection without an entry can be taken to be on its default target.
+func (q *query) adoptable() bool {
+	return q.st.Buckets[q.bucket].InSync || q.ep.service.Info.Idempotent
+}
+
+// adoptFromCaller takes up a running connection on its default target, or resets it. A flow that finds no room is
+// delivered all the same: its target is a pure function of the flow.
+func (e *Engine) adoptFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
+	if q.p.Has(SYN) {
+		return drop(resultcode.PacketMalformed), false // only targets answer a SYN
+	}
+	if !q.adoptable() {
+		return q.reset(resultcode.PacketUnknownFlow), false
+	}
+	t := q.ep.service.defaultTarget(q.hash)
+	if t == nil {
+		return q.reset(resultcode.PacketNoTarget), false
+	}
+	if q.p.Has(RST) || room != flow.Free {
+		return q.deliver(t), false
+	}
+	e.enter(q, en, t)
+	en.FromCaller(q.p.segment(), q.nowMS)
+	return q.deliver(t), true
+}
+
+// enter makes an entry for a flow on a target.
+func (e *Engine) enter(q *query, en *flow.Entry, t *target) {
+	en.Target, en.Epoch = t.id, q.st.epochs[q.bucket]
+	en.Step(q.p.event(q.direction))
+	t.open.Add(1)
+}
+
+// place asks for a target for a new flow.
+func (e *Engine) place(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
+	if room != flow.Free {
+		return e.placeWithoutRoom(q), false
+	}
+	if q.st.Stopping && (q.st.Map == nil || q.st.Map.Backup(q.bucket) == 0) {
+		return q.refuse(resultcode.RefusedShutdown), false // no other balancer can take the flow over
+	}
+	verdict := e.admission.Ask(q.now, q.request())
+	switch verdict.Outcome {
+	case Admitted:
+		return e.admit(q, en, verdict)
+	case Waiting:
+		en.Epoch = q.st.epochs[q.bucket]
+		en.Step(flow.EventWait)
+		return Decision{Action: Hold, Direction: ToTarget}, true
+	}
+	return q.refuse(verdict.Code), false
+}
+
+func (q *query) request() Request {
+	sv := q.ep.service
+	r := Request{Key: q.key, Hash: q.hash, Service: sv.ServiceState, View: &sv.view}
+	if sv.steady {
+		if d := sv.defaultTarget(q.hash); sv.eligible(d) {
+			r.View = onlyView{&sv.view, d.position}
+		}
+	}
+	return r
+}
+
+// admit puts an admitted flow on its target.
+func (e *Engine) admit(q *query, en *flow.Entry, v Verdict) (Decision, bool) {
+	t := q.ep.service.chosen(v)
+	if t == nil {
+		id := v.ID
+		if id == 0 && v.Target >= 0 && v.Target < len(q.ep.service.Table.Targets) {
+			id = q.ep.service.Table.Targets[v.Target].ID
+		}
+		e.admission.Done(q.now, q.ep.service.id, id, 0, false)
+		return drop(resultcode.PacketNoTarget), false
+	}
+	e.enter(q, en, t)
+	en.Flags |= flow.FlagAdmitted
+	if q.p.Protocol == flow.TCP {
+		en.FromCaller(q.p.segment(), q.nowMS)
+	}
+	if q.ep.service.needsCopy(q.hash, t.id) {
+		en.Flags |= flow.FlagException
+		e.sink.ExceptionAdded(q.bucket, Exception{Key: q.key, Target: t.id})
+	}
+	return q.deliver(t), true
+}
+
+// chosen returns the target that a verdict names, or nil when the service has no such target.
+func (sv *service) chosen(v Verdict) *target {
+	i := v.Target
+	if v.ID != 0 {
+		i = sv.Table.Index(v.ID)
+	}
+	if i < 0 || i >= len(sv.targets) {
+		return nil
+	}
+	return sv.targets[i]
+}
+
+// placeWithoutRoom lets sessions open while a flood fills the table: without an entry a flow goes to its default
+// target. Short work is dropped, because its slots could not be counted.
+func (e *Engine) placeWithoutRoom(q *query) Decision {
+	sv := q.ep.service
+	if t := sv.defaultTarget(q.hash); !sv.short && sv.eligible(t) {
+		return q.deliver(t)
+	}
+	return drop(resultcode.PacketTableFull)
+}
+
+// refuse answers that nothing was run, when this is certain. Otherwise the packet is dropped, and the caller finds out
+// by itself.
+func (q *query) refuse(code resultcode.Code) Decision {
+	gained := q.st.gained[q.bucket]
+	if !q.st.owns(q.bucket) || q.recentTakeover() || gained != 0 && q.now-gained < takeoverWindow {
+		return drop(code)
+	}
+	d := Decision{Action: Refuse, Reply: ReplyRefused, Direction: ToTarget, Code: code}
+	if q.p.Protocol == flow.TCP {
+		d.Reply = ReplyRST
+	}
+	return d
+}
+
+// unknownFromTarget decides about a packet of a target for a flow without an entry.
+func (e *Engine) unknownFromTarget(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
+	if q.behind() {
+		return q.toPeer(q.currentPeer(), resultcode.PacketNoOwner), false
+	}
+	sv := q.ep.service
+	d := sv.defaultTarget(q.hash)
+	onDefault := d != nil && uint16(d.id) == q.source
+	answer := Decision{Action: SendCaller, Direction: ToCaller}
+	if q.p.Protocol == flow.UDP {
+		return e.unknownDatagram(q, en, room, onDefault)
+	}
+	switch {
+	case !onDefault:
+		return drop(resultcode.PacketUnknownFlow), false
+	case q.p.Flags&(SYN|RST) != 0:
+		return answer, false // for a flow that was placed without room
+	case !q.adoptable():
+		return q.reset(resultcode.PacketUnknownFlow), false
+	case room == flow.NoRoom:
+		return answer, false
+	}
+	e.enter(q, en, d)
+	en.FromTarget(q.p.segment(), q.nowMS)
+	return answer, true
+}
+
+// unknownDatagram passes a late answer on. The target that answers is the one that has the flow, so the flow is put
+// there.
+func (e *Engine) unknownDatagram(q *query, en *flow.Entry, room flow.Room, onDefault bool) (Decision, bool) {
+	answer := Decision{Action: SendCaller, Direction: ToCaller}
+	t := q.ep.service.bySource(q.source)
+	if t == nil {
+		return drop(resultcode.PacketUnknownFlow), false
+	}
+	if room == flow.NoRoom {
+		return answer, false
+	}
+	e.enter(q, en, t)
+	if !onDefault && q.ep.service.needsCopy(q.hash, t.id) {
+		en.Flags |= flow.FlagException
+		e.sink.ExceptionAdded(q.bucket, Exception{Key: q.key, Target: t.id})
+	}
+	return answer, true
+}
+
+// bySource returns the target of the service whose ID ends in the given bits, or nil.
+func (sv *service) bySource(low uint16) *target {
+	for _, t := range sv.targets {
+		if t != nil && uint16(t.id) == low {
+			return t
+		}
+	}
+	return nil
+}
+
+// byDefault decides without an entry about a flow that another balancer owns: its owner is behind, or no balancer
+// agrees who owns it. It relies only on the default target, which the owner will compute as well.
+func (e *Engine) byDefault(q *query) Decision {
+	sv := q.ep.service
+	t := sv.defaultTarget(q.hash)
+	if t == nil {
+		return drop(resultcode.PacketNoTarget)
+	}
+	if q.direction == ToCaller {
+		if uint16(t.id) != q.source {
+			return drop(resultcode.PacketUnknownFlow)
+		}
+		return Decision{Action: SendCaller, Direction: ToCaller}
+	}
+	opens := q.p.Protocol == flow.UDP || q.p.Has(SYN)
+	asked := q.sender != 0 && q.sender == q.st.Buckets[q.bucket].Peer // by the owner, which has no entry
+	switch {
+	case opens && !sv.eligible(t), opens && q.p.Protocol == flow.UDP && !sv.Info.Idempotent && !asked:
+		return drop(resultcode.PacketNoOwner)
+	case !opens && !asked && !q.adoptable():
+		return drop(resultcode.PacketUnknownFlow)
+	}
+	return q.deliver(t)
+}
--- /dev/null
+++ b/internal/geneve/geneve.go
@@ -0,0 +1,119 @@
+// Package geneve encodes and decodes the Geneve header (RFC 8926) and the option that balancers add between them.
+package geneve
+
+import (
+	"encoding/binary"
+
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Network identifiers of the legs that belong to no service.
+const (
+	VNICaller = 1 // between fabric and balancer
+	VNIPeer   = 2 // between balancers
+)
+
+const (
+	headerBytes       = 8
+	optionHeaderBytes = 4
+	peerOptionBytes   = 24
+	peerOptionClass   = 0xfff0
+	peerOptionType    = 1
+	criticalBit       = 0x80 // of an option type
+	controlFlag       = 0x80 // of the header: a control packet
+
+	// MaxHeaderBytes is the size of the largest header that Put writes.
+	MaxHeaderBytes = headerBytes + optionHeaderBytes + peerOptionBytes
+
+	etherTypeIPv4 = 0x0800
+	etherTypeIPv6 = 0x86dd
+)
+
+// Header is a Geneve header.
+type Header struct {
+	VNI     uint32
+	HasPeer bool
+	Peer    forward.PeerInfo // valid when HasPeer is true
+}
+
+// Decode reads the header at the start of b and returns the inner packet. Options that are not critical and not known
+// are passed over.
+func Decode(b []byte, h *Header) (inner []byte, code resultcode.Code) {
+	if len(b) < headerBytes {
+		return nil, resultcode.PacketTruncated
+	}
+	options := int(b[0]&0x3f) * 4
+	protocol := binary.BigEndian.Uint16(b[2:])
+	switch {
+	case b[0]>>6 != 0, b[1]&controlFlag != 0, protocol != etherTypeIPv4 && protocol != etherTypeIPv6:
+		return nil, resultcode.PacketMalformed
+	case len(b) < headerBytes+options:
+		return nil, resultcode.PacketTruncated
+	}
+	h.VNI = binary.BigEndian.Uint32(b[4:]) >> 8
+	h.HasPeer = false
+	for rest := b[headerBytes : headerBytes+options]; len(rest) > 0; {
+		if len(rest) < optionHeaderBytes {
+			return nil, resultcode.PacketMalformed
+		}
+		length := int(rest[3]&0x1f) * 4
+		if len(rest) < optionHeaderBytes+length {
+			return nil, resultcode.PacketMalformed
+		}
+		if binary.BigEndian.Uint16(rest) == peerOptionClass && rest[2] == peerOptionType && length == peerOptionBytes {
+			decodePeer(rest[optionHeaderBytes:], &h.Peer)
+			h.HasPeer = true
+		} else if rest[2]&criticalBit != 0 {
+			return nil, resultcode.PacketMalformed
+		}
+		rest = rest[optionHeaderBytes+length:]
+	}
+	return b[headerBytes+options:], resultcode.OK
+}
+
+func decodePeer(b []byte, p *forward.PeerInfo) {
+	p.Version = binary.BigEndian.Uint64(b)
+	p.Incarnation = binary.BigEndian.Uint64(b[8:])
+	p.Hops = b[16]
+	p.Direction = forward.Direction(b[17])
+	p.VNI = binary.BigEndian.Uint32(b[18:])
+	p.Target = binary.BigEndian.Uint16(b[22:])
+}
+
+// Size returns the length of the header in bytes.
+func (h *Header) Size() int {
+	if h.HasPeer {
+		return MaxHeaderBytes
+	}
+	return headerBytes
+}
+
+// Put writes the header so that it ends at b[at], where the inner packet begins, and returns where it starts. It
+// needs MaxHeaderBytes before the inner packet.
+func Put(b []byte, at int, h *Header) (start int) {
+	start = at - h.Size()
+	w := b[start:at]
+	w[0], w[1] = 0, 0
+	protocol := uint16(etherTypeIPv4)
+	if b[at]>>4 == 6 {
+		protocol = etherTypeIPv6
+	}
+	binary.BigEndian.PutUint16(w[2:], protocol)
+	binary.BigEndian.PutUint32(w[4:], h.VNI<<8)
+	if h.HasPeer {
+		w[0] = (optionHeaderBytes + peerOptionBytes) / 4
+		binary.BigEndian.PutUint16(w[8:], peerOptionClass)
+		w[10], w[11] = peerOptionType, peerOptionBytes/4
+		encodePeer(w[headerBytes+optionHeaderBytes:], &h.Peer)
+	}
+	return start
+}
+
+func encodePeer(b []byte, p *forward.PeerInfo) {
+	binary.BigEndian.PutUint64(b, p.Version)
+	binary.BigEndian.PutUint64(b[8:], p.Incarnation)
+	b[16], b[17] = p.Hops, byte(p.Direction)
+	binary.BigEndian.PutUint32(b[18:], p.VNI)
+	binary.BigEndian.PutUint16(b[22:], p.Target)
+}
--- /dev/null
+++ b/internal/udpbatch/conn.go
@@ -0,0 +1,63 @@
+// Package udpbatch receives and sends UDP datagrams in batches, with one system call and no allocation for each batch.
+package udpbatch
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("udpbatch")
+
+// socketBufferBytes holds the packets that arrive while a worker is not running: 4 MiB are 20 ms of 1,000,000 small
+// packets a second. The kernel may grant less.
+const socketBufferBytes = 4 << 20
+
+// Conn is a UDP socket. Several goroutines may use it, each with its own Reader or Writer.
+type Conn struct {
+	udp *net.UDPConn
+	raw syscall.RawConn
+	v6  bool
+}
+
+// Listen opens a socket that shares its address with other sockets of the process (SO_REUSEPORT). The kernel spreads
+// datagrams over them by addresses and ports.
+func Listen(address netip.AddrPort) (*Conn, error) {
+	network := "udp6"
+	if address.Addr().Is4() {
+		network = "udp4"
+	}
+	config := net.ListenConfig{Control: setOptions}
+	pc, err := config.ListenPacket(context.Background(), network, address.String())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	udp := pc.(*net.UDPConn)
+	raw, err := udp.SyscallConn()
+	if err != nil {
+		return nil, Error.Wrap(errs.Combine(err, udp.Close()))
+	}
+	return &Conn{udp: udp, raw: raw, v6: network == "udp6"}, nil
+}
+
+func setOptions(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		// A smaller buffer than asked for loses packets under load but is no reason not to start.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+	})
+	return errs.Combine(err, failed)
+}
+
+// LocalAddr returns the address of the socket.
+func (c *Conn) LocalAddr() netip.AddrPort { return c.udp.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Close closes the socket. Blocked calls return an error.
+func (c *Conn) Close() error { return Error.Wrap(c.udp.Close()) }
