--- a/internal/standin/caller/lane.go
+++ b/internal/standin/caller/lane.go
@@ -43,7 +43,7 @@
 }
 
 func newLane(c *Caller, index int) (*lane, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.options.Address, 0)))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.options.Address.Addr, 0)))
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +59,7 @@
 
 func (l *lane) send(p *wire.Packet) {
 	if b, err := l.encoder.Encode(wire.CallerVNI, p); err == nil {
-		_, _ = l.conn.WriteToUDPAddrPort(b, l.caller.options.Fabric)
+		_, _ = l.conn.WriteToUDPAddrPort(b, l.caller.options.Fabric.AddrPort)
 	}
 }
 
--- a/internal/standin/caller/plan.go
+++ b/internal/standin/caller/plan.go
@@ -5,17 +5,19 @@
 import (
 	"errors"
 	"net/netip"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/process"
 )
 
 // Options configure the stand-in.
 type Options struct {
-	Address netip.Addr     `long:"address" required:"true" description:"outer address of this process"`
-	Fabric  netip.AddrPort `long:"fabric" required:"true" description:"Geneve address:port of the fabric"`
-	Control string         `long:"control" required:"true" description:"address:port of the control port"`
-	Lanes   int            `long:"lanes" default:"4" description:"sockets, each with its own goroutine"`
-	Seed    uint64         `long:"seed" default:"1" description:"seed of random choices"`
-	Plan    string         `long:"plan" description:"JSON file with a plan that is started at once"`
-	Result  string         `long:"result" description:"file that the result is written to when the process ends"`
+	Address process.Addr     `long:"address" required:"true" description:"outer address of this process"`
+	Fabric  process.AddrPort `long:"fabric" required:"true" description:"Geneve address:port of the fabric"`
+	Control string           `long:"control" required:"true" description:"address:port of the control port"`
+	Lanes   int              `long:"lanes" default:"4" description:"sockets, each with its own goroutine"`
+	Seed    uint64           `long:"seed" default:"1" description:"seed of random choices"`
+	Plan    string           `long:"plan" description:"JSON file with a plan that is started at once"`
+	Result  string           `long:"result" description:"file that the result is written to when the process ends"`
 }
 
 // Plan is what a caller process is told to do.
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -22,14 +22,14 @@
 
 // Options configure the stand-in.
 type Options struct {
-	Address   netip.AddrPort `long:"address" required:"true" description:"Geneve address:port"`
-	Control   string         `long:"control" required:"true" description:"address:port of the control port"`
-	Balancers netip.Prefix   `long:"balancers" default:"127.10.0.0/16" description:"prefix of the balancers' addresses"`
-	DataPort  uint16         `long:"data-port" required:"true" description:"Geneve port of the balancers"`
-	Workers   int            `long:"workers" default:"4" description:"receiving goroutines"`
-	Platform  string         `long:"platform" description:"address:port of a platform whose host list is followed"`
-	LagMS     int            `long:"lag-ms" default:"200" description:"delay after which a change of the host list takes effect"`
-	Seed      uint64         `long:"seed" default:"1" description:"seed of random choices"`
+	Address   process.AddrPort `long:"address" required:"true" description:"Geneve address:port"`
+	Control   string           `long:"control" required:"true" description:"address:port of the control port"`
+	Balancers process.Prefix   `long:"balancers" default:"127.10.0.0/16" description:"prefix of the balancers' addresses"`
+	DataPort  uint16           `long:"data-port" required:"true" description:"Geneve port of the balancers"`
+	Workers   int              `long:"workers" default:"4" description:"receiving goroutines"`
+	Platform  string           `long:"platform" description:"address:port of a platform whose host list is followed"`
+	LagMS     int              `long:"lag-ms" default:"200" description:"delay after which a change of the host list takes effect"`
+	Seed      uint64           `long:"seed" default:"1" description:"seed of random choices"`
 }
 
 // socketBuffer is the receive buffer of each socket: some 100 ms at 50,000 packets of 200 bytes a second.
@@ -93,7 +93,7 @@
 // Start opens the sockets and starts the receiving goroutines. They stop when ctx ends.
 func (f *Fabric) Start(ctx context.Context) error {
 	for i := range max(1, f.options.Workers) {
-		conn, err := listenShared(ctx, f.options.Address)
+		conn, err := listenShared(ctx, f.options.Address.AddrPort)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/target/node.go
+++ b/internal/standin/target/node.go
@@ -44,7 +44,7 @@
 func newNode(spec Spec, o Options, clock process.Clock, registry *Registry, seed uint64, log *logrus.Entry) *Node {
 	random := rand.New(rand.NewPCG(o.Seed, seed))
 	n := &Node{
-		spec: spec, clock: clock, registry: registry, fabric: o.Fabric, random: random, encoder: wire.NewEncoder(),
+		spec: spec, clock: clock, registry: registry, fabric: o.Fabric.AddrPort, random: random, encoder: wire.NewEncoder(),
 		log: log.WithField("target", spec.Address), udp: make(map[netip.AddrPort]*udpFlow),
 	}
 	n.stack = minitcp.NewStack(minitcp.Config{Send: n.send, Accept: n.accept, Random: random})
--- a/internal/standin/target/spec.go
+++ b/internal/standin/target/spec.go
@@ -1,16 +1,20 @@
 // Package target stands in for targets: the processes that do a service's work.
 package target
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/process"
+)
 
 // Options configure the stand-in. One process holds many targets.
 type Options struct {
-	Specs      string         `long:"specs" required:"true" description:"JSON file with the list of targets"`
-	Control    string         `long:"control" required:"true" description:"address:port of the control port"`
-	Fabric     netip.AddrPort `long:"fabric" required:"true" description:"Geneve address:port that answers are sent to"`
-	DataPort   uint16         `long:"data-port" required:"true" description:"Geneve port of every target"`
-	HealthPort uint16         `long:"health-port" required:"true" description:"HTTP port of health and load of every target"`
-	Seed       uint64         `long:"seed" default:"1" description:"seed of random choices"`
+	Specs      string           `long:"specs" required:"true" description:"JSON file with the list of targets"`
+	Control    string           `long:"control" required:"true" description:"address:port of the control port"`
+	Fabric     process.AddrPort `long:"fabric" required:"true" description:"Geneve address:port that answers are sent to"`
+	DataPort   uint16           `long:"data-port" required:"true" description:"Geneve port of every target"`
+	HealthPort uint16           `long:"health-port" required:"true" description:"HTTP port of health and load of every target"`
+	Seed       uint64           `long:"seed" default:"1" description:"seed of random choices"`
 }
 
 // Spec describes one target.
