--- /dev/null
+++ b/internal/control/buckets.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/timeline"
+)
+
+func (l *Loop) applyBuckets(effects []ownership.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case ownership.SendClaim:
+			l.send(e.To, &peer.BucketClaim{Buckets: e.Buckets})
+		case ownership.SendGrant:
+			l.send(e.To, peer.NewBucketGrant(e.Grant))
+		case ownership.Install:
+			l.install(e.Exceptions)
+		case ownership.Publish:
+			l.publishBuckets(e)
+		case ownership.Collect:
+			l.collect(e)
+		}
+	}
+}
+
+// install enters exceptions into the flow table before the snapshot that makes this balancer their owner.
+func (l *Loop) install(x ownership.Exceptions) {
+	for _, r := range x.Retired {
+		l.addRetired(r)
+	}
+	groups := make(map[ownership.Bucket][]forward.Exception)
+	for _, e := range x.Flows {
+		groups[e.Bucket()] = append(groups[e.Bucket()], e)
+	}
+	lost := 0
+	for b, exceptions := range groups {
+		lost += l.cfg.Engine.Install(l.now, b, exceptions)
+	}
+	for _, e := range x.Flows {
+		l.replicator.Add(l.now, e)
+	}
+	if lost > 0 {
+		l.record(timeline.Event{Kind: "exceptions-lost", Detail: fmt.Sprintf("%d found no room in the flow table", lost)})
+	}
+}
+
+func (l *Loop) publishBuckets(e ownership.Publish) {
+	l.publish()
+	l.replicator.SetOwnership(l.now, l.owners, l.handover.States())
+	if !e.Quiesce {
+		return
+	}
+	go func() {
+		if l.cfg.Dataplane.Quiesce(l.ctx) == nil {
+			l.post(l.ctx, quiesced{number: e.Number})
+		}
+	}()
+}
+
+// collect takes the exceptions of released buckets out of the flow table and hands them to the new owner.
+func (l *Loop) collect(e ownership.Collect) {
+	l.drainExceptions()
+	x := ownership.Exceptions{Flows: l.cfg.Engine.Collect(l.now, e.Buckets...)}
+	x.Retired = l.retiredOf(x.Flows)
+	l.record(timeline.Event{Kind: "buckets-released", Member: l.memberName(e.To), Detail: fmt.Sprintf("%d buckets, %d exceptions", len(e.Buckets), len(x.Flows))})
+	l.applyBuckets(l.handover.Handle(l.now, ownership.Collected{To: e.To, Buckets: e.Buckets, Exceptions: x}))
+}
+
+func (l *Loop) receiveBatch(from membership.HostID, m *peer.ExceptionBatch) {
+	ack, err := l.store.Apply(from, &ownership.Batch{Epoch: m.Epoch, Sequence: m.Sequence, Data: m.Data})
+	if err != nil {
+		l.cfg.Log.WithField("member", l.memberName(from)).WithError(err).Warn("exception batch refused")
+		return
+	}
+	l.send(from, &peer.ExceptionAck{Epoch: ack.Epoch, Sequence: ack.Sequence})
+}
+
+func (l *Loop) sendBatches() {
+	for _, s := range l.replicator.Tick(l.now) {
+		l.send(s.To, &peer.ExceptionBatch{Epoch: s.Batch.Epoch, Sequence: s.Batch.Sequence, Data: s.Batch.Data})
+	}
+}
+
+func (l *Loop) drainExceptions() {
+	changes, overflow := l.cfg.Exceptions.take()
+	for _, c := range changes {
+		if c.removed {
+			l.replicator.Remove(l.now, c.exception.Key)
+			continue
+		}
+		l.replicator.Add(l.now, c.exception)
+	}
+	if overflow {
+		l.record(timeline.Event{Kind: "exception-queue-full", Detail: "all exceptions are compared anew"})
+		for _, e := range l.cfg.Engine.Exceptions(func(ownership.Bucket) bool { return true }) {
+			l.replicator.Add(l.now, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/bundles.go
@@ -0,0 +1,239 @@
+package control
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/internal/platform"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/rollout"
+	"github.com/marigoldwood/marigoldwood/timeline"
+)
+
+// platformCalls tells how this balancer uses the platform.
+type platformCalls struct {
+	count  uint64
+	readAt time.Duration // last successful read, -1 when there was none
+}
+
+func (l *Loop) applyRollout(effects []rollout.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case rollout.WatchPlatform:
+			l.watchPlatform(e)
+		case rollout.RequestBundle:
+			l.send(e.To, &peer.BundleRequest{Request: e.Request})
+		case rollout.SendData:
+			l.send(e.To, &peer.BundleData{Data: e.Data})
+		case rollout.Announce:
+			for _, to := range e.To {
+				l.send(to, &peer.Announcement{Announcement: l.rollout.Announcement(l.now)})
+			}
+		case rollout.PushActivate:
+			for _, to := range e.To {
+				l.send(to, &peer.BundleActivate{Version: e.Version, Digest: e.Digest})
+			}
+		case rollout.BundleStaged:
+			l.bundleStaged(e.Bundle)
+		case rollout.BundleInForce:
+			l.bundleInForce(e)
+		case rollout.BundleRefused:
+			l.bundleRefused(e)
+		case rollout.AddTimeline:
+			l.record(e.Event)
+		}
+	}
+}
+
+func (l *Loop) watchPlatform(e rollout.WatchPlatform) {
+	l.platform.count++
+	go func() {
+		answer, err := l.cfg.Platform.Watch(l.ctx, e.After, e.Wait)
+		if err != nil {
+			l.post(l.ctx, platformError{err: err})
+			return
+		}
+		l.post(l.ctx, platformAnswer{answer: answer})
+	}()
+}
+
+func (e platformAnswer) apply(l *Loop) {
+	l.platform.readAt = l.now
+	var event rollout.Event = rollout.PlatformNotModified{Revision: e.answer.Revision}
+	if e.answer.Modified {
+		event = rollout.PlatformBundle{Revision: e.answer.Revision, Envelope: e.answer.Value}
+	}
+	l.applyRollout(l.rollout.Handle(l.now, event))
+}
+
+func (e platformError) apply(l *Loop) {
+	l.applyRollout(l.rollout.Handle(l.now, rollout.PlatformFailed{Code: resultcode.Of(e.err)}))
+}
+
+// bundleStaged starts to copy the flows whose default target the bundle will change, so that few copies are missing
+// when it comes into force.
+func (l *Loop) bundleStaged(b *bundle.Bundle) {
+	l.record(timeline.Event{Kind: "bundle-staged", Version: b.Version, Detail: digestText(b)})
+	if l.rollout.InForce() != nil {
+		l.cfg.Engine.Rebase(l.snapshot(b))
+	}
+}
+
+func (l *Loop) bundleInForce(e rollout.BundleInForce) {
+	l.inForceAt = time.Now()
+	l.record(timeline.Event{Kind: "bundle-in-force", Version: e.Bundle.Version, Detail: string(e.Reason)})
+	l.retireTargets(e.Previous, e.Bundle)
+	l.applyHealth(l.health.Handle(l.now, health.Bundle{DataCentre: l.cfg.Self.DataCentre, Services: e.Bundle.ServiceInfos()}))
+	l.setLedgers()
+	l.publish()
+	l.cfg.Engine.Rebase(l.cfg.Engine.Snapshot())
+}
+
+func (l *Loop) bundleRefused(e rollout.BundleRefused) {
+	detail := e.Code.String()
+	if e.Err != nil {
+		detail = e.Err.Error()
+	}
+	l.record(timeline.Event{Kind: "bundle-refused", Version: e.Version, Code: uint16(e.Code), Member: l.memberName(e.From), Detail: detail})
+}
+
+func digestText(b *bundle.Bundle) string { return hex.EncodeToString(b.Digest[:8]) }
+
+// noticeNewerVersion tells the rollout of a newer version that a packet from a peer has shown.
+func (l *Loop) noticeNewerVersion() {
+	newest := l.cfg.Engine.NewestVersion()
+	if b := l.rollout.InForce(); b == nil || newest <= b.Version {
+		return
+	}
+	l.applyRollout(l.rollout.Handle(l.now, rollout.PeerInForce{Version: newest}))
+	l.dirty = true
+}
+
+// announce tells the membership what probes carry of this balancer.
+func (l *Loop) announce() {
+	a := l.rollout.Announcement(l.now)
+	read := time.Duration(-1)
+	if a.SinceReadMS >= 0 {
+		read = l.now - time.Duration(a.SinceReadMS)*time.Millisecond
+	}
+	l.applyMembers(l.members.Handle(l.now, membership.LocalChanged{
+		State:        l.state.announced,
+		InForce:      membership.VersionDigest{Version: a.InForce, Digest: a.InForceDigest},
+		Staged:       membership.VersionDigest{Version: a.Staged, Digest: a.StagedDigest},
+		PlatformRead: read,
+	}))
+}
+
+// retireTargets remembers the targets that a bundle drops, for the flows that still use them.
+func (l *Loop) retireTargets(previous, current *bundle.Bundle) {
+	if previous == nil {
+		return
+	}
+	kept := make(map[flow.TargetID]bool)
+	for _, s := range current.ServiceInfos() {
+		for _, t := range s.Resolved {
+			kept[t.ID] = true
+		}
+	}
+	for _, s := range previous.ServiceInfos() {
+		for _, t := range s.Resolved {
+			if t.DataCentre == l.cfg.Self.DataCentre && !kept[t.ID] {
+				l.addRetired(ownership.Retired{ID: t.ID, Service: s.ID, Addr: t.Addr, DataPort: t.DataPort})
+			}
+		}
+	}
+	for id := range l.retired {
+		if kept[id] {
+			delete(l.retired, id)
+		}
+	}
+}
+
+func (l *Loop) addRetired(r ownership.Retired) {
+	if _, found := l.retired[r.ID]; found {
+		return
+	}
+	vni := uint32(0)
+	if b := l.rollout.InForce(); b != nil {
+		for _, s := range b.ServiceInfos() {
+			if s.ID == r.Service {
+				vni = s.VNI
+			}
+		}
+	}
+	l.retired[r.ID] = forward.RetiredTarget{Addr: r.Addr, DataPort: r.DataPort, Service: r.Service, VNI: vni}
+	l.replicator.AddRetired(r)
+	l.dirty = true
+}
+
+func (l *Loop) retiredOf(exceptions []forward.Exception) []ownership.Retired {
+	var out []ownership.Retired
+	added := make(map[flow.TargetID]bool)
+	for _, e := range exceptions {
+		r, found := l.retired[e.Target]
+		if !found || added[e.Target] {
+			continue
+		}
+		added[e.Target] = true
+		out = append(out, ownership.Retired{ID: e.Target, Service: r.Service, Addr: r.Addr, DataPort: r.DataPort})
+	}
+	return out
+}
+
+// readInterval is how often a reader reads the host list. Notices then reach every balancer within 3 s.
+const readInterval = time.Second
+
+// hostList is what the platform says about hosts.
+type hostList struct {
+	nextRead time.Duration
+	leaving  map[string]bool // by address
+	reading  bool
+}
+
+// readHosts reads the host list, on the readers of the data centre only.
+func (l *Loop) readHosts() {
+	if l.hosts.reading || l.now < l.hosts.nextRead || !l.rollout.Status(l.now).Reader {
+		return
+	}
+	l.hosts.reading, l.hosts.nextRead = true, l.now+readInterval
+	l.platform.count++
+	go func() {
+		hosts, err := l.cfg.Platform.Hosts(l.ctx)
+		if err != nil {
+			hosts = nil
+		}
+		l.post(l.ctx, hostsRead{hosts: hosts})
+	}()
+}
+
+func (e hostsRead) apply(l *Loop) {
+	l.hosts.reading = false
+	if e.hosts == nil {
+		return
+	}
+	l.platform.readAt = l.now
+	notices := newNotices(e.hosts)
+	for _, m := range l.peers() {
+		l.cfg.Transport.Send(m.Peer, notices)
+	}
+	l.receiveNotices(notices)
+}
+
+func newNotices(hosts []platform.Host) *peer.HostNotices {
+	n := &peer.HostNotices{}
+	for _, h := range hosts {
+		if h.State == platform.Leaving {
+			n.Leaving = append(n.Leaving, h.Address.String())
+		} else {
+			n.Live = append(n.Live, h.Address.String())
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/control/events.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/internal/platform"
+	"github.com/marigoldwood/marigoldwood/internal/prober"
+	"github.com/marigoldwood/marigoldwood/limits"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/rollout"
+)
+
+// event is something that the loop handles in one turn.
+type event interface{ apply(l *Loop) }
+
+type (
+	tick      struct{}
+	leaseTick struct{}
+
+	probeReceived struct {
+		from    netip.AddrPort
+		message membership.Message
+	}
+	peerReceived struct {
+		from        membership.HostID
+		incarnation uint64
+		message     peer.Message
+	}
+	quiesced       struct{ number uint64 }
+	platformAnswer struct{ answer platform.Answer }
+	platformError  struct{ err error }
+	hostsRead      struct{ hosts []platform.Host }
+	probed         struct{ result prober.Result }
+	call           struct{ fn func() }
+)
+
+// ReceiveProbe hands a received probe message to the loop. It does not block.
+func (l *Loop) ReceiveProbe(from netip.AddrPort, m membership.Message) {
+	l.offer(probeReceived{from: from, message: m})
+}
+
+// ReceivePeer hands a received peer message to the loop. It does not block.
+func (l *Loop) ReceivePeer(from membership.HostID, incarnation uint64, m peer.Message) {
+	l.offer(peerReceived{from: from, incarnation: incarnation, message: m})
+}
+
+func (e probeReceived) apply(l *Loop) {
+	l.applyMembers(l.members.Handle(l.now, membership.Received{From: e.from, Message: e.message}))
+}
+
+func (e quiesced) apply(l *Loop) {
+	l.applyBuckets(l.handover.Handle(l.now, ownership.Quiesced{Number: e.number}))
+}
+
+func (e call) apply(*Loop) { e.fn() }
+
+// apply hands a peer message to the part that it is for. A message of an earlier life of its sender is dropped.
+func (e peerReceived) apply(l *Loop) {
+	if m, found := l.member(e.from); found && e.incarnation < m.Incarnation {
+		return
+	}
+	switch m := e.message.(type) {
+	case *peer.BucketClaim:
+		l.applyBuckets(l.handover.Handle(l.now, ownership.ClaimReceived{From: e.from, Buckets: m.Buckets}))
+	case *peer.BucketGrant:
+		l.applyBuckets(l.handover.Handle(l.now, ownership.GrantReceived{From: e.from, Grant: m.Grant()}))
+	case *peer.ExceptionBatch:
+		l.receiveBatch(e.from, m)
+	case *peer.ExceptionAck:
+		l.replicator.Acked(l.now, e.from, ownership.BatchAck{Epoch: m.Epoch, Sequence: m.Sequence})
+	case *peer.Announcement:
+		l.applyRollout(l.rollout.Handle(l.now, rollout.PeerAnnounced{Announcement: m.Announcement}))
+	case *peer.BundleRequest:
+		l.applyRollout(l.rollout.Handle(l.now, rollout.PeerRequested{From: e.from, Request: m.Request}))
+	case *peer.BundleData:
+		l.applyRollout(l.rollout.Handle(l.now, rollout.PeerData{From: e.from, Data: m.Data}))
+	case *peer.BundleActivate:
+		l.applyRollout(l.rollout.Handle(l.now, rollout.PeerInForce{From: e.from, Version: m.Version, Digest: m.Digest}))
+	case *peer.HealthReport:
+		l.applyHealth(l.health.Handle(l.now, health.Reports{From: e.from, Incarnation: e.incarnation, Sequence: m.Sequence, Reports: m.Reports}))
+	case *peer.HostNotices:
+		l.receiveNotices(m)
+	case *peer.LeaseRequest:
+		l.receiveRequests(e.from, m.Requests)
+	case *peer.LeaseGrant:
+		l.receiveGrants(e.from, m.Grants)
+	}
+}
+
+func (l *Loop) receiveGrants(from membership.HostID, grants []limits.Grant) {
+	for _, g := range grants {
+		l.cfg.Holder.Granted(l.now, from, g)
+	}
+}
+
+// Do runs fn in the control goroutine and returns when it has run, or when the wait is over. It reports whether fn ran.
+func (l *Loop) Do(fn func(), wait time.Duration) bool {
+	done := make(chan struct{})
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case l.inbox <- call{fn: func() { fn(); close(done) }}:
+	case <-timer.C:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,213 @@
+// Package control runs the control goroutine: one event loop that owns membership, bucket ownership, bundles, target
+// health and leases, and publishes immutable snapshots to the traffic goroutines.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/internal/platform"
+	"github.com/marigoldwood/marigoldwood/internal/prober"
+	"github.com/marigoldwood/marigoldwood/limits"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/rollout"
+	"github.com/marigoldwood/marigoldwood/timeline"
+)
+
+// Periods and bounds of the loop.
+const (
+	tickInterval  = 50 * time.Millisecond
+	leaseInterval = 10 * time.Millisecond
+	// pauseLimit is the gap between two turns of the loop from which the process counts as paused.
+	pauseLimit = 500 * time.Millisecond
+	inboxSize  = 4096
+)
+
+// Transport sends messages to other balancers. Its methods do not block; a message that cannot be queued is lost.
+type Transport interface {
+	SendProbe(to netip.AddrPort, m *membership.Message)
+	Send(to netip.AddrPort, m peer.Message)
+}
+
+// Dataplane is what control needs of the traffic goroutines.
+type Dataplane interface {
+	// Quiesce returns when every traffic goroutine works under the published snapshot.
+	Quiesce(ctx context.Context) error
+	// SendEndings sends the resets of ended flows.
+	SendEndings(endings []forward.Ending)
+}
+
+// Config holds what the loop needs.
+type Config struct {
+	Self             membership.Member
+	Seeds            []netip.AddrPort
+	Keys             bundle.Keyring
+	ShutdownDeadline time.Duration
+	FlowCapacity     int
+	Program          string // version of the program
+	Monotonic        func() time.Duration
+	Random           *rand.Rand
+	Log              *logrus.Entry
+	Ring             *timeline.Ring
+	Clock            *timeline.Clock
+	Engine           *forward.Engine
+	Dataplane        Dataplane
+	Transport        Transport
+	Platform         *platform.Client
+	Prober           *prober.Prober
+	Holder           *limits.Holder
+	Traffic          Traffic
+	Exceptions       *ExceptionQueue
+}
+
+// Loop is the control goroutine and its state. Only Run's goroutine touches the fields below inbox.
+type Loop struct {
+	cfg   Config
+	inbox chan event
+	// tick is the time of the last turn of the loop, in nanoseconds on the monotonic clock. Traffic goroutines decide
+	// nothing when it is too old.
+	tick atomic.Int64
+
+	ctx        context.Context
+	now        time.Duration
+	members    *membership.Core
+	handover   *ownership.Handover
+	replicator *ownership.Replicator
+	store      *ownership.Store
+	rollout    *rollout.Core
+	health     *health.Tracker
+	leases     leases
+
+	owners      *ownership.Map
+	retired     map[flow.TargetID]forward.RetiredTarget
+	hosts       hostList
+	state       lifecycle
+	refreshing  bool
+	dirty       bool // the snapshot is out of date
+	publication uint64
+	inForceAt   time.Time
+	platform    platformCalls
+}
+
+// New returns a loop that has not started.
+func New(cfg Config) *Loop {
+	l := &Loop{
+		cfg:     cfg,
+		inbox:   make(chan event, inboxSize),
+		now:     cfg.Monotonic(),
+		store:   ownership.NewStore(),
+		health:  health.NewTracker(cfg.Self.ID, cfg.Self.Incarnation, health.DefaultSettings()),
+		leases:  newLeases(),
+		owners:  ownership.Build(nil),
+		retired: make(map[flow.TargetID]forward.RetiredTarget),
+	}
+	l.members = membership.New(membership.Config{Self: cfg.Self, Seeds: cfg.Seeds, Clock: cfg.Clock}, l.now, cfg.Random)
+	l.handover = ownership.NewHandover(cfg.Self.ID, l.store, cfg.Random)
+	l.replicator = ownership.NewReplicator(cfg.Self.ID, cfg.Self.Incarnation)
+	l.rollout = rollout.New(rollout.Config{Self: cfg.Self.ID, DataCentre: cfg.Self.DataCentre, Keys: cfg.Keys, Wall: time.Now()}, cfg.Random)
+	l.platform.readAt = -1
+	l.tick.Store(int64(l.now))
+	return l
+}
+
+// LastTurn returns the time of the last turn of the loop on the monotonic clock. It is safe for use by any goroutine.
+func (l *Loop) LastTurn() time.Duration { return time.Duration(l.tick.Load()) }
+
+// post hands an event to the loop. It reports false when the loop has ended.
+func (l *Loop) post(ctx context.Context, e event) bool {
+	select {
+	case l.inbox <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// offer hands an event to the loop unless its queue is full.
+func (l *Loop) offer(e event) {
+	select {
+	case l.inbox <- e:
+	default:
+	}
+}
+
+// Run runs the loop until the context has ended and the shutdown is complete. stop starts the graceful shutdown.
+func (l *Loop) Run(ctx context.Context, stop <-chan struct{}) error {
+	l.ctx = ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	leaseTicker := time.NewTicker(leaseInterval)
+	defer leaseTicker.Stop()
+	l.record(timeline.Event{Kind: "balancer-start", Detail: l.cfg.Program})
+	l.turn(nil)
+	for !l.state.done {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-stop:
+			stop = nil
+			l.beginTurn()
+			l.leave()
+			l.endTurn()
+		case e := <-l.inbox:
+			l.turn(e)
+		case <-ticker.C:
+			l.turn(tick{})
+		case <-leaseTicker.C:
+			l.turn(leaseTick{})
+		}
+	}
+	return nil
+}
+
+func (l *Loop) turn(e event) {
+	l.beginTurn()
+	if e != nil {
+		e.apply(l)
+	}
+	l.endTurn()
+}
+
+// beginTurn notices a pause before anything is decided, and before the traffic goroutines may decide again.
+func (l *Loop) beginTurn() {
+	now := l.cfg.Monotonic()
+	gap := now - time.Duration(l.tick.Load())
+	l.now = now
+	if gap > pauseLimit {
+		l.paused(gap)
+	}
+	l.tick.Store(int64(now))
+}
+
+func (l *Loop) endTurn() {
+	l.announce()
+	if l.dirty {
+		l.publish()
+	}
+}
+
+// apply lets time pass in every part.
+func (tick) apply(l *Loop) {
+	l.drainExceptions()
+	l.applyMembers(l.members.Handle(l.now, membership.Tick{}))
+	l.applyRollout(l.rollout.Handle(l.now, rollout.Tick{Wall: time.Now()}))
+	l.noticeNewerVersion()
+	l.applyBuckets(l.handover.Handle(l.now, ownership.Tick{}))
+	l.observeTraffic()
+	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
+	l.sendBatches()
+	l.tickLedgers()
+	l.readHosts()
+	l.advance()
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/rollout"
 )
 
 // Type is the type of a peer message.
@@ -18,19 +21,19 @@
 	TypeBucketGrant
 	TypeExceptionBatch
 	TypeExceptionAck
+	TypeAnnouncement
 	TypeBundleRequest
-	TypeBundleDelta
-	TypeBundleChunk
+	TypeBundleData
 	TypeBundleActivate
 	TypeLeaseRequest
 	TypeLeaseGrant
-	TypeLeaseReturn
 	TypeHealthReport
+	TypeHostNotices
 )
 
 var typeNames = [...]string{
-	"", "hello", "bucket-claim", "bucket-grant", "exception-batch", "exception-ack", "bundle-request", "bundle-delta",
-	"bundle-chunk", "bundle-activate", "lease-request", "lease-grant", "lease-return", "health-report",
+	"", "hello", "bucket-claim", "bucket-grant", "exception-batch", "exception-ack", "announcement",
+	"bundle-request", "bundle-data", "bundle-activate", "lease-request", "lease-grant", "health-report", "host-notices",
 }
 
 // String returns the name of the type.
@@ -42,7 +45,7 @@
 }
 
 func (t Type) limit() int {
-	if t == TypeBundleChunk || t == TypeBundleDelta {
+	if t == TypeBundleData {
 		return MaxChunkBytes
 	}
 	return MaxFrameBytes
@@ -72,6 +75,21 @@
 	Exceptions Exceptions
 }
 
+// NewBucketGrant returns the message form of a grant.
+func NewBucketGrant(g ownership.Grant) *BucketGrant {
+	return &BucketGrant{
+		Result: uint8(g.Result), Buckets: g.Buckets, InSync: g.InSync, Holder: g.Holder, Exceptions: Exceptions(g.Exceptions),
+	}
+}
+
+// Grant returns the grant that the message carries.
+func (m *BucketGrant) Grant() ownership.Grant {
+	return ownership.Grant{
+		Result: ownership.Result(m.Result), Buckets: m.Buckets, InSync: m.InSync, Holder: m.Holder,
+		Exceptions: ownership.Exceptions(m.Exceptions),
+	}
+}
+
 // ExceptionBatch carries exceptions to the backup; Data is encoded by package ownership.
 type ExceptionBatch struct {
 	Epoch, Sequence uint64
@@ -83,67 +101,47 @@
 	Epoch, Sequence uint64
 }
 
-// BundleRequest asks for a bundle. Held is the version that a delta may be based on, 0 for none.
-type BundleRequest struct {
-	Held, Version uint64
-	Chunk         uint32
+// Announcement tells which bundles the sender has, at once and not with its next probe.
+type Announcement struct {
+	Announcement rollout.Announcement
 }
 
-// BundleDelta turns the bundle Base into the bundle Version.
-type BundleDelta struct {
-	Base, Version uint64
-	Digest        []byte // SHA-256 of the payload of Version
-	Delta         []byte
+// BundleRequest asks for a bundle.
+type BundleRequest struct {
+	Request rollout.Request
 }
 
-// BundleChunk is one part of the envelope of a bundle.
-type BundleChunk struct {
-	Version      uint64
-	Digest       []byte // SHA-256 of the payload of Version
-	Index, Count uint32
-	Data         []byte
+// BundleData carries a delta, or a chunk of an envelope.
+type BundleData struct {
+	Data rollout.Data
 }
 
 // BundleActivate tells that a version is in force.
 type BundleActivate struct {
 	Version uint64
-	Digest  []byte
-}
-
-// Lease names slots of a target.
-type Lease struct {
-	Target flow.TargetID
-	Count  uint32
-	Class  uint8
-	Term   uint64
+	Digest  rollout.DigestPrefix
 }
 
-// LeaseRequest asks the ledger owner for slots.
+// LeaseRequest asks the ledgers at the receiver for leases, renews leases and returns them.
 type LeaseRequest struct {
-	Leases []Lease
+	Requests []limits.Request
 }
 
-// LeaseGrant grants slots.
+// LeaseGrant answers lease requests.
 type LeaseGrant struct {
-	Leases []Lease
-}
-
-// LeaseReturn gives slots back.
-type LeaseReturn struct {
-	Leases []Lease
-}
-
-// TargetReport is the state of one target.
-type TargetReport struct {
-	Target                              flow.TargetID
-	State                               uint8
-	Slots, InFlight, Connections, Queue uint32
-	AgeMS                               uint32
+	Grants []limits.Grant
 }
 
 // HealthReport carries the states and loads of targets that the sender probes.
 type HealthReport struct {
-	Targets []TargetReport
+	Sequence uint64
+	Reports  []health.Report
+}
+
+// HostNotices carries what a reader of the platform's host list has found, in text form for IPv4 and IPv6.
+type HostNotices struct {
+	Leaving []string // addresses of hosts that are leaving
+	Live    []string // addresses of hosts that were leaving before and are live again
 }
 
 // Type returns TypeHello.
@@ -161,14 +159,14 @@
 // Type returns TypeExceptionAck.
 func (*ExceptionAck) Type() Type { return TypeExceptionAck }
 
+// Type returns TypeAnnouncement.
+func (*Announcement) Type() Type { return TypeAnnouncement }
+
 // Type returns TypeBundleRequest.
 func (*BundleRequest) Type() Type { return TypeBundleRequest }
 
-// Type returns TypeBundleDelta.
-func (*BundleDelta) Type() Type { return TypeBundleDelta }
-
-// Type returns TypeBundleChunk.
-func (*BundleChunk) Type() Type { return TypeBundleChunk }
+// Type returns TypeBundleData.
+func (*BundleData) Type() Type { return TypeBundleData }
 
 // Type returns TypeBundleActivate.
 func (*BundleActivate) Type() Type { return TypeBundleActivate }
@@ -179,26 +177,26 @@
 // Type returns TypeLeaseGrant.
 func (*LeaseGrant) Type() Type { return TypeLeaseGrant }
 
-// Type returns TypeLeaseReturn.
-func (*LeaseReturn) Type() Type { return TypeLeaseReturn }
-
 // Type returns TypeHealthReport.
 func (*HealthReport) Type() Type { return TypeHealthReport }
 
+// Type returns TypeHostNotices.
+func (*HostNotices) Type() Type { return TypeHostNotices }
+
 var newMessage = map[Type]func() Message{
 	TypeHello:          func() Message { return new(Hello) },
 	TypeBucketClaim:    func() Message { return new(BucketClaim) },
 	TypeBucketGrant:    func() Message { return new(BucketGrant) },
 	TypeExceptionBatch: func() Message { return new(ExceptionBatch) },
 	TypeExceptionAck:   func() Message { return new(ExceptionAck) },
+	TypeAnnouncement:   func() Message { return new(Announcement) },
 	TypeBundleRequest:  func() Message { return new(BundleRequest) },
-	TypeBundleDelta:    func() Message { return new(BundleDelta) },
-	TypeBundleChunk:    func() Message { return new(BundleChunk) },
+	TypeBundleData:     func() Message { return new(BundleData) },
 	TypeBundleActivate: func() Message { return new(BundleActivate) },
 	TypeLeaseRequest:   func() Message { return new(LeaseRequest) },
 	TypeLeaseGrant:     func() Message { return new(LeaseGrant) },
-	TypeLeaseReturn:    func() Message { return new(LeaseReturn) },
 	TypeHealthReport:   func() Message { return new(HealthReport) },
+	TypeHostNotices:    func() Message { return new(HostNotices) },
 }
 
 // Decode decodes the body of a frame.
