--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -196,3 +196,22 @@
 		return false
 	})
 }
+
+// Waits reports whether a flow waits for admission.
+func (e *Engine) Waits(k flow.Key) (waits bool) {
+	e.table.Visit(&k, k.Hash(), 0, func(en *flow.Entry, room flow.Room) bool {
+		waits = room == flow.Found && en.State() == flow.Waiting
+		return room == flow.Found
+	})
+	return waits
+}
+
+// EndpointOf returns the ID of the endpoint that the packet of a caller is sent to, 0 when there is none.
+func (e *Engine) EndpointOf(p *Packet) flow.EndpointID {
+	if st := e.state.Load(); st != nil {
+		if ep := st.endpoints[newEndpointKey(p.Protocol, p.Destination)]; ep != nil {
+			return ep.id
+		}
+	}
+	return 0
+}
--- a/internal/udpbatch/writer.go
+++ b/internal/udpbatch/writer.go
@@ -40,8 +40,12 @@
 // Full reports whether the batch has no room.
 func (w *Writer) Full() bool { return w.n == len(w.headers) }
 
-// Add puts a datagram into the batch, which must not be full. The bytes must stay unchanged until Flush returns.
-func (w *Writer) Add(b []byte, to netip.AddrPort) {
+// Add puts a datagram into the batch, which must not be full. The bytes must stay unchanged until Flush returns. It
+// reports false when the socket cannot reach the address because of its family.
+func (w *Writer) Add(b []byte, to netip.AddrPort) bool {
+	if !to.IsValid() || !w.conn.v6 && !to.Addr().Unmap().Is4() {
+		return false
+	}
 	i := w.n
 	w.n++
 	w.vectors[i].Base = unsafe.SliceData(b)
@@ -51,15 +55,19 @@
 	if w.conn.v6 {
 		name.Family, name.Addr = unix.AF_INET6, to.Addr().As16()
 		w.headers[i].Hdr.Namelen = unix.SizeofSockaddrInet6
-		return
+		return true
 	}
 	v4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(name))
 	v4.Family, v4.Addr = unix.AF_INET, to.Addr().Unmap().As4()
 	w.headers[i].Hdr.Namelen = unix.SizeofSockaddrInet4
+	return true
 }
 
-// Reset empties the batch without sending it.
-func (w *Writer) Reset() { w.n = 0 }
+// Reset empties the batch without sending it and returns the number of datagrams.
+func (w *Writer) Reset() (n int) {
+	n, w.n = w.n, 0
+	return n
+}
 
 // Flush sends the batch and returns the number of datagrams that the kernel refused. It does not wait for a full socket
 // buffer: a datagram that finds no room is lost, as on a congested link.
