--- /dev/null
+++ b/forward/fixture_test.go
@@ -0,0 +1,181 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/placement"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+const (
+	hostSelf  membership.HostID = 1
+	hostPeer  membership.HostID = 2
+	hostThird membership.HostID = 3
+	testDC                      = "dc"
+)
+
+var (
+	peerAddr  = netip.MustParseAddrPort("127.9.0.2:6081")
+	thirdAddr = netip.MustParseAddrPort("127.9.0.3:6081")
+	caller    = netip.MustParseAddrPort("192.0.2.7:40000")
+)
+
+// testService is a service of the bundles that tests build.
+type testService struct {
+	name, protocol, kind string
+	vni                  int
+	endpoint             string
+	idempotent           bool
+	targets              []string
+}
+
+var tcpSession = testService{
+	name: "rounds", protocol: "tcp", kind: "session", vni: 20, endpoint: "10.0.0.1:80",
+	targets: []string{"127.1.0.1", "127.1.0.2", "127.1.0.3", "127.1.0.4"},
+}
+
+var udpShort = testService{
+	name: "claims", protocol: "udp", kind: "short", vni: 21, endpoint: "10.0.0.1:80",
+	targets: []string{"127.2.0.1", "127.2.0.2", "127.2.0.3"},
+}
+
+type fataler interface{ Fatal(...any) }
+
+func testBundle(t fataler, version int, services ...testService) *bundle.Bundle {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version: %d\nservices:\n", version)
+	for _, s := range services {
+		fmt.Fprintf(&b, "- {name: %s, vni: %d, protocol: %s, endpoints: [%q], class: urgent, kind: %s, idempotent: %v, targets: [",
+			s.name, s.vni, s.protocol, s.endpoint, s.kind, s.idempotent)
+		for _, a := range s.targets {
+			fmt.Fprintf(&b, "{address: %s, data_centre: %s}, ", a, testDC)
+		}
+		b.WriteString("]}\n")
+	}
+	parsed, err := bundle.Parse([]byte(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+// testSnapshot returns a snapshot in which this balancer owns every bucket in sync and every target is eligible.
+func testSnapshot(b *bundle.Bundle) *Snapshot {
+	s := &Snapshot{
+		Self: hostSelf, Incarnation: 5, DataCentre: testDC, Bundle: b,
+		Map:         ownership.Build([]membership.HostID{hostSelf, hostPeer}),
+		Buckets:     new([ownership.BucketCount]BucketState),
+		Peers:       map[membership.HostID]netip.AddrPort{hostPeer: peerAddr, hostThird: thirdAddr},
+		PeerAddrs:   map[netip.Addr]membership.HostID{peerAddr.Addr(): hostPeer, thirdAddr.Addr(): hostThird},
+		Services:    make(map[flow.ServiceID]*ServiceState),
+		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
+		Retired:     make(map[flow.TargetID]RetiredTarget),
+	}
+	for i := range s.Buckets {
+		s.Buckets[i] = BucketState{Role: RoleOwner, InSync: true}
+	}
+	for _, info := range b.ServiceInfos() {
+		ss := &ServiceState{Info: info, Table: placement.NewTable(info, testDC)}
+		for _, t := range ss.Table.Targets {
+			ss.Targets = append(ss.Targets, TargetState{Eligible: true, Usable: true, Share: 1})
+			s.TargetAddrs[t.Addr] = info
+		}
+		s.Services[info.ID] = ss
+	}
+	return s
+}
+
+func setRole(s *Snapshot, state BucketState) {
+	for i := range s.Buckets {
+		s.Buckets[i] = state
+	}
+}
+
+// recorder is an ExceptionSink and an Admission that notes what it is told.
+type recorder struct {
+	StrategyAdmission
+	verdict    *Verdict // for Ask; nil means the default
+	copies     map[flow.Key]flow.TargetID
+	done       []bool // the refused argument of each Done
+	cancelled  int
+	toRelease  []Released
+	lastEligib []bool
+}
+
+func (r *recorder) ExceptionAdded(_ ownership.Bucket, e Exception)  { r.copies[e.Key] = e.Target }
+func (r *recorder) ExceptionRemoved(_ ownership.Bucket, k flow.Key) { delete(r.copies, k) }
+func (r *recorder) Cancel(time.Duration, flow.Key)                  { r.cancelled++ }
+func (r *recorder) Poll(_ time.Duration, dst []Released) []Released {
+	return append(dst, r.toRelease...)
+}
+
+func (r *recorder) Done(_ time.Duration, _ flow.ServiceID, _ flow.TargetID, _ time.Duration, refused bool) {
+	r.done = append(r.done, refused)
+}
+
+func (r *recorder) Ask(now time.Duration, q Request) Verdict {
+	r.lastEligib = r.lastEligib[:0]
+	for i := range q.Service.Table.Targets {
+		r.lastEligib = append(r.lastEligib, q.View.Eligible(i))
+	}
+	if r.verdict != nil {
+		return *r.verdict
+	}
+	return r.StrategyAdmission.Ask(now, q)
+}
+
+func newTestEngine(s *Snapshot) (*Engine, *recorder) {
+	r := &recorder{copies: make(map[flow.Key]flow.TargetID)}
+	e := NewEngine(Config{Flows: 1 << 12, Admission: r, Sink: r})
+	e.Publish(s)
+	return e, r
+}
+
+func tcp(flags TCPFlags, seq, ack, payload uint32) *Packet {
+	return &Packet{
+		Source: caller, Destination: netip.MustParseAddrPort("10.0.0.1:80"), Protocol: flow.TCP,
+		Flags: flags, Seq: seq, Ack: ack, Payload: payload,
+	}
+}
+
+func udp(port uint16) *Packet {
+	return &Packet{
+		Source: netip.AddrPortFrom(caller.Addr(), port), Destination: netip.MustParseAddrPort("10.0.0.1:80"),
+		Protocol: flow.UDP, Payload: 10,
+	}
+}
+
+// answer returns p with its ends exchanged.
+func answer(p *Packet, flags TCPFlags) *Packet {
+	a := *p
+	a.Source, a.Destination, a.Flags = p.Destination, p.Source, flags
+	a.Seq, a.Ack = p.Ack, p.Seq+p.SequenceLength()
+	return &a
+}
+
+func keyOf(s *Snapshot, p *Packet) flow.Key {
+	e := s.Bundle.Endpoint(bundle.EndpointAddr{Protocol: p.Protocol, Addr: p.Destination})
+	return flow.NewKey(p.Source, e.ID)
+}
+
+// tableOf returns the service's table and the position of the packet's default target.
+func tableOf(s *Snapshot, name string, p *Packet) (*placement.Table, int) {
+	k := keyOf(s, p)
+	table := s.Services[flow.NewServiceID(name)].Table
+	return table, table.Default(k.Hash())
+}
+
+func expect(t *testing.T, d Decision, a Action, code resultcode.Code) {
+	t.Helper()
+	if d.Action != a || d.Code != code {
+		t.Fatalf("got %v with %v, want %v with %v", d.Action, d.Code, a, code)
+	}
+}
