--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -6,7 +6,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -16,26 +15,17 @@
 )
 
 // Role is the part that this balancer plays for a bucket.
-type Role uint8
+type Role = ownership.Role
 
 // Roles of a balancer for a bucket.
 const (
-	RoleForward   Role = iota // another member owns the bucket: forward to Peer
-	RoleOwner                 // this balancer decides
-	RoleAcquiring             // this balancer will own the bucket; until the grant arrives, forward to Peer, the previous owner
+	RoleForward   = ownership.RoleForward
+	RoleOwner     = ownership.RoleOwner
+	RoleAcquiring = ownership.RoleAcquiring
 )
 
 // BucketState is the role for one bucket.
-type BucketState struct {
-	Role Role
-	// Peer is where packets of the bucket go unless the role is RoleOwner; 0 when no member is known.
-	Peer membership.HostID
-	// InSync reports that every copied exception of the bucket is installed: by a grant, by copies received as backup,
-	// or because no earlier owner existed.
-	InSync bool
-	// TakenOverAt is the time of an unplanned takeover on the monotonic clock, 0 when there was none.
-	TakenOverAt time.Duration
-}
+type BucketState = ownership.BucketState
 
 // TargetState is the state of a target as control knows it.
 type TargetState struct {
@@ -82,10 +72,7 @@
 }
 
 // Exception is a flow whose target is not its default target.
-type Exception struct {
-	Key    flow.Key
-	Target flow.TargetID
-}
+type Exception = ownership.Exception
 
 // ExceptionSink receives changes of exceptions, from any traffic goroutine. It must not block.
 type ExceptionSink interface {
--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -9,7 +9,6 @@
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/health"
 	"github.com/marigoldwood/marigoldwood/internal/peer"
-	"github.com/marigoldwood/marigoldwood/internal/platform"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
@@ -55,7 +54,7 @@
 func (l *Loop) watchPlatform(e rollout.WatchPlatform) {
 	l.platform.count++
 	go func() {
-		answer, err := l.cfg.Platform.Watch(l.ctx, e.After, e.Wait)
+		answer, err := l.cfg.Platform.Bundle(l.ctx, e.After, e.Wait)
 		if err != nil {
 			l.post(l.ctx, platformError{err: err})
 			return
@@ -68,7 +67,7 @@
 	l.platform.readAt = l.now
 	var event rollout.Event = rollout.PlatformNotModified{Revision: e.answer.Revision}
 	if e.answer.Modified {
-		event = rollout.PlatformBundle{Revision: e.answer.Revision, Envelope: e.answer.Value}
+		event = rollout.PlatformBundle{Revision: e.answer.Revision, Envelope: e.answer.Envelope}
 	}
 	l.applyRollout(l.rollout.Handle(l.now, event))
 }
@@ -186,54 +185,3 @@
 	}
 	return out
 }
-
-// readInterval is how often a reader reads the host list. Notices then reach every balancer within 3 s.
-const readInterval = time.Second
-
-// hostList is what the platform says about hosts.
-type hostList struct {
-	nextRead time.Duration
-	leaving  map[string]bool // by address
-	reading  bool
-}
-
-// readHosts reads the host list, on the readers of the data centre only.
-func (l *Loop) readHosts() {
-	if l.hosts.reading || l.now < l.hosts.nextRead || !l.rollout.Status(l.now).Reader {
-		return
-	}
-	l.hosts.reading, l.hosts.nextRead = true, l.now+readInterval
-	l.platform.count++
-	go func() {
-		hosts, err := l.cfg.Platform.Hosts(l.ctx)
-		if err != nil {
-			hosts = nil
-		}
-		l.post(l.ctx, hostsRead{hosts: hosts})
-	}()
-}
-
-func (e hostsRead) apply(l *Loop) {
-	l.hosts.reading = false
-	if e.hosts == nil {
-		return
-	}
-	l.platform.readAt = l.now
-	notices := newNotices(e.hosts)
-	for _, m := range l.peers() {
-		l.cfg.Transport.Send(m.Peer, notices)
-	}
-	l.receiveNotices(notices)
-}
-
-func newNotices(hosts []platform.Host) *peer.HostNotices {
-	n := &peer.HostNotices{}
-	for _, h := range hosts {
-		if h.State == platform.Leaving {
-			n.Leaving = append(n.Leaving, h.Address.String())
-		} else {
-			n.Live = append(n.Live, h.Address.String())
-		}
-	}
-	return n
-}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -33,9 +33,12 @@
 	quiesced       struct{ number uint64 }
 	platformAnswer struct{ answer platform.Answer }
 	platformError  struct{ err error }
-	hostsRead      struct{ hosts []platform.Host }
-	probed         struct{ result prober.Result }
-	call           struct{ fn func() }
+	hostsRead      struct {
+		hosts []platform.Host
+		err   error
+	}
+	probed struct{ result prober.Result }
+	call   struct{ fn func() }
 )
 
 // ReceiveProbe hands a received probe message to the loop. It does not block.
--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/limits"
+	"github.com/marigoldwood/marigoldwood/membership"
+)
+
+const (
+	// defaultLinger bounds how long work goes on after its lease ended, for services without a deadline.
+	defaultLinger = 30 * time.Second
+	// ledgerInterval is how often ledgers drop what has ended and divide free slots.
+	ledgerInterval = 100 * time.Millisecond
+)
+
+// leases holds the ledgers that this balancer keeps, and what each resource of the bundle is divided by.
+type leases struct {
+	ledgers  map[limits.ResourceID]*limits.Ledger
+	settings map[limits.ResourceID]limits.LedgerSettings
+	owners   map[limits.ResourceID]membership.HostID
+	nextTick time.Duration
+}
+
+func newLeases() leases {
+	return leases{
+		ledgers:  make(map[limits.ResourceID]*limits.Ledger),
+		settings: make(map[limits.ResourceID]limits.LedgerSettings),
+		owners:   make(map[limits.ResourceID]membership.HostID),
+	}
+}
+
+// setLedgers follows a change of the owners or of the bundle.
+func (l *Loop) setLedgers() {
+	b := l.rollout.InForce()
+	if b == nil {
+		return
+	}
+	l.leases.settings = make(map[limits.ResourceID]limits.LedgerSettings)
+	for _, s := range b.ServiceInfos() {
+		if s.Limits.SlotsPerTarget == 0 {
+			continue
+		}
+		for _, t := range l.table(b, s).Targets {
+			l.setLedger(limits.SlotsOf(l.cfg.Self.DataCentre, t.Addr), slotSettings(s))
+		}
+	}
+	for r := range l.leases.ledgers {
+		if _, found := l.leases.settings[r]; !found {
+			delete(l.leases.ledgers, r)
+		}
+	}
+}
+
+func slotSettings(s *bundle.ServiceInfo) limits.LedgerSettings {
+	return limits.LedgerSettings{
+		Limit: uint32(s.Limits.SlotsPerTarget), ReservedUrgent: uint32(s.Limits.ReservedUrgentSlots),
+		Linger: cmp.Or(s.Deadline, defaultLinger),
+	}
+}
+
+func (l *Loop) setLedger(r limits.ResourceID, settings limits.LedgerSettings) {
+	l.leases.settings[r] = settings
+	owner := ledgerOwner(l.owners.Members(), r)
+	previous := l.leases.owners[r]
+	l.leases.owners[r] = owner
+	l.cfg.Holder.SetLedger(r, owner)
+	if owner != l.cfg.Self.ID {
+		delete(l.leases.ledgers, r)
+		return
+	}
+	if ledger := l.leases.ledgers[r]; ledger != nil {
+		l.sendGrants(ledger.SetLimits(l.now, settings))
+		return
+	}
+	// Another member may have granted leases until now, unless this balancer was alone from the start.
+	takeover := previous != 0 || len(l.owners.Members()) > 1
+	l.leases.ledgers[r] = limits.NewLedger(l.now, r, settings, takeover)
+}
+
+// ledgerOwner ranks the members for a resource by rendezvous hashing.
+func ledgerOwner(members []membership.HostID, r limits.ResourceID) membership.HostID {
+	var best membership.HostID
+	var bestScore uint64
+	for _, id := range members {
+		if score := flow.Mix(uint64(id), uint64(r)); best == 0 || score > bestScore {
+			best, bestScore = id, score
+		}
+	}
+	return best
+}
+
+func (l *Loop) tickLedgers() {
+	if l.now < l.leases.nextTick {
+		return
+	}
+	l.leases.nextTick = l.now + ledgerInterval
+	var grants []limits.Grant
+	for _, ledger := range l.leases.ledgers {
+		grants = append(grants, ledger.Tick(l.now)...)
+	}
+	l.sendGrants(grants)
+}
+
+// apply sends the lease requests that are due.
+func (leaseTick) apply(l *Loop) {
+	byOwner := make(map[membership.HostID][]limits.Request)
+	for _, s := range l.cfg.Holder.Tick(l.now) {
+		r := s.Request
+		r.Incarnation = cmp.Or(r.Incarnation, l.cfg.Self.Incarnation)
+		byOwner[s.To] = append(byOwner[s.To], r)
+	}
+	for owner, requests := range byOwner {
+		if owner == l.cfg.Self.ID {
+			l.receiveRequests(owner, requests)
+			continue
+		}
+		l.send(owner, &peer.LeaseRequest{Requests: requests})
+	}
+}
+
+func (l *Loop) receiveRequests(from membership.HostID, requests []limits.Request) {
+	var grants []limits.Grant
+	for _, r := range requests {
+		if ledger := l.leases.ledgers[r.Resource]; ledger != nil && r.From == from {
+			grants = append(grants, ledger.Request(l.now, r)...)
+		}
+	}
+	l.sendGrants(grants)
+}
+
+func (l *Loop) sendGrants(grants []limits.Grant) {
+	byHolder := make(map[membership.HostID][]limits.Grant)
+	for _, g := range grants {
+		byHolder[g.To] = append(byHolder[g.To], g)
+	}
+	for holder, granted := range byHolder {
+		if holder == l.cfg.Self.ID {
+			l.receiveGrants(holder, granted)
+			continue
+		}
+		l.send(holder, &peer.LeaseGrant{Grants: granted})
+	}
+}
+
+// ledgerLoad tells the ledger of a target what the target itself reports, unless its reports are distrusted.
+func (l *Loop) ledgerLoad(id flow.TargetID, at time.Duration, o health.Observation) {
+	_, t, found := l.target(id)
+	status, known := l.health.Status(l.now, id)
+	if !found || !known || status.Distrusted != "" {
+		return
+	}
+	if ledger := l.leases.ledgers[l.slotsOf(t.Addr)]; ledger != nil {
+		l.sendGrants(ledger.Load(l.now, at, o.InFlight))
+	}
+}
+
+func (l *Loop) slotsOf(addr netip.Addr) limits.ResourceID {
+	return limits.SlotsOf(l.cfg.Self.DataCentre, addr)
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -38,14 +38,18 @@
 type Transport interface {
 	SendProbe(to netip.AddrPort, m *membership.Message)
 	Send(to netip.AddrPort, m peer.Message)
+	// SetIncarnation changes the incarnation that later messages carry.
+	SetIncarnation(n uint64)
+	// Counters returns bytes and messages by name.
+	Counters() map[string]uint64
 }
 
 // Dataplane is what control needs of the traffic goroutines.
 type Dataplane interface {
 	// Quiesce returns when every traffic goroutine works under the published snapshot.
 	Quiesce(ctx context.Context) error
-	// SendEndings sends the resets of ended flows.
-	SendEndings(endings []forward.Ending)
+	// End sends the resets of ended flows.
+	End(endings []forward.Ending)
 }
 
 // Config holds what the loop needs.
@@ -98,6 +102,8 @@
 	publication uint64
 	inForceAt   time.Time
 	platform    platformCalls
+	tables      tableCache
+	nextObserve time.Duration
 }
 
 // New returns a loop that has not started.
@@ -192,6 +198,7 @@
 
 func (l *Loop) endTurn() {
 	l.announce()
+	l.cfg.Transport.SetIncarnation(l.members.Self().Incarnation)
 	if l.dirty {
 		l.publish()
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/health"
@@ -26,6 +27,8 @@
 			l.statusReceived(e)
 		case membership.SelfGone:
 			l.record(timeline.Event{Kind: "declared-gone", Detail: fmt.Sprintf("rejoins with incarnation %d after %s", e.Incarnation, e.Hold)})
+		case membership.LeavingListed:
+			l.record(timeline.Event{Kind: "member-listed-leaving", Member: l.memberName(e.Member)})
 		case membership.Refreshed:
 			l.refreshed(e.Alone)
 		}
@@ -90,7 +93,7 @@
 
 // updateMap tells the handover about the owners, and about leaving members, which still answer claims.
 func (l *Loop) updateMap() {
-	reachable := append([]membership.HostID(nil), l.owners.Members()...)
+	reachable := slices.Clone(l.owners.Members())
 	for _, m := range l.members.Members() {
 		if m.State == membership.Leaving {
 			reachable = append(reachable, m.ID)
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"net/netip"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/placement"
+)
+
+// publish hands the current control state to the traffic goroutines.
+func (l *Loop) publish() {
+	l.dirty = false
+	l.cfg.Engine.Publish(l.snapshot(l.rollout.InForce()))
+}
+
+// snapshot returns the control state with the given bundle, which may be nil.
+func (l *Loop) snapshot(b *bundle.Bundle) *forward.Snapshot {
+	status := l.rollout.Status(l.now)
+	s := &forward.Snapshot{
+		Self: l.cfg.Self.ID, Incarnation: l.members.Self().Incarnation, DataCentre: l.cfg.Self.DataCentre,
+		Bundle: b, Behind: status.Behind, CurrentPeer: status.CurrentPeer,
+		Map: l.owners, Buckets: l.handover.States(),
+		Peers:       make(map[membership.HostID]netip.AddrPort),
+		PeerAddrs:   make(map[netip.Addr]membership.HostID),
+		Services:    make(map[flow.ServiceID]*forward.ServiceState),
+		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
+		Retired:     make(map[flow.TargetID]forward.RetiredTarget, len(l.retired)),
+		Fenced:      l.refreshing, Stopping: l.state.leaving,
+	}
+	for _, m := range l.peers() {
+		s.Peers[m.ID] = m.Data
+		s.PeerAddrs[m.Data.Addr()] = m.ID
+	}
+	for id, r := range l.retired {
+		s.Retired[id] = r
+	}
+	if b != nil {
+		l.addServices(s)
+	}
+	return s
+}
+
+func (l *Loop) addServices(s *forward.Snapshot) {
+	for _, info := range s.Bundle.ServiceInfos() {
+		table := l.table(s.Bundle, info)
+		s.Services[info.ID] = &forward.ServiceState{
+			Info: info, Table: table, Strategy: l.strategy(info), Targets: l.health.States(l.now, info.ID, nil),
+		}
+		if len(s.Services[info.ID].Targets) != len(table.Targets) {
+			s.Services[info.ID].Targets = unknownStates(len(table.Targets)) // a staged bundle, which health does not know yet
+		}
+		for _, t := range table.Targets {
+			s.TargetAddrs[t.Addr] = info
+		}
+	}
+}
+
+func unknownStates(n int) []forward.TargetState {
+	states := make([]forward.TargetState, n)
+	for i := range states {
+		states[i] = forward.TargetState{Eligible: true, Usable: true, Share: 1}
+	}
+	return states
+}
+
+// table returns the table of a service. Tables of the bundle in force are kept from snapshot to snapshot.
+func (l *Loop) table(b *bundle.Bundle, info *bundle.ServiceInfo) *placement.Table {
+	if l.tables.bundle != b {
+		l.tables = tableCache{bundle: b, tables: make(map[flow.ServiceID]*placement.Table)}
+	}
+	t := l.tables.tables[info.ID]
+	if t == nil {
+		t = placement.NewTable(info, l.cfg.Self.DataCentre)
+		l.tables.tables[info.ID] = t
+	}
+	return t
+}
+
+type tableCache struct {
+	bundle *bundle.Bundle
+	tables map[flow.ServiceID]*placement.Table
+}
+
+// strategy returns the placement strategy of a service. The checks of the bundle allow known names only.
+func (l *Loop) strategy(info *bundle.ServiceInfo) placement.Strategy {
+	s, err := placement.ByName(info.Placement.Strategy, info.Placement.LoadFactor)
+	if err != nil {
+		return placement.HRW{}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/control/targets.go
@@ -0,0 +1,253 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/internal/platform"
+	"github.com/marigoldwood/marigoldwood/internal/prober"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/timeline"
+)
+
+const (
+	// readInterval is how often a reader reads the host list. A notice then reaches every balancer well within 3 s.
+	readInterval = time.Second
+	// noticeInterval is how often a reader repeats its notices, for balancers that missed them.
+	noticeInterval = 5 * time.Second
+	// observeInterval is how often what the traffic shows of targets goes into their state.
+	observeInterval = 500 * time.Millisecond
+)
+
+// Traffic tells what the traffic of this balancer shows of the targets.
+type Traffic interface {
+	// Seen appends to dst what was seen of each target since the last call.
+	Seen(now time.Duration, dst []health.Seen) []health.Seen
+}
+
+func (l *Loop) applyHealth(effects []health.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case health.Probe:
+			l.probe(e.Target)
+		case health.SendReports:
+			l.sendReports(e)
+		case health.StateChanged:
+			l.targetChanged(e)
+		case health.TrustChanged:
+			l.trustChanged(e)
+		}
+	}
+}
+
+func (l *Loop) sendReports(e health.SendReports) {
+	m := &peer.HealthReport{Sequence: e.Sequence, Reports: append([]health.Report(nil), e.Reports...)}
+	for _, p := range l.peers() {
+		l.cfg.Transport.Send(p.Peer, m)
+	}
+}
+
+func (l *Loop) targetChanged(e health.StateChanged) {
+	l.dirty = true
+	service, address := l.describe(e.Target)
+	l.record(timeline.Event{
+		Kind: "target-state", Service: service, Target: address,
+		Detail: fmt.Sprintf("%s to %s by %s", e.From, e.To, e.Cause),
+	})
+	if e.To == health.Down {
+		l.cfg.Dataplane.End(l.cfg.Engine.ResetTarget(l.now, e.Target, nil))
+	}
+}
+
+func (l *Loop) trustChanged(e health.TrustChanged) {
+	service, address := l.describe(e.Target)
+	kind := "target-distrusted"
+	if e.Reason == "" {
+		kind = "target-trusted"
+	}
+	l.record(timeline.Event{Kind: kind, Service: service, Target: address, Detail: e.Reason})
+}
+
+// target returns the service and description of a target of the bundle in force.
+func (l *Loop) target(id flow.TargetID) (*bundle.ServiceInfo, bundle.TargetInfo, bool) {
+	if b := l.rollout.InForce(); b != nil {
+		for _, s := range b.ServiceInfos() {
+			if i := l.table(b, s).Index(id); i >= 0 {
+				return s, l.table(b, s).Targets[i], true
+			}
+		}
+	}
+	return nil, bundle.TargetInfo{}, false
+}
+
+func (l *Loop) describe(id flow.TargetID) (service, address string) {
+	if s, t, found := l.target(id); found {
+		return s.Name, t.Addr.String()
+	}
+	return "", ""
+}
+
+func (l *Loop) probe(id flow.TargetID) {
+	_, t, found := l.target(id)
+	if !found || t.HealthPort == 0 {
+		return
+	}
+	l.cfg.Prober.Probe(l.ctx, prober.Target{ID: id, Health: netip.AddrPortFrom(t.Addr, t.HealthPort)})
+}
+
+func (e probed) apply(l *Loop) {
+	r := e.result
+	o := health.Observation{Failed: r.Err != nil}
+	if r.Err == nil {
+		signal, err := health.ParseSignal(r.State)
+		o = health.Observation{
+			Failed: err != nil, Signal: signal, InFlight: uint32(max(r.Load.InFlight, 0)),
+			Connections: uint32(max(r.Load.Connections, 0)), Queue: uint32(max(r.Load.Queue, 0)),
+		}
+	}
+	at := l.now - time.Since(r.Sent)
+	l.applyHealth(l.health.Handle(l.now, health.Probed{Target: r.Target, At: at, Observation: o}))
+	if !o.Failed {
+		l.ledgerLoad(r.Target, at, o)
+	}
+}
+
+func (l *Loop) observeTraffic() {
+	if l.cfg.Traffic == nil || l.now < l.nextObserve {
+		return
+	}
+	l.nextObserve = l.now + observeInterval
+	for _, s := range l.cfg.Traffic.Seen(l.now, nil) {
+		l.applyHealth(l.health.Handle(l.now, s))
+	}
+	l.dirty = true // loads and shares change with time
+}
+
+// hostList is what the platform says about hosts.
+type hostList struct {
+	nextRead, nextNotice time.Duration
+	reading              bool
+	leaving              map[netip.Addr]bool // true while the host is leaving; false when it is live again
+}
+
+// readHosts reads the host list, on the readers of the data centre only.
+func (l *Loop) readHosts() {
+	if l.hosts.reading || l.now < l.hosts.nextRead || !l.rollout.Status(l.now).Reader {
+		return
+	}
+	l.hosts.reading, l.hosts.nextRead = true, l.now+readInterval
+	l.platform.count++
+	go func() {
+		hosts, err := l.cfg.Platform.Hosts(l.ctx)
+		l.post(l.ctx, hostsRead{hosts: hosts, err: err})
+	}()
+}
+
+func (e hostsRead) apply(l *Loop) {
+	l.hosts.reading = false
+	if e.err != nil {
+		return
+	}
+	l.platform.readAt = l.now
+	changed := l.mergeHosts(e.hosts)
+	if !changed && l.now < l.hosts.nextNotice {
+		return
+	}
+	l.hosts.nextNotice = l.now + noticeInterval
+	notices := l.notices()
+	l.receiveNotices(notices)
+	if len(notices.Leaving)+len(notices.Live) == 0 {
+		return
+	}
+	for _, m := range l.peers() {
+		l.cfg.Transport.Send(m.Peer, notices)
+	}
+}
+
+// mergeHosts takes in the host list and reports whether a host is leaving, or live again, that was not before.
+func (l *Loop) mergeHosts(hosts []platform.Host) (changed bool) {
+	if l.hosts.leaving == nil {
+		l.hosts.leaving = make(map[netip.Addr]bool)
+	}
+	var candidates []membership.Candidate
+	for _, h := range hosts {
+		addr, err := netip.ParseAddr(h.Address)
+		if err != nil || h.DataCentre != l.cfg.Self.DataCentre {
+			continue
+		}
+		leaving := h.State == "leaving"
+		if was, known := l.hosts.leaving[addr]; was != leaving && (known || leaving) {
+			l.hosts.leaving[addr] = leaving
+			changed = true
+		}
+		probe := netip.AddrPortFrom(addr, l.cfg.Self.Probe.Port())
+		candidates = append(candidates, membership.Candidate{Name: h.Name, DataCentre: h.DataCentre, Probe: probe, Leaving: leaving})
+	}
+	l.applyMembers(l.members.Handle(l.now, membership.HostList{Candidates: l.balancers(candidates)}))
+	return changed
+}
+
+// balancers leaves out the candidates that are targets: nothing of the system runs there.
+func (l *Loop) balancers(candidates []membership.Candidate) []membership.Candidate {
+	targets := make(map[netip.Addr]bool)
+	if b := l.rollout.InForce(); b != nil {
+		for _, s := range b.ServiceInfos() {
+			for _, t := range s.Resolved {
+				targets[t.Addr] = true
+			}
+		}
+	}
+	var out []membership.Candidate
+	for _, c := range candidates {
+		if !targets[c.Probe.Addr()] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (l *Loop) notices() *peer.HostNotices {
+	n := &peer.HostNotices{}
+	for addr, leaving := range l.hosts.leaving {
+		if leaving {
+			n.Leaving = append(n.Leaving, addr.String())
+		} else {
+			n.Live = append(n.Live, addr.String())
+		}
+	}
+	return n
+}
+
+// receiveNotices takes in what a reader found in the host list.
+func (l *Loop) receiveNotices(n *peer.HostNotices) {
+	leaving := make(map[netip.Addr]bool)
+	for _, text := range n.Leaving {
+		if addr, err := netip.ParseAddr(text); err == nil {
+			leaving[addr] = true
+		}
+	}
+	for _, text := range n.Live {
+		if addr, err := netip.ParseAddr(text); err == nil {
+			leaving[addr] = false
+		}
+	}
+	l.applyHealth(l.health.Handle(l.now, health.HostList{Leaving: leaving}))
+}
+
+// ForwardProbes hands the results of target probes to the loop until the context ends.
+func (l *Loop) ForwardProbes(ctx context.Context, results <-chan prober.Result) error {
+	for {
+		select {
+		case r := <-results:
+			l.post(ctx, probed{result: r})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,88 @@
+// Package daemon assembles and runs the balancer process.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldwood/marigoldwood/internal/control"
+	"github.com/marigoldwood/marigoldwood/internal/dataplane"
+	"github.com/marigoldwood/marigoldwood/internal/operator"
+	"github.com/marigoldwood/marigoldwood/internal/peer"
+	"github.com/marigoldwood/marigoldwood/internal/platform"
+	"github.com/marigoldwood/marigoldwood/internal/prober"
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+)
+
+//go:generate go tool wire
+
+// Error is the class of errors of this package.
+var Error = errs.Class("daemon")
+
+// daemon holds the parts that run.
+type daemon struct {
+	Settings  *settings.Settings
+	Log       *logrus.Entry
+	Loop      *control.Loop
+	Dataplane *dataplane.Dataplane
+	Transport *transport
+	Operator  *operator.Server
+	Platform  *platform.Client
+	Prober    *prober.Prober
+}
+
+// Run runs the balancer until ctx ends, and then shuts it down gracefully. The log goes to out.
+func Run(ctx context.Context, s *settings.Settings, out io.Writer) error {
+	d, err := newDaemon(s, out)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx.Done())
+}
+
+// run starts every part. The control loop ends last when stop is closed, and ends the others.
+func (d *daemon) run(stop <-chan struct{}) error {
+	listener, err := d.listenOperator()
+	if err != nil {
+		return err
+	}
+	defer d.Platform.Close()
+	defer d.Prober.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		defer cancel()
+		return d.Loop.Run(ctx, stop)
+	})
+	group.Go(func() error { return d.Dataplane.Run(ctx) })
+	group.Go(func() error { return d.Transport.run(ctx, d.Loop) })
+	group.Go(func() error { return d.Operator.Serve(ctx, listener) })
+	group.Go(func() error { return d.Loop.ForwardProbes(ctx, d.Prober.Results()) })
+	d.Log.WithField("address", d.Settings.Listen.Address).Info("daemon started")
+	err = group.Wait()
+	d.Log.Info("daemon stopped")
+	return Error.Wrap(err)
+}
+
+func (d *daemon) listenOperator() (net.Listener, error) {
+	address := netip.AddrPortFrom(d.Settings.Listen.Address, d.Settings.Listen.OperatorPort)
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil || d.Settings.Operator.Plain {
+		return listener, Error.Wrap(err)
+	}
+	credentials, err := peer.LoadCredentials(d.Settings.Operator.TLS)
+	if err != nil {
+		return nil, errorsOf(err, listener.Close())
+	}
+	return tls.NewListener(listener, credentials.ServerConfig()), nil
+}
+
+func errorsOf(all ...error) error { return errs.Combine(all...) }
--- /dev/null
+++ b/internal/daemon/wire.go
@@ -0,0 +1,19 @@
+//go:build wireinject
+
+package daemon
+
+import (
+	"github.com/google/wire"
+
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+)
+
+func newDaemon(s *settings.Settings, out logOutput) (*daemon, error) {
+	wire.Build(
+		provideMonotonic, provideSelf, provideLog, provideClock, provideRing, provideKeyring, provideRandom, provideExceptions,
+		provideHolder, provideEngine, providePlatform, provideProber, provideDataplane, provideLastTurn, provideControl,
+		provideMetrics, provideOperator, provideAdmission, provideTraffic, newTransport,
+		wire.Struct(new(parts), "*"), wire.Struct(new(daemon), "*"),
+	)
+	return nil, nil
+}
