--- a/internal/standin/caller/lane.go
+++ b/internal/standin/caller/lane.go
@@ -119,9 +119,8 @@
 	n := l.next[a]
 	l.next[a]++
 	prefix, host := byte(n%uint32(spread)), byte(l.index+1)
-	port := firstPort + n/uint32(spread)
-	host += byte(port/portRange) * byte(len(l.caller.lanes)) // further addresses once the ports are used up
-	port = firstPort + port%portRange
+	host += byte(n/uint32(spread)/portRange) * byte(len(l.caller.lanes)) // further addresses once the ports are used up
+	port := firstPort + n/uint32(spread)%portRange
 	if endpoint.Is4() {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, tenant, prefix, host}), uint16(port))
 	}
--- a/internal/standin/fabric/control.go
+++ b/internal/standin/fabric/control.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/marigoldwood/marigoldwood/internal/standin/platform"
 	"github.com/marigoldwood/marigoldwood/internal/standin/process"
 )
@@ -31,9 +33,7 @@
 			http.Error(w, "mode must be packet or flow", http.StatusBadRequest)
 			return
 		}
-		f.config.Store(&c)
-		f.log.WithField("event", "config").WithField("mode", c.Mode).WithField("loss", c.Loss).
-			WithField("duplicate", c.Duplicate).WithField("reorder", c.Reorder).Info("config")
+		f.SetConfig(c)
 		process.Done(w)
 	})
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
@@ -42,6 +42,14 @@
 	return mux
 }
 
+// SetConfig replaces the configuration.
+func (f *Fabric) SetConfig(c Config) {
+	f.config.Store(&c)
+	f.log.WithFields(logrus.Fields{
+		"event": "config", "mode": c.Mode, "loss": c.Loss, "duplicate": c.Duplicate, "reorder": c.Reorder,
+	}).Info("config")
+}
+
 // Counters returns a copy of the counters.
 func (f *Fabric) Counters() Counters {
 	c := &f.counters
--- a/internal/standin/minitcp/stack.go
+++ b/internal/standin/minitcp/stack.go
@@ -20,6 +20,8 @@
 	Send func(p *wire.Packet)
 	// Accept decides about a SYN. A nil function refuses every SYN with a reset.
 	Accept func(syn *wire.Packet) (Handler, Verdict)
+	// Stray is told of segments other than SYN and RST without a connection; nil ignores them.
+	Stray  func(p *wire.Packet)
 	Random *rand.Rand
 	// GiveUp is how long the same bytes are retransmitted before the connection is given up.
 	GiveUp time.Duration
@@ -200,6 +202,9 @@
 		s.inputSYN(p)
 	default:
 		s.counters.Strays++
+		if s.config.Stray != nil {
+			s.config.Stray(p)
+		}
 		s.reject(p)
 	}
 }
--- a/internal/standin/target/node.go
+++ b/internal/standin/target/node.go
@@ -47,7 +47,7 @@
 		spec: spec, clock: clock, registry: registry, fabric: o.Fabric.AddrPort, random: random, encoder: wire.NewEncoder(),
 		log: log.WithField("target", spec.Address), udp: make(map[netip.AddrPort]*udpFlow),
 	}
-	n.stack = minitcp.NewStack(minitcp.Config{Send: n.send, Accept: n.accept, Random: random})
+	n.stack = minitcp.NewStack(minitcp.Config{Send: n.send, Accept: n.accept, Stray: n.stray, Random: random})
 	n.counters.Address, n.counters.Service = spec.Address.String(), spec.Service
 	n.SetBehaviour(spec.Behaviour)
 	return n
@@ -187,6 +187,11 @@
 	return &session{node: n, since: n.stack.Now()}, minitcp.Accepted
 }
 
+// stray records a segment of a flow that this target does not know. The stack is locked.
+func (n *Node) stray(p *wire.Packet) {
+	n.registry.Strayed(FlowID{Caller: p.Src, Service: n.spec.Service}, n.spec.Address)
+}
+
 // SetBehaviour replaces the behaviour.
 func (n *Node) SetBehaviour(b Behaviour) {
 	n.do(func() {
--- a/internal/standin/target/registry.go
+++ b/internal/standin/target/registry.go
@@ -48,13 +48,29 @@
 		r.flows[id] = flowRecord{target: target, refused: refused}
 	case record.refused: // a flow that its target refused may be given to another one
 		r.flows[id] = flowRecord{target: target, refused: refused}
-	case record.target != target && !record.moved:
-		record.moved = true
-		r.flows[id] = record
-		r.moved = append(r.moved, id)
+	default:
+		r.move(id, record, target)
 	}
 }
 
+// Strayed records that a segment of an open flow came to a target that does not know the flow.
+func (r *Registry) Strayed(id FlowID, target netip.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if record, known := r.flows[id]; known && !record.refused {
+		r.move(id, record, target)
+	}
+}
+
+func (r *Registry) move(id FlowID, record flowRecord, target netip.Addr) {
+	if record.target == target || record.moved {
+		return
+	}
+	record.moved = true
+	r.flows[id] = record
+	r.moved = append(r.moved, id)
+}
+
 // Run records that a request starts to run.
 func (r *Registry) Run(request uint64) {
 	r.mu.Lock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -109,17 +109,23 @@
 	return all
 }
 
+// Runs returns what the registry of the process recorded.
+func (p *Process) Runs() Summary { return p.registry.Summary() }
+
+// Known returns those of the flows that reached a target and were not refused by it.
+func (p *Process) Known(ids []FlowID) []FlowID { return p.registry.Known(ids) }
+
 // Control returns the handler of the control port: GET /counters, PUT /behaviour?target=ADDRESS (every target when
 // left out), GET /runs, and POST /known with a list of flows.
 func (p *Process) Control() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { process.WriteJSON(w, p.Counters()) })
 	mux.HandleFunc("PUT /behaviour", p.putBehaviour)
-	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { process.WriteJSON(w, p.registry.Summary()) })
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { process.WriteJSON(w, p.Runs()) })
 	mux.HandleFunc("POST /known", func(w http.ResponseWriter, r *http.Request) {
 		var ids []FlowID
 		if process.ReadJSON(w, r, &ids) {
-			process.WriteJSON(w, p.registry.Known(ids))
+			process.WriteJSON(w, p.Known(ids))
 		}
 	})
 	return mux
