--- /dev/null
+++ b/internal/experiment/control.go
@@ -0,0 +1,175 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/internal/standin/caller"
+	"github.com/marigoldwood/marigoldwood/internal/standin/fabric"
+	"github.com/marigoldwood/marigoldwood/internal/standin/platform"
+	"github.com/marigoldwood/marigoldwood/internal/standin/target"
+)
+
+// Publish changes the bundle, gives it the next version, and hands it to the platform.
+func (d *Deployment) Publish(ctx context.Context, change func(*bundle.Document)) (version uint64, err error) {
+	d.document.Version++
+	change(d.document)
+	return d.document.Version, d.publish(ctx)
+}
+
+func (d *Deployment) publish(ctx context.Context) error {
+	payload, err := yaml.Marshal(d.document)
+	if err != nil {
+		return err
+	}
+	if _, err := bundle.Parse(payload); err != nil {
+		return fmt.Errorf("bundle of the experiment: %w", err)
+	}
+	signed, err := d.key.sign(payload)
+	if err != nil {
+		return err
+	}
+	d.published[d.document.Version] = time.Now()
+	return put(ctx, d.ports.at(platformAddress, portControl), "/bundle", signed)
+}
+
+// WaitInForce waits until every running balancer has the version in force.
+func (d *Deployment) WaitInForce(ctx context.Context, version uint64, limit time.Duration) error {
+	return waitFor(ctx, limit, func(ctx context.Context) error {
+		for _, b := range d.Running() {
+			s, err := d.Status(ctx, b)
+			if err != nil {
+				return err
+			}
+			if s.Bundle.InForce < version {
+				return fmt.Errorf("%s has version %d in force", b.Name, s.Bundle.InForce)
+			}
+		}
+		return nil
+	})
+}
+
+// Notice is a way in which the system learns that a target is leaving.
+type Notice string
+
+// Ways of notice.
+const (
+	ByBundle   Notice = "bundle"
+	ByHostList Notice = "hosts"
+	BySignal   Notice = "signal" // the target's own health endpoint
+)
+
+// Drain announces that a target is leaving.
+func (d *Deployment) Drain(ctx context.Context, address netip.Addr, by Notice) error {
+	return d.setDrain(ctx, address, by, true)
+}
+
+// Undrain announces that a drained target takes work again.
+func (d *Deployment) Undrain(ctx context.Context, address netip.Addr, by Notice) error {
+	return d.setDrain(ctx, address, by, false)
+}
+
+func (d *Deployment) setDrain(ctx context.Context, address netip.Addr, by Notice, drain bool) error {
+	b := target.Behaviour{Leaving: drain}
+	if by == BySignal {
+		b = target.Behaviour{Drain: drain}
+	}
+	if err := d.SetBehaviour(ctx, address, b); err != nil {
+		return err
+	}
+	switch by {
+	case ByBundle:
+		_, err := d.Publish(ctx, func(doc *bundle.Document) { setTargetDrain(doc, address, drain) })
+		return err
+	case ByHostList:
+		state := "live"
+		if drain {
+			state = "leaving"
+		}
+		d.setHost(address.String(), address, state)
+		return d.putHosts(ctx)
+	}
+	return nil
+}
+
+func setTargetDrain(doc *bundle.Document, address netip.Addr, drain bool) {
+	for i := range doc.Services {
+		for j := range doc.Services[i].Targets {
+			if t := &doc.Services[i].Targets[j]; t.Address == address.String() {
+				t.Drain = drain
+			}
+		}
+	}
+}
+
+// SetBehaviour changes the behaviour of a target, or of all targets when the address is not valid.
+func (d *Deployment) SetBehaviour(ctx context.Context, address netip.Addr, b target.Behaviour) error {
+	path := "/behaviour"
+	if address.IsValid() {
+		path += query("target", address)
+	}
+	return put(ctx, d.ports.at(targetsAddress, portControl), path, b)
+}
+
+// Targets returns the counters of all targets.
+func (d *Deployment) Targets(ctx context.Context) ([]target.Counters, error) {
+	return get[[]target.Counters](ctx, d.ports.at(targetsAddress, portControl), "/counters")
+}
+
+// Runs returns what the targets recorded about flows and requests.
+func (d *Deployment) Runs(ctx context.Context) (target.Summary, error) {
+	return get[target.Summary](ctx, d.ports.at(targetsAddress, portControl), "/runs")
+}
+
+// FalseRefusals returns the flows that were refused as not run although a target had them.
+func (d *Deployment) FalseRefusals(ctx context.Context) ([]target.FlowID, error) {
+	refused, err := get[[]target.FlowID](ctx, d.ports.at(callerAddress, portControl), "/refused")
+	if err != nil {
+		return nil, err
+	}
+	return call[[]target.FlowID](ctx, http.MethodPost, d.ports.at(targetsAddress, portControl), "/known", refused)
+}
+
+// Call starts callers.
+func (d *Deployment) Call(ctx context.Context, p caller.Plan) error {
+	_, err := call[nothing](ctx, http.MethodPost, d.ports.at(callerAddress, portControl), "/plan", p)
+	return err
+}
+
+// Calls returns the result of the callers so far.
+func (d *Deployment) Calls(ctx context.Context) (caller.Result, error) {
+	return get[caller.Result](ctx, d.ports.at(callerAddress, portControl), "/result")
+}
+
+// FinishCalls ends the callers, waiting for open requests, and returns their result.
+func (d *Deployment) FinishCalls(ctx context.Context, wait time.Duration) (caller.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callLimit)
+	defer cancel()
+	return callUnbounded[caller.Result](ctx, http.MethodPost, d.ports.at(callerAddress, portControl), "/finish"+query("wait_ms", wait.Milliseconds()), nil)
+}
+
+// SetFabric changes how the fabric sprays packets.
+func (d *Deployment) SetFabric(ctx context.Context, c fabric.Config) error {
+	return put(ctx, d.ports.at(fabricAddress, portControl), "/config", c)
+}
+
+// Fabric returns the counters of the fabric.
+func (d *Deployment) Fabric(ctx context.Context) (fabric.Counters, error) {
+	return get[fabric.Counters](ctx, d.ports.at(fabricAddress, portControl), "/counters")
+}
+
+// SetPlatform changes the faults of the platform.
+func (d *Deployment) SetPlatform(ctx context.Context, f platform.Faults) error {
+	return put(ctx, d.ports.at(platformAddress, portControl), "/faults", f)
+}
+
+// Platform returns the counters of the platform.
+func (d *Deployment) Platform(ctx context.Context) (platform.Counters, error) {
+	return get[platform.Counters](ctx, d.ports.at(platformAddress, portControl), "/counters")
+}
