--- /dev/null
+++ b/forward/isolation_test.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+)
+
+// drawBundle draws services that share few addresses and ports, so that versions reuse them for other services.
+func drawBundle(t *rapid.T, version int) *bundle.Bundle {
+	addresses := rapid.Permutation([]int{1, 2, 3, 4, 5, 6, 7, 8}).Draw(t, "target addresses")
+	endpoints := rapid.Permutation([]string{"10.0.0.1:80", "10.0.0.1:81", "10.0.0.2:80", "[2001:db8::1]:80"}).Draw(t, "endpoints")
+	vnis := rapid.Permutation([]int{20, 21, 22}).Draw(t, "vnis")
+	var services []testService
+	for i := range rapid.IntRange(1, 3).Draw(t, "services") {
+		s := testService{
+			name: rapid.SampledFrom([]string{"a", "b", "c"}).Filter(func(n string) bool {
+				for _, other := range services {
+					if other.name == n {
+						return false
+					}
+				}
+				return true
+			}).Draw(t, "name"),
+			protocol: rapid.SampledFrom([]string{"tcp", "udp"}).Draw(t, "protocol"),
+			kind:     rapid.SampledFrom([]string{"session", "short"}).Draw(t, "kind"),
+			vni:      vnis[i], endpoint: endpoints[i], idempotent: rapid.Bool().Draw(t, "idempotent"),
+		}
+		for range rapid.IntRange(0, len(addresses)/2).Draw(t, "targets") {
+			s.targets = append(s.targets, fmt.Sprintf("127.1.0.%d", addresses[0]))
+			addresses = addresses[1:]
+		}
+		services = append(services, s)
+	}
+	return testBundle(t, version, services...)
+}
+
+// retire returns the targets of earlier snapshots that s lacks.
+func retire(s *Snapshot, earlier []*Snapshot) {
+	for _, old := range earlier {
+		for _, ss := range old.Services {
+			for _, x := range ss.Table.Targets {
+				s.Retired[x.ID] = RetiredTarget{Addr: x.Addr, DataPort: x.DataPort, Service: ss.Info.ID, VNI: ss.Info.VNI}
+			}
+		}
+	}
+}
+
+// belongs reports whether the address is a target of the service in s, or was one and has not gone to another service.
+func belongs(s *Snapshot, earlier []*Snapshot, service flow.ServiceID, a netip.Addr) bool {
+	if owner := s.TargetAddrs[a]; owner != nil {
+		return owner.ID == service
+	}
+	for _, old := range earlier {
+		if owner := old.TargetAddrs[a]; owner != nil && owner.ID == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a packet of one service that reaches a target of another, in either direction, while bundles reuse
+// addresses, ports and VNIs, and packets of earlier versions come late.
+func TestIsolation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var earlier []*Snapshot
+		s := testSnapshot(drawBundle(t, 1))
+		e, _ := newTestEngine(s)
+		now := time.Duration(0)
+		var late []*Packet
+		for step := range rapid.IntRange(10, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				next := testSnapshot(drawBundle(t, step+2))
+				earlier = append(earlier, s)
+				retire(next, earlier)
+				e.Rebase(next)
+				s = next
+				e.Publish(s)
+				continue
+			case 1, 2, 3:
+				if len(late) > 0 {
+					p := rapid.SampledFrom(late).Draw(t, "late packet")
+					checkAnswer(t, e, s, earlier, now, p)
+				}
+				continue
+			case 4:
+				e.Sweep(now, nil)
+				continue
+			}
+			p := drawPacket(t)
+			late = append(late, p)
+			checkDelivery(t, s, earlier, p, e.FromCaller(now, p))
+		}
+	})
+}
+
+func drawPacket(t *rapid.T) *Packet {
+	p := tcp(rapid.SampledFrom([]TCPFlags{SYN, ACK, ACK, FIN | ACK, RST}).Draw(t, "flags"), rapid.Uint32Range(0, 9).Draw(t, "seq"), 5, 1)
+	p.Protocol = rapid.SampledFrom([]flow.Protocol{flow.TCP, flow.UDP}).Draw(t, "protocol")
+	p.Source = netip.AddrPortFrom(caller.Addr(), uint16(rapid.IntRange(1, 5).Draw(t, "caller port")))
+	p.Destination = netip.MustParseAddrPort(rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.1:81", "10.0.0.2:80"}).Draw(t, "endpoint"))
+	if p.Protocol == flow.UDP {
+		p.Flags = 0
+	}
+	return p
+}
+
+func checkDelivery(t *rapid.T, s *Snapshot, earlier []*Snapshot, p *Packet, d Decision) {
+	if d.Action != ForwardTarget {
+		return
+	}
+	endpoint := s.Bundle.Endpoint(bundle.EndpointAddr{Protocol: p.Protocol, Addr: p.Destination})
+	if endpoint == nil || !belongs(s, earlier, endpoint.Service.ID, d.Addr.Addr()) {
+		t.Fatalf("a packet to %v went to %v with VNI %d", p.Destination, d.Addr, d.VNI)
+	}
+}
+
+// checkAnswer lets every target answer a packet that may be from an earlier version.
+func checkAnswer(t *rapid.T, e *Engine, s *Snapshot, earlier []*Snapshot, now time.Duration, p *Packet) {
+	source := netip.MustParseAddr(fmt.Sprintf("127.1.0.%d", rapid.IntRange(1, 9).Draw(t, "answering target")))
+	vni := rapid.Uint32Range(19, 23).Draw(t, "vni")
+	d := e.FromTarget(now, answer(p, ACK), source, vni)
+	if d.Action != SendCaller {
+		return
+	}
+	endpoint := s.Bundle.Endpoint(bundle.EndpointAddr{Protocol: p.Protocol, Addr: p.Destination})
+	if endpoint == nil || !belongs(s, earlier, endpoint.Service.ID, source) {
+		t.Fatalf("%v with VNI %d answered for %v", source, vni, p.Destination)
+	}
+}
--- /dev/null
+++ b/forward/owner_test.go
@@ -0,0 +1,186 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Guards against a handshake, close or refusal whose end is not seen, which would leak slots and open-flow counts.
+func TestTCPLife(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, tcpSession))
+	for name, packets := range map[string][]struct {
+		target bool
+		flags  TCPFlags
+		open   int64
+		done   int
+	}{
+		"closed by FIN":     {{false, SYN, 1, 0}, {true, SYN | ACK, 1, 0}, {false, ACK, 1, 0}, {false, FIN | ACK, 1, 0}, {true, FIN | ACK, 0, 1}, {false, ACK, 0, 1}},
+		"reset by caller":   {{false, SYN, 1, 0}, {true, SYN | ACK, 1, 0}, {false, RST, 0, 1}, {false, RST, 0, 1}},
+		"refused by target": {{false, SYN, 1, 0}, {true, RST | ACK, 0, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, r := newTestEngine(s)
+			var to Decision
+			for i, x := range packets {
+				p := tcp(x.flags, uint32(i), uint32(i), 0)
+				if x.target {
+					p = answer(p, x.flags)
+					expectAction(t, e.FromTarget(0, p, to.Addr.Addr(), to.VNI), SendCaller)
+				} else {
+					to = e.FromCaller(0, p)
+					expectAction(t, to, ForwardTarget)
+				}
+				k := keyOf(s, tcp(0, 0, 0, 0))
+				if open := e.OpenFlows(e.Explain(0, k).TargetID); open != x.open || len(r.done) != x.done {
+					t.Fatalf("packet %d: %d open and %d done, want %d and %d", i, open, len(r.done), x.open, x.done)
+				}
+			}
+			if len(r.done) > 0 && r.done[0] != (name == "refused by target") {
+				t.Fatalf("refused is %v", r.done[0])
+			}
+		})
+	}
+}
+
+func expectAction(t *testing.T, d Decision, a Action) {
+	t.Helper()
+	if d.Action != a {
+		t.Fatalf("got %v with %v, want %v", d.Action, d.Code, a)
+	}
+}
+
+// Guards against each way in which a packet of a flow without an entry can be given to the wrong end, or answered with a
+// refusal that may be false.
+func TestUnknownFlow(t *testing.T) {
+	idempotent := tcpSession
+	idempotent.idempotent = true
+	const now = 10 * time.Second
+	failed := BucketState{Role: RoleOwner, TakenOverAt: now - time.Second}
+	synced := BucketState{Role: RoleOwner, InSync: true, TakenOverAt: now - time.Second}
+	refusal := &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
+	for name, c := range map[string]struct {
+		service    testService
+		bucket     BucketState
+		p          *Packet
+		ineligible bool // every target
+		verdict    *Verdict
+		want       Action
+		code       resultcode.Code
+	}{
+		"segment, in sync":                  {tcpSession, synced, tcp(ACK, 5, 5, 10), true, nil, ForwardTarget, 0},
+		"segment, idempotent":               {idempotent, failed, tcp(ACK, 5, 5, 10), false, nil, ForwardTarget, 0},
+		"segment, copies lost":              {tcpSession, failed, tcp(ACK, 5, 5, 10), false, nil, Reset, resultcode.PacketUnknownFlow},
+		"RST, copies lost":                  {tcpSession, failed, tcp(RST, 5, 0, 0), false, nil, Drop, resultcode.PacketUnknownFlow},
+		"SYN after a takeover":              {tcpSession, failed, tcp(SYN, 5, 0, 0), false, nil, ForwardTarget, 0},
+		"SYN refused":                       {tcpSession, BucketState{Role: RoleOwner}, tcp(SYN, 5, 0, 0), false, refusal, Refuse, resultcode.RefusedNoSlot},
+		"SYN refused soon after a takeover": {tcpSession, synced, tcp(SYN, 5, 0, 0), false, refusal, Drop, resultcode.RefusedNoSlot},
+		"no target":                         {tcpSession, BucketState{Role: RoleOwner}, tcp(SYN, 5, 0, 0), true, nil, Refuse, resultcode.RefusedNoTarget},
+		"datagram refused":                  {udpShort, BucketState{Role: RoleOwner}, udp(9), false, refusal, Refuse, resultcode.RefusedNoSlot},
+		"datagram that may have run":        {udpShort, synced, udp(9), true, nil, Drop, resultcode.OutcomeUnknown},
+		"datagram, default target eligible": {udpShort, synced, udp(9), false, nil, ForwardTarget, 0},
+		"SYN with ACK from a caller":        {tcpSession, synced, tcp(SYN|ACK, 5, 5, 0), false, nil, Drop, resultcode.PacketMalformed},
+		"datagram to an endpoint of TCP":    {tcpSession, synced, udp(9), false, nil, Drop, resultcode.PacketUnknownEndpoint},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSnapshot(testBundle(t, 1, c.service))
+			setRole(s, c.bucket)
+			for _, ss := range s.Services {
+				for i := range ss.Targets {
+					ss.Targets[i].Eligible = !c.ineligible
+				}
+			}
+			e, r := newTestEngine(s)
+			r.verdict = c.verdict
+			d := e.FromCaller(now, c.p)
+			expect(t, d, c.want, c.code)
+			if d.Action != ForwardTarget {
+				return
+			}
+			if table, i := tableOf(s, c.service.name, c.p); d.Addr.Addr() != table.Targets[i].Addr {
+				t.Fatalf("delivered to %v, want the default target %v", d.Addr, table.Targets[i].Addr)
+			}
+		})
+	}
+}
+
+// Guards against a refusal after a planned handover: the previous owner may have forwarded the request to its default
+// target, of which there is no copy.
+func TestNoRefusalAfterHandover(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, udpShort))
+	before := *s
+	before.Buckets = new([4096]BucketState)
+	setRole(&before, BucketState{Role: RoleAcquiring, Peer: hostPeer})
+	e, r := newTestEngine(&before)
+	r.verdict = &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
+	e.Sweep(20*time.Second, nil)
+	e.Publish(s)
+	expect(t, e.FromCaller(21*time.Second, udp(9)), Drop, resultcode.RefusedNoSlot)
+	expect(t, e.FromCaller(26*time.Second, udp(9)), Refuse, resultcode.RefusedNoSlot)
+}
+
+// Guards against a non-idempotent UDP request that load moves off its default target, where a duplicate that reaches a
+// new owner would run it again.
+func TestDatagramKeepsDefault(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, udpShort))
+	e, r := newTestEngine(s)
+	e.FromCaller(0, udp(9))
+	_, d := tableOf(s, "claims", udp(9))
+	for i, eligible := range r.lastEligib {
+		if eligible != (i == d) {
+			t.Errorf("target %d shown eligible: %v; the default is %d", i, eligible, d)
+		}
+	}
+	s.Services[flow.NewServiceID("claims")].Targets[d].Eligible = false
+	e.FromCaller(0, udp(10))
+	if _, copied := r.copies[keyOf(s, udp(10))]; copied != func() bool { _, x := tableOf(s, "claims", udp(10)); return x == d }() {
+		t.Errorf("copied is %v", copied)
+	}
+}
+
+// Guards against a late answer of a target that the flow no longer uses, and answers of targets of other services.
+func TestForeignAnswers(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, tcpSession, udpShort))
+	e, _ := newTestEngine(s)
+	p := tcp(SYN, 1, 0, 0)
+	d := e.FromCaller(0, p)
+	for _, target := range s.Services[flow.NewServiceID("rounds")].Table.Targets {
+		got := e.FromTarget(0, answer(p, SYN|ACK), target.Addr, d.VNI)
+		if want := target.Addr == d.Addr.Addr(); want != (got.Action == SendCaller) {
+			t.Errorf("answer of %v: %v with %v", target.Addr, got.Action, got.Code)
+		}
+	}
+	claims := s.Services[flow.NewServiceID("claims")].Table.Targets[0].Addr
+	expect(t, e.FromTarget(0, answer(p, ACK), claims, 21), Drop, resultcode.PacketForeignSource)
+	expect(t, e.FromTarget(0, answer(p, ACK), claims, 20), Drop, resultcode.PacketForeignSource)
+	expect(t, e.FromTarget(0, answer(p, ACK), caller.Addr(), 999), Drop, resultcode.PacketUnknownVNI)
+}
+
+// Guards against short UDP work whose slot is not returned, or is returned twice.
+func TestDoneAfterFirstAnswer(t *testing.T) {
+	e, r := newTestEngine(testSnapshot(testBundle(t, 1, udpShort)))
+	p := udp(9)
+	d := e.FromCaller(0, p)
+	for range 3 {
+		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr.Addr(), d.VNI), SendCaller)
+	}
+	e.FromCaller(2*time.Second, p)
+	for range 10 {
+		e.Sweep(time.Hour, nil)
+	}
+	if len(r.done) != 1 || e.Flows() != 0 {
+		t.Fatalf("%d times done, want 1; %d flows left", len(r.done), e.Flows())
+	}
+}
+
+// Guards against a late duplicate of a SYN that is placed as a new connection after the first has closed.
+func TestReopening(t *testing.T) {
+	e, r := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
+	e.FromCaller(0, tcp(SYN, 100, 0, 0))
+	e.FromCaller(0, tcp(RST, 101, 0, 0))
+	r.verdict = &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
+	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 100, 0, 0)), ForwardTarget)
+	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 5000, 0, 0)), Refuse)
+}
