--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -79,7 +79,6 @@
 // bundleStaged starts to copy the flows whose default target the bundle will change, so that few copies are missing
 // when it comes into force.
 func (l *Loop) bundleStaged(b *bundle.Bundle) {
-	l.record(timeline.Event{Kind: "bundle-staged", Version: b.Version, Detail: digestText(b)})
 	if l.rollout.InForce() != nil {
 		l.cfg.Engine.Rebase(l.snapshot(b))
 	}
@@ -87,7 +86,6 @@
 
 func (l *Loop) bundleInForce(e rollout.BundleInForce) {
 	l.inForceAt = time.Now()
-	l.record(timeline.Event{Kind: "bundle-in-force", Version: e.Bundle.Version, Detail: string(e.Reason)})
 	l.retireTargets(e.Previous, e.Bundle)
 	l.applyHealth(l.health.Handle(l.now, health.Bundle{DataCentre: l.cfg.Self.DataCentre, Services: e.Bundle.ServiceInfos()}))
 	l.setLedgers()
