Serve one after another at a cold start, and keep claims in one message

Cause: balancers that started together each saw nobody serving, so that each owned all 4,096 buckets and decided alone; with one jitter for each bucket the merge went through thousands of small claims.

--- a/internal/control/lifecycle.go
+++ b/internal/control/lifecycle.go
@@ -14,6 +14,8 @@
 	// settleTime is how long a balancer with a bundle waits before it serves, so that it has the members' view when it
 	// claims buckets. A balancer that hears no member after that is alone and owns everything.
 	settleTime = time.Second
+	// aloneTime is how much longer a balancer waits for a member that should serve before it.
+	aloneTime = 3 * time.Second
 	// quietTime is how long a leaving balancer waits after the last packet before it stops: the fabric learns of the
 	// leave late and goes on sending.
 	quietTime = time.Second
@@ -39,12 +41,31 @@
 		l.advanceLeave()
 	case s.announced == membership.Joining && l.rollout.InForce() != nil:
 		s.announced, s.warmAt = membership.Warm, l.now
-	case s.announced == membership.Warm && l.now-s.warmAt >= settleTime && !l.refreshing:
+	case s.announced == membership.Warm && !l.refreshing && l.mayServe(l.now-s.warmAt):
 		s.announced = membership.Serving
 		l.record(timeline.Event{Kind: "balancer-serving", Version: l.rollout.InForce().Version})
 	}
 }
 
+// mayServe reports whether a balancer that has been warm for some time may serve. When all balancers start at once,
+// one serves first and the others claim their buckets from it: several that start to serve without knowing of each
+// other would all own every bucket and decide differently until they had merged.
+func (l *Loop) mayServe(warm time.Duration) bool {
+	if warm < settleTime {
+		return false
+	}
+	first := true
+	for _, m := range l.members.Members() {
+		if m.State.Owns() || m.State == membership.Leaving {
+			return true
+		}
+		if m.State == membership.Warm && m.ID < l.cfg.Self.ID {
+			first = false
+		}
+	}
+	return first || warm >= settleTime+aloneTime
+}
+
 // leave starts the graceful shutdown: the successors claim the buckets of this balancer.
 func (l *Loop) leave() {
 	if l.state.leaving {
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -183,6 +183,9 @@
 func (h *Handover) send() {
 	claims := make(map[membership.HostID][]Bucket)
 	offers := make(map[membership.HostID][]Bucket)
+	// One jitter for all buckets: with one each, the repetitions of a claim for thousands of buckets would spread over
+	// thousands of messages, each with its own publication.
+	jitter := h.rng.Float64()
 	for b := range h.buckets {
 		k := &h.buckets[b]
 		if h.now < k.next {
@@ -201,7 +204,7 @@
 			continue
 		}
 		k.wait = min(max(2*k.wait, claimRetry), claimRetryMax)
-		k.next = h.now + k.wait/2 + time.Duration(h.rng.Int64N(int64(k.wait)/2))
+		k.next = h.now + k.wait/2 + time.Duration(jitter*float64(k.wait/2))
 	}
 	for _, to := range sortedIDs(claims) {
 		h.emit(SendClaim{To: to, Buckets: claims[to]})
