--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -111,7 +111,7 @@
 		return ErrQueueFull
 	}
 	select {
-	case o.queue <- queued{frame: frame, at: time.Now()}:
+	case o.queue <- queued{frame: *frame, at: time.Now()}:
 		o.bytes += len(frame.Body)
 		return nil
 	default:
