--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -48,7 +48,6 @@
 	options Options
 	ports   *ports
 	key     signingKey
-	ctx     context.Context
 
 	mu        sync.Mutex
 	standins  []*process
@@ -74,10 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{
-		options: o, ports: p, key: newSigningKey(o.Seed), ctx: ctx, hosts: make(map[string]platform.Host),
-		document: document(o.Services, p), published: make(map[uint64]time.Time),
-	}
+	d := &Deployment{options: o}
+	d.init(p)
 	if err := d.start(ctx); err != nil {
 		d.Stop()
 		return nil, err
@@ -85,6 +82,12 @@
 	return d, nil
 }
 
+func (d *Deployment) init(p *ports) {
+	d.ports, d.key = p, newSigningKey(d.options.Seed)
+	d.hosts, d.published = make(map[string]platform.Host), make(map[uint64]time.Time)
+	d.document = document(d.options.Services, p)
+}
+
 func (d *Deployment) start(ctx context.Context) error {
 	if err := os.MkdirAll(d.options.Dir, 0o755); err != nil {
 		return err
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,258 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/caller"
+	"github.com/marigoldwood/marigoldwood/internal/standin/target"
+)
+
+// Config configures a run.
+type Config struct {
+	Bin      string // directory of the programs
+	Out      string // directory for results
+	Seed     uint64
+	Scale    float64 // part of the full number of flows and requests; 0 means 1
+	Progress Progress
+}
+
+// Run is one run of an experiment.
+type Run struct {
+	Config
+	Report     *Report
+	name       string
+	deployment *Deployment
+}
+
+type experiment func(ctx context.Context, r *Run) error
+
+// experiments by name.
+var experiments = map[string]experiment{
+	"demo":    demo,
+	"replace": replaceAll,
+	"kill":    killOne,
+	"pause":   pause,
+	"bundles": bundles,
+}
+
+// Names returns the names of all experiments, sorted.
+func Names() []string { return slices.Sorted(maps.Keys(experiments)) }
+
+// Do runs an experiment and writes its report. The report is valid, though it may be incomplete, when there is an error.
+func Do(ctx context.Context, name string, c Config) (*Report, error) {
+	run := experiments[name]
+	if run == nil {
+		return nil, fmt.Errorf("no experiment %q; there are %v", name, Names())
+	}
+	if c.Scale == 0 {
+		c.Scale = 1
+	}
+	r := &Run{Config: c, Report: NewReport(name, c.Seed), name: name}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return r.Report, err
+	}
+	err := run(ctx, r)
+	if r.deployment != nil {
+		if err == nil {
+			err = r.deployment.Check()
+		}
+		r.deployment.Stop()
+	}
+	path, writeErr := r.Report.Write(c.Out)
+	if writeErr == nil {
+		c.Progress.Step("results in %s", path)
+	}
+	return r.Report, errors.Join(err, writeErr)
+}
+
+// deploy starts the deployment of the run. An earlier one is stopped.
+func (r *Run) deploy(ctx context.Context, o Options) (*Deployment, error) {
+	if r.deployment != nil {
+		r.deployment.Stop()
+		r.deployment = nil
+	}
+	o.Bin, o.Seed, o.Progress = r.Bin, r.Seed, r.Progress
+	o.Dir = filepath.Join(r.Out, r.name)
+	if err := os.RemoveAll(o.Dir); err != nil {
+		return nil, err
+	}
+	r.Progress.Step("starting %d balancers and %d targets", o.Balancers, len(targetSpecs(o.Services)))
+	d, err := Start(ctx, o)
+	r.deployment = d
+	return d, err
+}
+
+// scaled returns a number of flows or requests at the scale of the run.
+func (r *Run) scaled(n int) int { return max(1, int(float64(n)*r.Scale)) }
+
+// outcome is what callers and targets saw in a run.
+type outcome struct {
+	Calls         caller.Result
+	Targets       []target.Counters
+	Runs          target.Summary
+	FalseRefusals []target.FlowID
+	Statuses      []Status
+}
+
+// finish ends the callers and collects what was seen.
+func (r *Run) finish(ctx context.Context, wait time.Duration) (o outcome, err error) {
+	d := r.deployment
+	r.Progress.Step("closing sessions")
+	for _, b := range d.Running() {
+		if s, err := d.Status(ctx, b); err == nil {
+			o.Statuses = append(o.Statuses, s)
+		}
+	}
+	if o.Calls, err = d.FinishCalls(ctx, wait); err != nil {
+		return o, err
+	}
+	if o.Targets, err = d.Targets(ctx); err != nil {
+		return o, err
+	}
+	if o.Runs, err = d.Runs(ctx); err != nil {
+		return o, err
+	}
+	if o.FalseRefusals, err = d.FalseRefusals(ctx); err != nil {
+		return o, err
+	}
+	r.Report.Figures["calls"] = o.Calls
+	r.Report.Figures["targets"] = o.Targets
+	r.Report.Figures["runs"] = o.Runs
+	r.Report.Figures["status"] = o.Statuses
+	if fabric, err := d.Fabric(ctx); err == nil {
+		r.Report.Figures["fabric"] = fabric
+	}
+	if platform, err := d.Platform(ctx); err == nil {
+		r.Report.Figures["platform"] = platform
+	}
+	return o, nil
+}
+
+// openSessions is the number of sessions that were open at some time.
+func (o *outcome) openSessions() (n uint64) {
+	for _, g := range o.Calls.Sessions {
+		n += g.Opened
+	}
+	return n
+}
+
+// brokenSessions counts sessions that did not open, ended early, or lost or mixed up data.
+func (o *outcome) brokenSessions() (n uint64) {
+	for _, g := range o.Calls.Sessions {
+		n += g.Broken + g.Refused + g.OpenTimedOut + g.Lost + g.Truncated + g.Reordered
+	}
+	return n
+}
+
+// brokenRequests counts requests without a whole answer and without a refusal.
+func (o *outcome) brokenRequests() (n uint64) {
+	for _, l := range o.Calls.Loads {
+		n += l.Reset + l.TimedOut + l.Truncated
+	}
+	return n
+}
+
+func (o *outcome) requests() (n uint64) {
+	for _, l := range o.Calls.Loads {
+		n += l.Sent
+	}
+	return n
+}
+
+// foreign counts packets and answers that crossed services, in either direction.
+func (o *outcome) foreign() (n uint64) {
+	for _, t := range o.Targets {
+		n += t.Foreign
+	}
+	for _, g := range o.Calls.Sessions {
+		n += g.Foreign
+	}
+	for _, l := range o.Calls.Loads {
+		n += l.Foreign
+	}
+	return n
+}
+
+// mixed counts answers to another request, and answers on a session by another target than its own.
+func (o *outcome) mixed() (n uint64) {
+	for _, g := range o.Calls.Sessions {
+		n += g.Mixed
+	}
+	for _, l := range o.Calls.Loads {
+		n += l.Mixed
+	}
+	return n
+}
+
+func (o *outcome) falseRefusals() uint64 {
+	n := uint64(len(o.FalseRefusals))
+	for _, l := range o.Calls.Loads {
+		n += l.RefusedAfterAnswer
+	}
+	return n
+}
+
+func (o *outcome) lateFlows() (n uint64) {
+	for _, t := range o.Targets {
+		n += t.LateFlows
+	}
+	return n
+}
+
+// safety adds the goals that hold in every run, whatever fails.
+func (r *Run) safety(o *outcome) {
+	r.Report.AtMost("foreign packets", float64(o.foreign()), 0, "")
+	r.Report.AtMost("answers mixed up", float64(o.mixed()), 0, "")
+	r.Report.AtMost("requests run twice", float64(len(o.Runs.Twice)), 0, "")
+	r.Report.AtMost("false refusals", float64(o.falseRefusals()), 0, "")
+	r.Report.AtMost("new flows at leaving targets after 3 s", float64(o.lateFlows()), 0, "")
+}
+
+// planned adds the goals of runs in which every change is planned.
+func (r *Run) planned(o *outcome) {
+	r.Report.AtMost("broken sessions", float64(o.brokenSessions()), 0, fmt.Sprintf("of %d", o.openSessions()))
+	r.Report.AtMost("requests without a whole answer", float64(o.brokenRequests()), 0, fmt.Sprintf("of %d", o.requests()))
+	r.safety(o)
+}
+
+// imbalance returns the maximum over the mean of open connections of the targets of a service that take new flows.
+func imbalance(all []target.Counters, service string, leaving ...string) float64 {
+	sum, most, n := 0, 0, 0
+	for _, t := range all {
+		if t.Service != service || slices.Contains(leaving, t.Address) {
+			continue
+		}
+		n++
+		sum += t.Connections
+		most = max(most, t.Connections)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(most) * float64(n) / float64(sum)
+}
+
+// waitSessions waits until the number of sessions is open.
+func (r *Run) waitSessions(ctx context.Context, n int, limit time.Duration) error {
+	return waitFor(ctx, limit, func(ctx context.Context) error {
+		result, err := r.deployment.Calls(ctx)
+		if err != nil {
+			return err
+		}
+		open := 0
+		for _, g := range result.Sessions {
+			open += int(g.Opened)
+		}
+		if open < n {
+			return fmt.Errorf("%d of %d sessions are open", open, n)
+		}
+		return nil
+	})
+}
