--- a/rollout/core.go
+++ b/rollout/core.go
@@ -86,8 +86,8 @@
 
 	reading  reading
 	fetch    *fetch
-	deltas   map[uint64][]byte // by sum of the old envelope; all lead to the newest bundle
-	refused  map[DigestPrefix]time.Duration
+	deltas   map[uint64][]byte              // by sum of the old envelope; all lead to the newest bundle
+	refused  map[DigestPrefix]time.Duration // digests that are not fetched, and until when
 	lastCode resultcode.Code
 	conflict uint64
 }
--- a/rollout/event.go
+++ b/rollout/event.go
@@ -94,7 +94,7 @@
 	PlatformNotModified struct{ Revision string }
 
 	// PlatformFailed is a platform read without a usable answer.
-	PlatformFailed struct{ Code resultcode.Code }
+	PlatformFailed struct{ Err error }
 
 	// PeerAnnounced is an announcement from another balancer.
 	PeerAnnounced struct{ Announcement Announcement }
--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -39,6 +39,13 @@
 // the validity of keys depends on the time.
 const retryRefused = 30 * time.Second
 
+// maxAttempts is the number of requests without an answer after which a version is taken for one that cannot be had for
+// now, so that a peer that announces what it does not deliver keeps nobody from the version that the others have.
+const maxAttempts = 10
+
+// retryUnanswered is the time for which such a version is not asked for.
+const retryUnanswered = 3 * time.Second
+
 // maxRefused bounds the remembered refusals.
 const maxRefused = 64
 
@@ -86,8 +93,7 @@
 }
 
 func (c *Core) wasRefused(d DigestPrefix) bool {
-	at, found := c.refused[d]
-	return found && c.now-at < retryRefused
+	return c.now < c.refused[d]
 }
 
 // request asks a random holder of the version, in the own data centre if there is one, for what is missing.
@@ -109,6 +115,11 @@
 		c.fetch = nil
 		return
 	}
+	if f.attempts >= maxAttempts {
+		c.avoid(f.digest, retryUnanswered)
+		c.fetch = nil
+		return
+	}
 	f.from = to[0]
 	f.deadline = c.now + min(minFetchTimeout<<min(max(f.attempts-steadyAttempts, 0), 8), maxFetchTimeout)
 	f.attempts++
@@ -231,15 +242,16 @@
 	digest := c.fetch.digest
 	c.fetch = nil
 	if c.offer(envelope, from); c.newest().bundle == nil || PrefixOf(c.newest().bundle) != digest {
-		c.rememberRefusal(digest)
+		c.avoid(digest, retryRefused)
 	}
 }
 
-func (c *Core) rememberRefusal(d DigestPrefix) {
+// avoid keeps a digest from being fetched for a time.
+func (c *Core) avoid(digest DigestPrefix, wait time.Duration) {
 	if len(c.refused) >= maxRefused {
 		clear(c.refused)
 	}
-	c.refused[d] = c.now
+	c.refused[digest] = c.now + wait
 }
 
 // serve answers a request of a peer. A request for a version that is not held is answered with an announcement, which
@@ -334,7 +346,11 @@
 		c.reportConflict(v.Version, from)
 		return
 	}
-	c.lastCode = code
-	c.event("bundle-refused", v.Version, code, v.Err.Error())
-	c.emit(BundleRefused{Version: v.Version, Code: code, Err: v.Err, From: from})
+	c.reportRefusal(BundleRefused{Version: v.Version, Code: code, Err: v.Err, From: from})
+}
+
+func (c *Core) reportRefusal(r BundleRefused) {
+	c.lastCode = r.Code
+	c.event("bundle-refused", r.Version, r.Code, r.Err.Error())
+	c.emit(r)
 }
--- a/rollout/network_test.go
+++ b/rollout/network_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 // Bytes that carry a message beside its body: IP, UDP and probe header with authentication, or IP, TCP and frame.
@@ -71,7 +72,7 @@
 	core                            *Core
 	epoch                           int
 	side                            int // hosts on different sides of a partition do not reach each other
-	down, paused                    bool
+	down, paused, noPlatform        bool
 	separated                       map[int]time.Duration // since when another host has been out of reach
 	nextTick, nextProbe, watchUntil time.Duration
 	watching                        bool
@@ -91,7 +92,6 @@
 	hosts           []*host
 	loss, duplicate float64
 	delay           time.Duration
-	platformDown    map[int]bool // by side
 	revision        int
 	content         []byte
 	calls           int
@@ -101,7 +101,7 @@
 }
 
 func newNetwork(seed uint64, centres ...int) *network {
-	n := &network{rng: rand.New(rand.NewPCG(seed, 1)), platformDown: map[int]bool{}, contents: map[uint64]DigestPrefix{}, reasons: map[Reason]int{}}
+	n := &network{rng: rand.New(rand.NewPCG(seed, 1)), contents: map[uint64]DigestPrefix{}, reasons: map[Reason]int{}}
 	for dc, size := range centres {
 		for range size {
 			name := fmt.Sprintf("h%d", len(n.hosts))
@@ -231,9 +231,9 @@
 	revision := fmt.Sprint(n.revision)
 	switch {
 	case !h.watching:
-	case n.platformDown[h.side]:
+	case h.noPlatform:
 		h.watching = false
-		n.handle(i, PlatformFailed{})
+		n.handle(i, PlatformFailed{resultcode.Errorf(resultcode.PlatformUnavailable, "", "down")})
 	case n.content != nil && h.watchAfter != revision:
 		h.watching = false
 		n.handle(i, PlatformBundle{revision, n.content})
--- a/rollout/platform.go
+++ b/rollout/platform.go
@@ -144,6 +144,9 @@
 	if !c.isReader() && c.now-r.lastRead > readSilence {
 		r.actingUntil = c.now + actingTime
 	}
+	if r.failures > 0 {
+		c.event("platform-read-restored", 0, resultcode.OK, "")
+	}
 	r.pending, r.failures, r.nextAt = false, 0, c.now
 	r.lastRead, r.everRead = c.now, true
 	if revision != "" {
@@ -173,7 +176,13 @@
 	}
 	r.pending, r.failures = false, r.failures+1
 	r.nextAt = c.now + delay/2 + c.jitter(delay)
-	if r.failures == 1 {
-		c.event("platform-read-failed", 0, e.Code, "")
+	if r.failures > 1 {
+		return
+	}
+	code := resultcode.Of(e.Err)
+	if code == resultcode.BundleTooLarge { // the platform answers, with what no balancer takes
+		c.reportRefusal(BundleRefused{Code: code, Err: e.Err})
+		return
 	}
+	c.event("platform-read-failed", 0, code, "")
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -39,8 +39,7 @@
 			case "heal":
 				n.heal()
 			case "platform":
-				side := rapid.IntRange(0, 1).Draw(t, "platform side")
-				n.platformDown[side] = !n.platformDown[side]
+				h.noPlatform = !h.noPlatform
 			}
 			n.run(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pass"))*time.Millisecond, nil)
 			if n.fault != "" {
@@ -48,7 +47,6 @@
 			}
 		}
 		n.heal()
-		n.platformDown = map[int]bool{}
 		n.loss = min(n.loss, 0.1)
 		for i, h := range n.hosts {
 			if h.down {
@@ -69,6 +67,13 @@
 	for _, h := range n.hosts {
 		h.side, h.paused = 0, false
 	}
+	n.platform(true, n.hosts)
+}
+
+func (n *network) platform(up bool, hosts []*host) {
+	for _, h := range hosts {
+		h.noPlatform = !up
+	}
 }
 
 func (n *network) versions() (all []uint64) {
@@ -123,7 +128,7 @@
 		before := n.calls
 		n.run(30*time.Second, nil)
 		normal := float64(n.calls-before) / 30
-		n.platformDown[0] = true
+		n.platform(false, n.hosts)
 		n.run(10*time.Second, nil)
 		before = n.calls
 		n.run(30*time.Second, nil)
