--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -229,8 +229,8 @@
 		envelope = append(envelope, chunk...)
 	}
 	if xxhash.Sum64(envelope) != c.fetch.sum {
-		c.fetch.chunks = nil
-		c.request()
+		c.avoid(c.fetch.digest, retryUnanswered)
+		c.fetch = nil
 		return
 	}
 	c.finishWith(envelope, from)
--- a/rollout/network_test.go
+++ b/rollout/network_test.go
@@ -29,10 +29,10 @@
 
 var testKey = ed25519.NewKeyFromSeed([]byte("rollout test key of 32 bytes .. "))
 
-// envelope returns a signed bundle with n targets.
-func envelope(version uint64, description string, n int) []byte {
+// envelope returns a signed bundle with n targets. Further top-level fields of the document come from fields.
+func envelope(version uint64, fields string, n int) []byte {
 	var b strings.Builder
-	fmt.Fprintf(&b, "version: %d\ndescription: %q\nservices:\n- {name: a, vni: 16, protocol: tcp, endpoints: [\"10.0.0.1:1\"], class: bulk, kind: short, idempotent: true, targets: [", version, description)
+	fmt.Fprintf(&b, "version: %d\n%s\nservices:\n- {name: a, vni: 16, protocol: tcp, endpoints: [\"10.0.0.1:1\"], class: bulk, kind: short, idempotent: true, targets: [", version, fields)
 	for i := range n {
 		fmt.Fprintf(&b, "{address: 10.1.%d.%d, data_centre: regina, weight: 10, health_port: 8080},", i/256, i%256)
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -88,33 +88,37 @@
 }
 
 // Guards against activation that takes longer than its goal, p99 2 s and at most 6 s, with 10% loss and 50 ms delay.
+// Activation on receipt is the baseline: a stage time of 1 ms ends before any peer can answer.
 func TestActivationTime(t *testing.T) {
 	const seed, versions = 1, 100
-	n := newNetwork(seed, 8)
-	n.loss, n.delay = 0.1, 50*time.Millisecond
-	n.publish(envelope(1, "", 15))
-	n.run(10*time.Second, n.everywhere(1))
-	var total, window []time.Duration
-	for v := uint64(2); v < 2+versions; v++ {
-		n.run(time.Second+time.Duration(n.rng.Int64N(int64(time.Second))), nil)
-		published := n.now
-		n.publish(envelope(v, "", 15))
-		if !n.run(6*time.Second, n.everywhere(v)) {
-			t.Fatalf("version %d is not in force everywhere after 6 s: %v", v, n.versions())
+	for _, way := range []struct{ name, fields string }{{"staged", ""}, {"on receipt", "activation: {max_stage_ms: 1}"}} {
+		n := newNetwork(seed, 8)
+		n.loss, n.delay = 0.1, 50*time.Millisecond
+		n.publish(envelope(1, way.fields, 15))
+		n.run(10*time.Second, n.everywhere(1))
+		var total, window []time.Duration
+		for v := uint64(2); v < 2+versions; v++ {
+			n.run(time.Second+time.Duration(n.rng.Int64N(int64(time.Second))), nil)
+			published := n.now
+			n.publish(envelope(v, way.fields, 15))
+			if !n.run(6*time.Second, n.everywhere(v)) {
+				t.Fatalf("version %d is not in force everywhere after 6 s: %v", v, n.versions())
+			}
+			var at []time.Duration
+			for _, h := range n.hosts {
+				at = append(at, h.inForceAt[v])
+			}
+			total = append(total, slices.Max(at)-published)
+			window = append(window, slices.Max(at)-slices.Min(at))
 		}
-		var at []time.Duration
-		for _, h := range n.hosts {
-			at = append(at, h.inForceAt[v])
+		slices.Sort(total)
+		slices.Sort(window)
+		t.Logf("%s: seed %d, %d hosts, %d versions, loss 10%%, delay 50 ms", way.name, seed, len(n.hosts), versions)
+		t.Logf("publication to in force everywhere p50 %v, p99 %v, max %v", quantile(total, 0.5), quantile(total, 0.99), total[versions-1])
+		t.Logf("two versions in force p50 %v, p99 %v, max %v; reasons %v", quantile(window, 0.5), quantile(window, 0.99), window[versions-1], n.reasons)
+		if n.fault != "" || quantile(total, 0.99) > 2*time.Second {
+			t.Errorf("p99 %v, limit 2 s; %s", quantile(total, 0.99), n.fault)
 		}
-		total = append(total, slices.Max(at)-published)
-		window = append(window, slices.Max(at)-slices.Min(at))
-	}
-	slices.Sort(total)
-	slices.Sort(window)
-	t.Logf("seed %d, %d hosts, %d versions, loss 10%%, delay 50 ms: publication to in force everywhere p50 %v, p99 %v, max %v", seed, len(n.hosts), versions, quantile(total, 0.5), quantile(total, 0.99), total[versions-1])
-	t.Logf("two versions in force p50 %v, p99 %v, max %v; reasons %v", quantile(window, 0.5), quantile(window, 0.99), window[versions-1], n.reasons)
-	if n.fault != "" || quantile(total, 0.99) > 2*time.Second {
-		t.Fatalf("p99 %v, limit 2 s; %s", quantile(total, 0.99), n.fault)
 	}
 }
 
@@ -156,7 +160,7 @@
 	n.run(5*time.Second, nil)
 	quiet = n.total() - quiet
 	before := n.total()
-	n.publish(envelope(2, "small change", targets))
+	n.publish(envelope(2, "description: small change", targets))
 	n.run(5*time.Second, nil)
 	if !n.everywhere(2)() {
 		t.Fatalf("the change is not in force: %v", n.versions())
