--- /dev/null
+++ b/internal/dataplane/fixture_test.go
@@ -0,0 +1,184 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/internal/geneve"
+	"github.com/marigoldwood/marigoldwood/internal/packet"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/placement"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+const testVNI = 20
+
+var endpoint = netip.MustParseAddrPort("10.0.0.1:80")
+
+// end is a socket that stands for the fabric, a target or another balancer.
+type end struct {
+	*net.UDPConn
+	addr netip.AddrPort
+}
+
+func newEnd(t testing.TB, address string) end {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(address), 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return end{c, c.LocalAddr().(*net.UDPAddr).AddrPort()}
+}
+
+// snapshotFor returns a snapshot that owns all buckets and serves a TCP service with one target and a UDP service.
+func snapshotFor(t testing.TB, target, peer netip.AddrPort) *forward.Snapshot {
+	b, err := bundle.Parse(fmt.Appendf(nil, `
+version: 1
+services:
+- {name: rounds, vni: %d, protocol: tcp, endpoints: ["10.0.0.1:80"], class: urgent, kind: session,
+   targets: [{address: %s, data_centre: dc, data_port: %d}]}
+- {name: claims, vni: 21, protocol: udp, endpoints: ["10.0.0.1:80"], class: urgent, kind: short, targets: []}
+`, testVNI, target.Addr(), target.Port()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &forward.Snapshot{
+		Self: 1, Incarnation: 1, DataCentre: "dc", Bundle: b, Map: ownership.Build([]membership.HostID{1, 2}),
+		Buckets:     new([ownership.BucketCount]forward.BucketState),
+		Peers:       map[membership.HostID]netip.AddrPort{2: peer},
+		PeerAddrs:   map[netip.Addr]membership.HostID{peer.Addr(): 2},
+		Services:    make(map[flow.ServiceID]*forward.ServiceState),
+		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
+	}
+	for i := range s.Buckets {
+		s.Buckets[i] = forward.BucketState{Role: forward.RoleOwner, InSync: true}
+	}
+	for _, info := range b.ServiceInfos() {
+		ss := &forward.ServiceState{Info: info, Table: placement.NewTable(info, "dc")}
+		for _, x := range ss.Table.Targets {
+			ss.Targets = append(ss.Targets, forward.TargetState{Eligible: true, Usable: true, Share: 1})
+			s.TargetAddrs[x.Addr] = info
+		}
+		s.Services[info.ID] = ss
+	}
+	return s
+}
+
+// plane is a running data plane with the ends around it.
+type plane struct {
+	*Dataplane
+	engine               *forward.Engine
+	fabric, target, peer end
+	snapshot             *forward.Snapshot
+	tick                 atomic.Int64 // nanoseconds
+}
+
+func newPlane(t testing.TB, admission forward.Admission) *plane {
+	p := &plane{fabric: newEnd(t, "127.31.0.1"), target: newEnd(t, "127.31.0.2"), peer: newEnd(t, "127.31.0.3")}
+	p.engine = forward.NewEngine(forward.Config{Flows: 1 << 16, Admission: admission})
+	p.snapshot = snapshotFor(t, p.target.addr, p.peer.addr)
+	p.engine.Publish(p.snapshot)
+	start := time.Now()
+	d, err := New(Config{
+		Listen: netip.MustParseAddrPort("127.31.0.9:0"), Workers: 2, Fabric: p.fabric.addr, Engine: p.engine,
+		Clock: func() time.Duration { return time.Since(start) },
+		Tick:  func() time.Duration { return time.Duration(p.tick.Load()) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Dataplane = d
+	p.tick.Store(int64(time.Hour)) // in the future: never too old
+	return p
+}
+
+func (p *plane) start(t testing.TB) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// inner returns a TCP or UDP packet from source to destination.
+func inner(t testing.TB, protocol flow.Protocol, source, destination netip.AddrPort, edit func(*layers.TCP)) []byte {
+	ip := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocol(protocol), SrcIP: source.Addr().AsSlice(), DstIP: destination.Addr().AsSlice(),
+	}
+	var transport gopacket.SerializableLayer = &layers.UDP{SrcPort: layers.UDPPort(source.Port()), DstPort: layers.UDPPort(destination.Port())}
+	if protocol == flow.TCP {
+		s := &layers.TCP{SrcPort: layers.TCPPort(source.Port()), DstPort: layers.TCPPort(destination.Port()), Seq: 1, Ack: 1}
+		edit(s)
+		transport = s
+	}
+	buffer := gopacket.NewSerializeBuffer()
+	if err := gopacket.SerializeLayers(buffer, gopacket.SerializeOptions{FixLengths: true}, ip, transport); err != nil {
+		t.Fatal(err)
+	}
+	return buffer.Bytes()
+}
+
+func encapsulate(h geneve.Header, inner []byte) []byte {
+	b := append(make([]byte, geneve.MaxHeaderBytes), inner...)
+	return b[geneve.Put(b, geneve.MaxHeaderBytes, &h):]
+}
+
+func (p *plane) send(t testing.TB, from end, h geneve.Header, inner []byte) {
+	t.Helper()
+	if _, err := from.WriteToUDPAddrPort(encapsulate(h, inner), p.Addr()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive returns the next packet at an end.
+func receive(t testing.TB, at end) (h geneve.Header, p forward.Packet, inner []byte) {
+	t.Helper()
+	b := make([]byte, 2048)
+	_ = at.SetReadDeadline(time.Now().Add(5 * time.Second))
+	n, err := at.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inner, code := geneve.Decode(b[:n], &h)
+	if code == resultcode.OK {
+		packet.Parse(inner, &p) // ICMP leaves p empty
+	}
+	return h, p, inner
+}
+
+// waitFor waits for a condition that a goroutine brings about.
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for range 5000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("waited 5 s for " + what)
+}
+
+func (p *plane) codeCount(code resultcode.Code) (count uint64) {
+	p.engine.Codes(func(c resultcode.Code, n uint64) {
+		if c == code {
+			count = n
+		}
+	})
+	return count
+}
