--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -11,7 +11,6 @@
 	"github.com/marigoldwood/marigoldwood/internal/peer"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
-	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/rollout"
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
@@ -73,7 +72,7 @@
 }
 
 func (e platformError) apply(l *Loop) {
-	l.applyRollout(l.rollout.Handle(l.now, rollout.PlatformFailed{Code: resultcode.Of(e.err)}))
+	l.applyRollout(l.rollout.Handle(l.now, rollout.PlatformFailed{Err: e.err}))
 }
 
 // bundleStaged starts to copy the flows whose default target the bundle will change, so that few copies are missing
