Look at buckets on a tick only when one waits

Cause: every 50 ms tick walked 4,096 buckets twice; a CPU profile of an idle balancer among 8 gave 40% of its samples to it.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -99,7 +99,6 @@
 	state       lifecycle
 	refreshing  bool
 	dirty       bool // the snapshot is out of date
-	publication uint64
 	inForceAt   time.Time
 	platform    platformCalls
 	tables      tableCache
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -65,18 +65,20 @@
 
 // Handover moves buckets between this member and others. It is not safe for use by several goroutines.
 type Handover struct {
-	self      membership.HostID
-	copies    Copies
-	rng       *rand.Rand
-	now       time.Duration
-	out       []Effect
-	current   *Map // nil before the first map
-	reachable map[membership.HostID]bool
-	buckets   [BucketCount]bucket
-	granted   map[Bucket]granted
-	number    uint64
-	dirty     bool
-	quiesce   bool
+	self       membership.HostID
+	copies     Copies
+	rng        *rand.Rand
+	now        time.Duration
+	out        []Effect
+	current    *Map // nil before the first map
+	reachable  map[membership.HostID]bool
+	buckets    [BucketCount]bucket
+	granted    map[Bucket]granted
+	number     uint64
+	dirty      bool
+	quiesce    bool
+	nextForget time.Duration
+	idle       bool // no bucket waits for anything, so that a tick need not look at them
 }
 
 // NewHandover returns a handover that owns nothing.
@@ -99,9 +101,14 @@
 	case Collected:
 		h.sendGranted(&e)
 	case Tick:
+		if h.idle {
+			h.forgetGranted()
+			return nil
+		}
 	}
 	h.expire()
 	h.send()
+	h.idle = !h.waiting()
 	if h.dirty {
 		h.number++
 		for b := range h.buckets {
@@ -231,9 +238,29 @@
 			h.own(k, false, h.now)
 		}
 	}
+	h.forgetGranted()
+}
+
+// forgetGranted drops old grants, looking at them once a second: a large handover leaves thousands.
+func (h *Handover) forgetGranted() {
+	if h.now < h.nextForget {
+		return
+	}
+	h.nextForget = h.now + time.Second
 	for b, g := range h.granted {
 		if h.now >= g.until {
 			delete(h.granted, b)
 		}
 	}
 }
+
+// waiting reports whether a bucket waits for an answer, a claim or its release.
+func (h *Handover) waiting() bool {
+	for b := range h.buckets {
+		k := &h.buckets[b]
+		if k.phase == phaseAcquiring || k.phase == phaseReleasing || k.merging || k.since > 0 {
+			return true
+		}
+	}
+	return false
+}
