--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,245 @@
+package admission
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+const (
+	// standingGoal is the wait that a standing queue is held to. A queue that has not been empty for standingAfter is
+	// standing: waiting longer in it serves nobody, because work leaves it no faster.
+	standingGoal  = 20 * time.Millisecond
+	standingAfter = 100 * time.Millisecond
+	// burstWait is the longest wait in a queue that is not standing. A burst that does not pass within it is a standing
+	// queue.
+	burstWait = standingAfter
+	// maxWaiting bounds the flows that wait in one queue, and with it the memory that callers can make the balancer use.
+	maxWaiting   = 4096
+	turnInterval = 25 * time.Millisecond
+)
+
+// waiting is a flow that waits for a slot.
+type waiting struct {
+	key     flow.Key
+	hash    uint64
+	service *service
+	since   time.Duration
+	prefix  netip.Prefix
+}
+
+// pool is the set of services that share targets, and their queues.
+type pool struct {
+	services []*service
+	targets  []*target
+	queues   [2]queue // by class
+	byKey    map[flow.Key]*waiting
+	turn     int
+	turned   time.Duration
+}
+
+// queue holds the waiting flows of one class: one list for each caller prefix.
+type queue struct {
+	callers map[netip.Prefix]*caller
+	order   []*caller // callers with waiting flows
+	waiting int
+	virtual float64       // work given to the caller served last, in pieces
+	emptyAt time.Duration // when the queue was last empty
+}
+
+// caller is the state of one caller prefix in one queue.
+type caller struct {
+	prefix netip.Prefix
+	flows  []*waiting
+	served float64 // virtual time: work given to the prefix
+}
+
+func newPool() *pool {
+	p := &pool{byKey: make(map[flow.Key]*waiting)}
+	for i := range p.queues {
+		p.queues[i].callers = make(map[netip.Prefix]*caller)
+	}
+	return p
+}
+
+func (q *queue) len() int { return q.waiting }
+
+func (q *queue) standing(now time.Duration) bool {
+	return q.waiting > 0 && now-q.emptyAt > standingAfter
+}
+
+// prefixOf returns the prefix that shares are counted for: /24 for IPv4 and /56 for IPv6, the usual size of one site.
+func prefixOf(k flow.Key) netip.Prefix {
+	addr := k.CallerAddrPort().Addr()
+	bits := 56
+	if addr.Is4() {
+		bits = 24
+	}
+	p, _ := addr.Prefix(bits) // the length fits the address
+	return p
+}
+
+// mayPass reports whether a new flow may take a free slot without waiting: nothing of its class or of a more important
+// one waits.
+func (p *pool) mayPass(s *service, off parts) bool {
+	if off.noClasses {
+		return p.queues[0].waiting == 0
+	}
+	for class := 0; class <= int(s.class); class++ {
+		if p.queues[class].waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *pool) queueOf(w *waiting, off parts) *queue {
+	if off.noClasses {
+		return &p.queues[0]
+	}
+	return &p.queues[w.service.class]
+}
+
+// admitToQueue lets a flow wait, or returns why it is refused.
+func (p *pool) admitToQueue(now time.Duration, w *waiting, off parts) resultcode.Code {
+	q := p.queueOf(w, off)
+	if w.service.waitLimit(now, q, off) <= 0 {
+		return resultcode.RefusedDeadline
+	}
+	if off.noFairShare {
+		w.prefix = netip.Prefix{}
+	}
+	c := q.callers[w.prefix]
+	if q.waiting >= maxWaiting && (c == nil || len(c.flows) > maxWaiting/max(1, len(q.order))) {
+		return resultcode.RefusedFairShare
+	}
+	if q.waiting >= 2*maxWaiting {
+		return resultcode.RefusedNoSlot
+	}
+	if q.waiting == 0 {
+		q.emptyAt = now
+	}
+	if c == nil {
+		c = &caller{prefix: w.prefix, served: q.virtual}
+		q.callers[w.prefix] = c
+	}
+	if len(c.flows) == 0 {
+		c.served = max(c.served, q.virtual)
+		q.order = append(q.order, c)
+	}
+	c.flows = append(c.flows, w)
+	q.waiting++
+	p.byKey[w.key] = w
+	return resultcode.OK
+}
+
+// waitLimit returns how long a flow may wait: never so long that an answer of typical duration would be past the
+// deadline, and in a standing queue no longer than the goal.
+func (s *service) waitLimit(now time.Duration, q *queue, off parts) time.Duration {
+	limit := burstWait
+	if q.standing(now) {
+		limit = standingGoal
+	}
+	if off.noWaitLimit {
+		limit = time.Hour
+	}
+	if d := s.state.Info.Deadline; d > 0 {
+		limit = min(limit, d-s.typical)
+	}
+	return limit
+}
+
+// expire refuses the flows whose wait is over. Within one caller the oldest flow is first.
+func (p *pool) expire(now time.Duration, off parts, refused func(*waiting, resultcode.Code)) {
+	for class := range p.queues {
+		q := &p.queues[class]
+		for i := 0; i < len(q.order); i++ {
+			c := q.order[i]
+			for len(c.flows) > 0 {
+				w := c.flows[0]
+				if now-w.since < w.service.waitLimit(now, q, off) {
+					break
+				}
+				code := resultcode.RefusedNoSlot
+				if d := w.service.state.Info.Deadline; d > 0 && now-w.since >= d-w.service.typical {
+					code = resultcode.RefusedDeadline
+				}
+				p.forget(w)
+				refused(w, code)
+			}
+			if i < len(q.order) && q.order[i] != c {
+				i--
+			}
+		}
+	}
+}
+
+// next returns the waiting flow to serve: urgent before bulk, then of the caller that was given the least, then the
+// oldest. Flows of services that can use no free slot are passed over.
+func (p *pool) next(hasSlot func(*service) bool) *waiting {
+	for _, s := range p.services {
+		s.ready = hasSlot(s)
+	}
+	for class := range p.queues {
+		q := &p.queues[class]
+		var best *caller
+		for _, c := range q.order {
+			if (best == nil || c.served < best.served) && c.flows[0].service.ready {
+				best = c
+			}
+		}
+		if best != nil {
+			q.virtual = max(q.virtual, best.served)
+			return best.flows[0]
+		}
+	}
+	return nil
+}
+
+// charge records that a slot was given to the flow's caller.
+func (p *pool) charge(w *waiting, off parts) {
+	q := p.queueOf(w, off)
+	if c := q.callers[w.prefix]; c != nil {
+		c.served++
+	}
+}
+
+// forget removes a flow from its queue.
+func (p *pool) forget(w *waiting) {
+	delete(p.byKey, w.key)
+	for class := range p.queues {
+		q := &p.queues[class]
+		c := q.callers[w.prefix]
+		if c == nil {
+			continue
+		}
+		for i, x := range c.flows {
+			if x != w {
+				continue
+			}
+			c.flows = append(c.flows[:i], c.flows[i+1:]...)
+			q.waiting--
+			if len(c.flows) == 0 {
+				q.remove(c)
+			}
+			return
+		}
+	}
+}
+
+// remove takes a caller without waiting flows out of the order. Its account is kept while others wait, so that a caller
+// cannot reset it by pausing.
+func (q *queue) remove(c *caller) {
+	for i, x := range q.order {
+		if x == c {
+			q.order = append(q.order[:i], q.order[i+1:]...)
+			break
+		}
+	}
+	if q.waiting == 0 {
+		clear(q.callers)
+		q.virtual = 0
+	}
+}
--- /dev/null
+++ b/admission/service.go
@@ -0,0 +1,181 @@
+package admission
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/limits"
+	"github.com/marigoldwood/marigoldwood/placement"
+)
+
+const (
+	durationWindow = 10 * time.Second
+	// durationLearned is the number of answers from which a service's durations are used.
+	durationLearned = 20
+)
+
+// service is what the controller knows of one service.
+type service struct {
+	state   *forward.ServiceState
+	class   limits.Class
+	pool    *pool
+	targets []*target // by position in the service's table
+	byID    map[flow.TargetID]*target
+	view    loadView
+	took    [2]*hdrhistogram.Histogram // microseconds; current and previous window
+	turned  time.Duration
+	typical time.Duration // median, 0 until learned
+	late    time.Duration // 95th percentile, 0 until learned
+	budget  budget
+	ready   bool // a slot can be taken; valid during one dispatch
+}
+
+// target is what the controller knows of one target address. Services that list the same address share it.
+type target struct {
+	slots, connections limits.ResourceID
+	running            []run // work of this balancer; for sessions only counted
+	inFlight           map[*service]int
+	counts             [2]int // slots in use by class
+}
+
+// run is one piece of work in progress.
+type run struct {
+	service *service
+	started time.Duration
+}
+
+// observe records the newest state of a service and returns what is known of it, or nil without targets.
+func (c *Controller) observe(state *forward.ServiceState) *service {
+	if state == nil || len(state.Table.Targets) == 0 {
+		return nil
+	}
+	s := c.services[state.Info.ID]
+	if s == nil {
+		s = &service{}
+		for i := range s.took {
+			s.took[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 2)
+		}
+		c.services[state.Info.ID] = s
+	}
+	if s.state == state {
+		return s
+	}
+	tableChanged := s.state == nil || s.state.Table != state.Table
+	s.state = state
+	s.class = limits.Urgent
+	if state.Info.Class == bundle.ClassBulk {
+		s.class = limits.Bulk
+	}
+	if tableChanged {
+		c.setTargets(s)
+	}
+	return s
+}
+
+func (c *Controller) setTargets(s *service) {
+	s.targets, s.byID = nil, make(map[flow.TargetID]*target)
+	var lowest netip.Addr
+	for i := range s.state.Table.Targets {
+		info := &s.state.Table.Targets[i]
+		t := c.targets[info.Addr]
+		if t == nil {
+			t = &target{
+				slots: limits.SlotsOf(info.DataCentre, info.Addr), connections: limits.ConnectionsOf(info.DataCentre, info.Addr),
+				inFlight: make(map[*service]int),
+			}
+			c.targets[info.Addr] = t
+		}
+		s.targets = append(s.targets, t)
+		s.byID[info.ID] = t
+		if i == 0 || info.Addr.Less(lowest) {
+			lowest = info.Addr
+		}
+	}
+	s.view.service = s
+	p := c.pools[lowest]
+	if p == nil {
+		p = newPool()
+		c.pools[lowest] = p
+		c.order = append(c.order, p)
+	}
+	s.pool = p
+	if !slices.Contains(p.services, s) {
+		p.services = append(p.services, s)
+	}
+	p.targets = s.targets
+}
+
+func (s *service) slots() int { return s.state.Info.Limits.SlotsPerTarget }
+
+func (s *service) anyEligible() bool {
+	return slices.ContainsFunc(s.state.Targets, func(t forward.TargetState) bool { return t.Eligible })
+}
+
+// start records that work starts at the target at position i.
+func (s *service) start(now time.Duration, i int) {
+	t := s.targets[i]
+	t.inFlight[s]++
+	if s.state.Info.Kind != bundle.KindSession {
+		t.counts[s.class]++
+		t.running = append(t.running, run{s, now})
+	}
+}
+
+// remove forgets the work of a service that started closest to the given time. It reports false when there is none.
+func (t *target) remove(s *service, started time.Duration) bool {
+	if t.inFlight[s] == 0 {
+		return false
+	}
+	t.inFlight[s]--
+	best, bestGap := -1, time.Duration(0)
+	for i, r := range t.running {
+		if gap := (r.started - started).Abs(); r.service == s && (best < 0 || gap < bestGap) {
+			best, bestGap = i, gap
+		}
+	}
+	if best >= 0 {
+		t.counts[s.class]--
+		t.running = slices.Delete(t.running, best, best+1)
+	}
+	return true
+}
+
+// observeDuration learns from the duration of one answer.
+func (s *service) observeDuration(now, took time.Duration) {
+	if now-s.turned >= durationWindow {
+		s.took[0], s.took[1], s.turned = s.took[1], s.took[0], now
+		s.took[0].Reset()
+	}
+	_ = s.took[0].RecordValue(max(1, took.Microseconds())) // a value out of range is longer than any deadline
+	if n := s.took[0].TotalCount(); n < durationLearned || n%durationLearned != 0 {
+		return
+	}
+	s.typical = time.Duration(s.took[0].ValueAtQuantile(50)) * time.Microsecond
+	s.late = time.Duration(s.took[0].ValueAtQuantile(95)) * time.Microsecond
+}
+
+// loadView shows a strategy the targets that may be used, with the work of this balancer counted at once.
+type loadView struct {
+	service *service
+	base    placement.View
+	allowed func(int) bool
+}
+
+// Eligible implements placement.View.
+func (v *loadView) Eligible(i int) bool {
+	return v.base.Eligible(i) && (v.allowed == nil || v.allowed(i))
+}
+
+// Load implements placement.View. What a target reports lags, so the own work in progress is a lower bound.
+func (v *loadView) Load(i int) float64 {
+	return max(v.base.Load(i), float64(v.service.targets[i].inFlight[v.service]))
+}
+
+// Share implements placement.View.
+func (v *loadView) Share(i int) float64 { return v.base.Share(i) }
--- /dev/null
+++ b/admission/slots.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/limits"
+)
+
+// longFactor is the multiple of the typical duration beyond which work counts as running long, and longFloor the
+// shortest duration that does.
+const (
+	longFactor = 5
+	longFloor  = 50 * time.Millisecond
+)
+
+// The last-slot rule keeps long-running work from filling the slots that short work needs.
+//
+// The threshold of a pool is longFactor times the shortest typical (median) duration of its services. A piece of work is
+// long when it has run for longer than the threshold, or when its service's typical duration is above the threshold. A
+// service whose typical duration is above the threshold gets a slot of a target only if another slot of that target
+// stays free of long work. Work of other services, which may still turn out long, goes to the targets with the fewest
+// long pieces first.
+
+func (p *pool) threshold() time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, s := range p.services {
+		if s.typical > 0 {
+			shortest = min(shortest, s.typical)
+		}
+	}
+	if shortest == math.MaxInt64 {
+		return shortest
+	}
+	return max(longFloor, longFactor*shortest)
+}
+
+// long counts the pieces of long work at the target.
+func (t *target) long(now, threshold time.Duration) int {
+	n := 0
+	for _, r := range t.running {
+		if now-r.started > threshold || r.service.typical > threshold {
+			n++
+		}
+	}
+	return n
+}
+
+// free reports whether the target at position i has a slot for the service.
+func (c *Controller) free(now time.Duration, s *service, i int) bool {
+	state, t := &s.state.Targets[i], s.targets[i]
+	if !state.Eligible {
+		return false
+	}
+	used, slots := t.counts[limits.Urgent]+t.counts[limits.Bulk], s.slots()
+	// During slow start only a part of the slots is used, but always one.
+	if used >= max(1, int(math.Ceil(state.Share*float64(slots)))) {
+		return false
+	}
+	if c.leases != nil {
+		return c.leases.Free(now, t.slots, s.class) > 0
+	}
+	return s.class == limits.Urgent || t.counts[limits.Bulk] < slots-s.state.Info.Limits.ReservedUrgentSlots
+}
+
+// slotFor returns the position of the target whose slot a flow with the hash should get, or -1. Whether there is one does
+// not depend on the hash.
+func (c *Controller) slotFor(now time.Duration, s *service, hash uint64) int {
+	threshold := s.pool.threshold()
+	predicted := s.typical > threshold
+	best, bestLong, bestUsed := -1, 0, 0
+	def := s.state.Table.Default(hash)
+	for i, t := range s.targets {
+		if !c.free(now, s, i) {
+			continue
+		}
+		long := t.long(now, threshold)
+		if c.parts.noLastSlot {
+			long = 0
+		} else if predicted && long+1 >= s.slots() && s.slots() > 1 {
+			continue
+		}
+		if i == def && !c.parts.noDefault && long == 0 {
+			return i
+		}
+		used := len(t.running)
+		if best < 0 || long < bestLong || (long == bestLong && used < bestUsed) {
+			best, bestLong, bestUsed = i, long, used
+		}
+	}
+	return best
+}
+
+// takeSlot takes a slot for the flow and returns the position of the target, or -1.
+func (c *Controller) takeSlot(now time.Duration, w *waiting) int {
+	i := c.slotFor(now, w.service, w.hash)
+	if i < 0 || (c.leases != nil && !c.leases.Acquire(now, w.service.targets[i].slots, w.service.class)) {
+		return -1
+	}
+	w.service.start(now, i)
+	return i
+}
+
+// connectionFree reports whether the target at position i may get another connection of the service.
+func (c *Controller) connectionFree(now time.Duration, s *service, i int) bool {
+	t := s.targets[i]
+	if c.leases != nil {
+		return c.leases.Free(now, t.connections, s.class) > 0
+	}
+	return t.inFlight[s] < s.state.Info.Limits.ConnectionsPerTarget
+}
