--- /dev/null
+++ b/admission/harness_test.go
@@ -0,0 +1,273 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/placement"
+)
+
+// The harness is a discrete-event loop around a forward.Admission: callers arrive at random, targets have a number of
+// slots and a queue of their own for work that the policy gives them beyond that.
+
+const (
+	slotsPerTarget = 3
+	targetCount    = 15
+)
+
+// load describes the work that one service is offered.
+type load struct {
+	state    *forward.ServiceState
+	rate     func(now time.Duration) float64 // arrivals a second
+	mean     time.Duration                   // of the exponentially distributed duration
+	minimum  time.Duration                   // added to it
+	longPart float64
+	longBy   float64
+	callers  func(r *rand.Rand) netip.Addr
+}
+
+// outcome counts what became of the work of one service.
+type outcome struct {
+	offered, inTime, late, refused int
+	short                          *hdrhistogram.Histogram // answer time of short work, microseconds
+	longest                        time.Duration           // wait
+	useful                         time.Duration           // slot time of work answered in time
+	refusedBy                      map[netip.Prefix]int
+	answeredBy                     map[netip.Prefix]int
+}
+
+type job struct {
+	arrived, started, takes time.Duration
+	load                    int
+	long                    bool
+	target                  int
+	key                     flow.Key
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type agenda []simEvent
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].order < a[j].order)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(simEvent)) }
+func (a *agenda) Pop() any {
+	e := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return e
+}
+
+type simulation struct {
+	now      time.Duration
+	events   agenda
+	order    int
+	random   *rand.Rand
+	policy   forward.Admission
+	loads    []load
+	outcomes []outcome
+	busy     [targetCount]int
+	queues   [targetCount][]*job
+	waiting  map[flow.Key]*job
+	speed    func(target int, now time.Duration) float64
+	onDone   func(j *job, latency time.Duration)
+	port     uint32
+}
+
+func newSimulation(seed uint64, policy forward.Admission, loads ...load) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), policy: policy, loads: loads, waiting: make(map[flow.Key]*job)}
+	for range loads {
+		s.outcomes = append(s.outcomes, outcome{
+			short: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3), refusedBy: map[netip.Prefix]int{}, answeredBy: map[netip.Prefix]int{},
+		})
+	}
+	s.speed = func(int, time.Duration) float64 { return 1 }
+	return s
+}
+
+func (s *simulation) at(t time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.events, simEvent{t, s.order, do})
+}
+
+func (s *simulation) run(until time.Duration) {
+	for i := range s.loads {
+		s.arrive(i)
+	}
+	s.poll()
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// poll calls Poll every millisecond, as a traffic goroutine does.
+func (s *simulation) poll() {
+	s.release()
+	s.at(s.now+time.Millisecond, s.poll)
+}
+
+func (s *simulation) release() {
+	for _, r := range s.policy.Poll(s.now, nil) {
+		if j := s.waiting[r.Key]; j != nil {
+			delete(s.waiting, r.Key)
+			s.verdict(j, r.Verdict)
+		}
+	}
+}
+
+func (s *simulation) arrive(i int) {
+	const highest = 20000.0 // candidates a second; thinning gives the rate at each moment
+	gap := time.Duration(s.random.ExpFloat64() / highest * float64(time.Second))
+	s.at(s.now+gap, func() {
+		if s.random.Float64() < s.loads[i].rate(s.now)/highest {
+			s.ask(i)
+		}
+		s.arrive(i)
+	})
+}
+
+func (s *simulation) ask(i int) {
+	l := &s.loads[i]
+	j := &job{arrived: s.now, load: i, takes: l.minimum + time.Duration(s.random.ExpFloat64()*float64(l.mean))}
+	if s.random.Float64() < l.longPart {
+		j.long = true
+		j.takes = time.Duration(float64(j.takes) * l.longBy)
+	}
+	s.port++
+	caller := netip.AddrFrom4([4]byte{127, 1, byte(s.random.IntN(64)), 1})
+	if l.callers != nil {
+		caller = l.callers(s.random)
+	}
+	j.key = flow.Key{Caller: caller.As16(), CallerPort: uint16(s.port), Endpoint: flow.EndpointID(s.port>>16 + uint32(i)<<20)}
+	s.outcomes[i].offered++
+	r := forward.Request{Key: j.key, Hash: j.key.Hash(), Service: l.state, View: stateView{l.state}}
+	v := s.policy.Ask(s.now, r)
+	if v.Outcome == forward.Waiting {
+		s.waiting[j.key] = j
+		return
+	}
+	s.verdict(j, v)
+}
+
+func (s *simulation) verdict(j *job, v forward.Verdict) {
+	o := &s.outcomes[j.load]
+	o.longest = max(o.longest, s.now-j.arrived)
+	if v.Outcome == forward.Refused {
+		o.refused++
+		o.refusedBy[prefixOf(j.key)]++
+		return
+	}
+	j.target, j.started = v.Target, s.now
+	if s.busy[j.target] < slotsPerTarget {
+		s.work(j)
+		return
+	}
+	s.queues[j.target] = append(s.queues[j.target], j)
+}
+
+func (s *simulation) work(j *job) {
+	s.busy[j.target]++
+	o := &s.outcomes[j.load]
+	o.longest = max(o.longest, s.now-j.arrived)
+	takes := time.Duration(float64(j.takes) / s.speed(j.target, s.now))
+	s.at(s.now+takes, func() {
+		s.busy[j.target]--
+		s.finish(j, takes)
+		if q := s.queues[j.target]; len(q) > 0 && s.busy[j.target] < slotsPerTarget {
+			s.queues[j.target] = q[1:]
+			s.work(q[0])
+		}
+	})
+}
+
+func (s *simulation) finish(j *job, takes time.Duration) {
+	l, o := &s.loads[j.load], &s.outcomes[j.load]
+	latency := s.now - j.arrived
+	if d := l.state.Info.Deadline; d == 0 || latency <= d {
+		o.inTime++
+		o.useful += takes
+		o.answeredBy[prefixOf(j.key)]++
+	} else {
+		o.late++
+	}
+	if !j.long {
+		_ = o.short.RecordValue(latency.Microseconds())
+	}
+	if s.onDone != nil {
+		s.onDone(j, latency)
+	}
+	s.policy.Done(s.now, l.state.Info.ID, l.state.Table.Targets[j.target].ID, s.now-j.started, false)
+	s.release()
+}
+
+// stateView shows the state of a service as the traffic goroutines do.
+type stateView struct{ state *forward.ServiceState }
+
+func (v stateView) Eligible(i int) bool { return v.state.Targets[i].Eligible }
+func (v stateView) Load(i int) float64  { return v.state.Targets[i].Reported }
+func (v stateView) Share(i int) float64 { return v.state.Targets[i].Share }
+
+// newState returns a short service whose targets are shared by all services of a test.
+func newState(name, class string, deadline time.Duration, limits bundle.Limits) *forward.ServiceState {
+	info := &bundle.ServiceInfo{
+		Service: bundle.Service{Name: name, Class: class, Kind: bundle.KindShort, Limits: limits, Idempotent: true, Retry: bundle.Retry{BudgetPercent: 10}},
+		ID:      flow.NewServiceID(name), Deadline: deadline,
+	}
+	for i := range targetCount {
+		addr := netip.AddrFrom4([4]byte{127, 2, 0, byte(i + 1)})
+		info.Resolved = append(info.Resolved, bundle.TargetInfo{ID: flow.NewTargetID(name, "dc", addr), Addr: addr, DataCentre: "dc", Weight: 1})
+	}
+	s := &forward.ServiceState{Info: info, Table: placement.NewTable(info, "dc"), Strategy: placement.Bounded{LoadFactor: 1.1}}
+	for range targetCount {
+		s.Targets = append(s.Targets, forward.TargetState{Eligible: true, Usable: true, Share: 1})
+	}
+	return s
+}
+
+// unbounded is the baseline without admission: every flow is placed at once.
+type unbounded struct {
+	strategy placement.Strategy
+	inFlight [targetCount]float64
+}
+
+func (u *unbounded) Ask(_ time.Duration, r forward.Request) forward.Verdict {
+	i := u.strategy.Pick(r.Hash, r.Service.Table, u)
+	u.inFlight[i]++
+	return forward.Verdict{Outcome: forward.Admitted, Target: i}
+}
+
+func (u *unbounded) Done(_ time.Duration, _ flow.ServiceID, id flow.TargetID, _ time.Duration, _ bool) {
+	for i := range targetCount {
+		for _, name := range []string{"urgent", "bulk", "short", "archive"} {
+			if flow.NewTargetID(name, "dc", netip.AddrFrom4([4]byte{127, 2, 0, byte(i + 1)})) == id {
+				u.inFlight[i]--
+			}
+		}
+	}
+}
+func (u *unbounded) Cancel(time.Duration, flow.Key) {}
+func (u *unbounded) Poll(_ time.Duration, dst []forward.Released) []forward.Released { return dst }
+
+func (u *unbounded) Eligible(int) bool { return true }
+
+func (u *unbounded) Load(i int) float64 { return u.inFlight[i] }
+
+func (u *unbounded) Share(int) float64 { return 1 }
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond)) }
