--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -261,7 +261,7 @@
 		}
 	}
 }
-func (u *unbounded) Cancel(time.Duration, flow.Key) {}
+func (u *unbounded) Cancel(time.Duration, flow.Key)                                  {}
 func (u *unbounded) Poll(_ time.Duration, dst []forward.Released) []forward.Released { return dst }
 
 func (u *unbounded) Eligible(int) bool { return true }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// standingGoal is the wait that a standing queue is held to. A queue that has not been empty for standingAfter is
-	// standing: waiting longer in it serves nobody, because work leaves it no faster.
+	// standingGoal is the wait that a standing queue is held to. A queue whose oldest flow has waited longer than that at
+	// every moment of the last standingAfter is standing: waiting longer in it serves nobody, because work leaves it no
+	// faster.
 	standingGoal  = 20 * time.Millisecond
 	standingAfter = 100 * time.Millisecond
 	// burstWait is the longest wait in a queue that is not standing. A burst that does not pass within it is a standing
@@ -46,7 +47,7 @@
 	order   []*caller // callers with waiting flows
 	waiting int
 	virtual float64       // work given to the caller served last, in pieces
-	emptyAt time.Duration // when the queue was last empty
+	goalAt  time.Duration // when no flow last had waited longer than standingGoal
 }
 
 // caller is the state of one caller prefix in one queue.
@@ -66,8 +67,17 @@
 
 func (q *queue) len() int { return q.waiting }
 
+// oldest returns how long the flow that waits longest has waited.
+func (q *queue) oldest(now time.Duration) time.Duration {
+	var longest time.Duration
+	for _, c := range q.order {
+		longest = max(longest, now-c.flows[0].since)
+	}
+	return longest
+}
+
 func (q *queue) standing(now time.Duration) bool {
-	return q.waiting > 0 && now-q.emptyAt > standingAfter
+	return q.waiting > 0 && now-q.goalAt > standingAfter
 }
 
 // prefixOf returns the prefix that shares are counted for: /24 for IPv4 and /56 for IPv6, the usual size of one site.
@@ -119,7 +129,7 @@
 		return resultcode.RefusedNoSlot
 	}
 	if q.waiting == 0 {
-		q.emptyAt = now
+		q.goalAt = now
 	}
 	if c == nil {
 		c = &caller{prefix: w.prefix, served: q.virtual}
@@ -155,6 +165,9 @@
 func (p *pool) expire(now time.Duration, off parts, refused func(*waiting, resultcode.Code)) {
 	for class := range p.queues {
 		q := &p.queues[class]
+		if q.oldest(now) <= standingGoal {
+			q.goalAt = now
+		}
 		for i := 0; i < len(q.order); i++ {
 			c := q.order[i]
 			for len(c.flows) > 0 {
