--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -20,6 +21,9 @@
 	// maxWaiting bounds the flows that wait in one queue, and with it the memory that callers can make the balancer use.
 	maxWaiting   = 4096
 	turnInterval = 25 * time.Millisecond
+	// fairQuantum is how many pieces of work callers may differ by before the one with less goes first. Without it the
+	// order among callers with equal demand is arbitrary, and some of their flows wait past the goal.
+	fairQuantum = 4
 )
 
 // waiting is a flow that waits for a slot.
@@ -197,12 +201,7 @@
 	}
 	for class := range p.queues {
 		q := &p.queues[class]
-		var best *caller
-		for _, c := range q.order {
-			if (best == nil || c.served < best.served) && c.flows[0].service.ready {
-				best = c
-			}
-		}
+		best := q.fairest()
 		if best != nil {
 			q.virtual = max(q.virtual, best.served)
 			return best.flows[0]
@@ -211,6 +210,27 @@
 	return nil
 }
 
+// fairest returns the caller to serve next, or nil when none can be served: the one whose flow waits longest among those
+// that were given at most fairQuantum more than the one that was given the least.
+func (q *queue) fairest() *caller {
+	least := math.Inf(1)
+	for _, c := range q.order {
+		if c.flows[0].service.ready {
+			least = min(least, c.served)
+		}
+	}
+	var best *caller
+	for _, c := range q.order {
+		if !c.flows[0].service.ready || c.served > least+fairQuantum {
+			continue
+		}
+		if best == nil || c.flows[0].since < best.flows[0].since {
+			best = c
+		}
+	}
+	return best
+}
+
 // charge records that a slot was given to the flow's caller.
 func (p *pool) charge(w *waiting, off parts) {
 	q := p.queueOf(w, off)
--- a/health/outlier.go
+++ b/health/outlier.go
@@ -9,7 +9,7 @@
 const (
 	trafficWindow = 5 * time.Second // two windows are kept, so that counts cover 5 to 10 s
 	minAttempts   = 5               // fewer say nothing about a refusal ratio
-	refusalRatio  = 0.5             // of attempts; an outlier also refuses twice as often as the others together
+	refusalRatio  = 0.5             // of attempts; an outlier also refuses twice as often as the best target of its service
 	// A load under half of the mean is called idle, and answers over twice the median slow.
 	idleBelow = 0.5
 	slowAbove = 2.0
@@ -76,20 +76,20 @@
 	}
 }
 
-// ejectOutliers makes targets suspect that refuse far more than the rest of their service, as long as at least half of
+// ejectOutliers makes targets suspect that refuse far more than the best of their service, as long as at least half of
 // the service's targets stay eligible. The floor keeps a fault that all targets share, or a fault of this balancer, from
 // emptying the service.
 func (t *Tracker) ejectOutliers(now time.Duration, s *service) {
 	floor := (len(s.targets) + 1) / 2
-	eligible, all := 0, window{}
+	eligible, lowest := 0, 1.0
 	for _, x := range s.targets {
 		x.traffic.rotate(now)
 		if x.state.acceptsNew() {
 			eligible++
 		}
-		sum := x.traffic.total()
-		all.answers += sum.answers
-		all.refusals += sum.refusals
+		if ratio, known := x.traffic.refusalRatio(); known {
+			lowest = min(lowest, ratio)
+		}
 		if x.ejections > 0 && now-max(x.ejectedTil, x.since) > ejectionMemory {
 			x.ejections--
 			x.ejectedTil = now
@@ -99,23 +99,22 @@
 		if eligible <= floor {
 			return
 		}
-		if x.state.acceptsNew() && isOutlier(x.traffic.total(), all) {
+		ratio, known := x.traffic.refusalRatio()
+		if x.state.acceptsNew() && known && ratio >= refusalRatio && ratio >= 2*lowest {
 			t.ejectTarget(now, x)
 			eligible--
 		}
 	}
 }
 
-func isOutlier(own, all window) bool {
-	attempts := own.answers + own.refusals
-	if attempts < minAttempts || float64(own.refusals) < refusalRatio*float64(attempts) {
-		return false
-	}
-	others := float64(all.answers + all.refusals - attempts)
-	if others == 0 {
-		return true
+// refusalRatio returns the part of attempts that the target refused and whether there were enough attempts to tell.
+func (w *traffic) refusalRatio() (float64, bool) {
+	sum := w.total()
+	attempts := sum.answers + sum.refusals
+	if attempts < minAttempts {
+		return 0, false
 	}
-	return float64(own.refusals)/float64(attempts) >= 2*float64(all.refusals-own.refusals)/others
+	return float64(sum.refusals) / float64(attempts), true
 }
 
 func (t *Tracker) ejectTarget(now time.Duration, x *target) {
