--- a/admission/controller.go
+++ b/admission/controller.go
@@ -118,16 +118,21 @@
 	if !s.anyEligible() {
 		return refuse(resultcode.RefusedNoTarget)
 	}
+	p := s.pool
 	w := &waiting{key: r.Key, hash: r.Hash, service: s, since: now, prefix: prefixOf(r.Key)}
-	if s.pool.mayPass(s, c.parts) {
+	if len(p.byKey) == 0 {
 		if i := c.takeSlot(now, w); i >= 0 {
-			s.pool.charge(w, c.parts)
 			return forward.Verdict{Outcome: forward.Admitted, Target: i}
 		}
 	}
-	if code := s.pool.admitToQueue(now, w, c.parts); code != resultcode.OK {
+	if code := p.admitToQueue(now, w, c.parts); code != resultcode.OK {
 		return refuse(code)
 	}
+	c.dispatch(now, p)
+	if h, found := c.held[r.Key]; found {
+		c.unhold(r.Key)
+		return forward.Verdict{Outcome: forward.Admitted, Target: h.target}
+	}
 	return forward.Verdict{Outcome: forward.Waiting}
 }
 
@@ -220,7 +225,7 @@
 		c.released = append(c.released, forward.Released{Key: w.key, Verdict: refuse(code)})
 	})
 	for {
-		w := p.next(func(s *service) bool { return c.slotFor(now, s, 0) >= 0 })
+		w := p.next(c.parts, func(s *service) bool { return c.slotFor(now, s, 0) >= 0 })
 		if w == nil {
 			return
 		}
@@ -229,7 +234,7 @@
 			return
 		}
 		p.forget(w)
-		p.charge(w, c.parts)
+		w.service.queue.charge(w)
 		c.held[w.key] = hold{w.service, i, now}
 		c.released = append(c.released, forward.Released{Key: w.key, Verdict: forward.Verdict{Outcome: forward.Admitted, Target: i}})
 	}
@@ -240,12 +245,15 @@
 	if c.leases == nil || len(p.targets) == 0 {
 		return
 	}
-	for class := range p.queues {
-		waiting, n := p.queues[class].len(), len(p.targets)
+	var waiting [2]int
+	for _, s := range p.services {
+		waiting[s.class] += s.queue.waiting
+	}
+	for class, n := range waiting {
 		for i, t := range p.targets {
 			// The remainder starts at a position that moves, so that a single waiting flow asks every target in turn.
-			share := waiting / n
-			if (i+p.turn)%n < waiting%n {
+			share := n / len(p.targets)
+			if (i+p.turn)%len(p.targets) < n%len(p.targets) {
 				share++
 			}
 			c.leases.Wait(now, t.slots, limits.Class(class), share)
--- a/admission/crest_test.go
+++ b/admission/crest_test.go
@@ -46,8 +46,8 @@
 	urgent := newState("urgent", bundle.ClassUrgent, 250*time.Millisecond, limits)
 	bulk := newState("bulk", bundle.ClassBulk, time.Second, limits)
 	s := newSimulation(seed, policy,
-		load{state: urgent, rate: crest(0.15 * capacity), mean: workMean, minimum: workMin},
-		load{state: bulk, rate: crest(0.35 * capacity), mean: workMean, minimum: workMin})
+		load{state: urgent, rate: crest(0.15 * capacity), peak: 0.9 * capacity, mean: workMean, minimum: workMin},
+		load{state: bulk, rate: crest(0.35 * capacity), peak: 2.1 * capacity, mean: workMean, minimum: workMin})
 	var r crestResult
 	var useful time.Duration
 	slow := time.Duration(0)
@@ -86,7 +86,7 @@
 	if r.urgentInTime < 0.99 || r.goodput < 0.95 || r.normal > 2*time.Second {
 		t.Errorf("goals missed: urgent in time 0.99, goodput 0.95, normal within 2 s")
 	}
-	if testing.Short() {
+	if !*compare {
 		return
 	}
 	log("reserved 0", runCrest(seed, New(nil), 0))
--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -18,6 +19,9 @@
 // The harness is a discrete-event loop around a forward.Admission: callers arrive at random, targets have a number of
 // slots and a queue of their own for work that the policy gives them beyond that.
 
+// compare also runs the baselines and the policy with parts switched off, for the tables of decision 0004.
+var compare = flag.Bool("compare", false, "run baselines and ablations")
+
 const (
 	slotsPerTarget = 3
 	targetCount    = 15
@@ -27,6 +31,7 @@
 type load struct {
 	state    *forward.ServiceState
 	rate     func(now time.Duration) float64 // arrivals a second
+	peak     float64                         // highest rate
 	mean     time.Duration                   // of the exponentially distributed duration
 	minimum  time.Duration                   // added to it
 	longPart float64
@@ -132,7 +137,10 @@
 }
 
 func (s *simulation) arrive(i int) {
-	const highest = 20000.0 // candidates a second; thinning gives the rate at each moment
+	highest := s.loads[i].peak // candidates a second; thinning gives the rate at each moment
+	if highest == 0 {
+		return
+	}
 	gap := time.Duration(s.random.ExpFloat64() / highest * float64(time.Second))
 	s.at(s.now+gap, func() {
 		if s.random.Float64() < s.loads[i].rate(s.now)/highest {
@@ -223,6 +231,9 @@
 func (v stateView) Load(i int) float64  { return v.state.Targets[i].Reported }
 func (v stateView) Share(i int) float64 { return v.state.Targets[i].Share }
 
+// targetIndex holds the position of every target of the tests.
+var targetIndex = map[flow.TargetID]int{}
+
 // newState returns a short service whose targets are shared by all services of a test.
 func newState(name, class string, deadline time.Duration, limits bundle.Limits) *forward.ServiceState {
 	info := &bundle.ServiceInfo{
@@ -231,6 +242,7 @@
 	}
 	for i := range targetCount {
 		addr := netip.AddrFrom4([4]byte{127, 2, 0, byte(i + 1)})
+		targetIndex[flow.NewTargetID(name, "dc", addr)] = i
 		info.Resolved = append(info.Resolved, bundle.TargetInfo{ID: flow.NewTargetID(name, "dc", addr), Addr: addr, DataCentre: "dc", Weight: 1})
 	}
 	s := &forward.ServiceState{Info: info, Table: placement.NewTable(info, "dc"), Strategy: placement.Bounded{LoadFactor: 1.1}}
@@ -253,14 +265,9 @@
 }
 
 func (u *unbounded) Done(_ time.Duration, _ flow.ServiceID, id flow.TargetID, _ time.Duration, _ bool) {
-	for i := range targetCount {
-		for _, name := range []string{"urgent", "bulk", "short", "archive"} {
-			if flow.NewTargetID(name, "dc", netip.AddrFrom4([4]byte{127, 2, 0, byte(i + 1)})) == id {
-				u.inFlight[i]--
-			}
-		}
-	}
+	u.inFlight[targetIndex[id]]--
 }
+
 func (u *unbounded) Cancel(time.Duration, flow.Key)                                  {}
 func (u *unbounded) Poll(_ time.Duration, dst []forward.Released) []forward.Released { return dst }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -35,17 +36,16 @@
 	prefix  netip.Prefix
 }
 
-// pool is the set of services that share targets, and their queues.
+// pool is the set of services that share targets.
 type pool struct {
 	services []*service
 	targets  []*target
-	queues   [2]queue // by class
 	byKey    map[flow.Key]*waiting
 	turn     int
 	turned   time.Duration
 }
 
-// queue holds the waiting flows of one class: one list for each caller prefix.
+// queue holds the waiting flows of one service: one list for each caller prefix.
 type queue struct {
 	callers map[netip.Prefix]*caller
 	order   []*caller // callers with waiting flows
@@ -61,15 +61,7 @@
 	served float64 // virtual time: work given to the prefix
 }
 
-func newPool() *pool {
-	p := &pool{byKey: make(map[flow.Key]*waiting)}
-	for i := range p.queues {
-		p.queues[i].callers = make(map[netip.Prefix]*caller)
-	}
-	return p
-}
-
-func (q *queue) len() int { return q.waiting }
+func newPool() *pool { return &pool{byKey: make(map[flow.Key]*waiting)} }
 
 // oldest returns how long the flow that waits longest has waited.
 func (q *queue) oldest(now time.Duration) time.Duration {
@@ -95,31 +87,10 @@
 	return p
 }
 
-// mayPass reports whether a new flow may take a free slot without waiting: nothing of its class or of a more important
-// one waits.
-func (p *pool) mayPass(s *service, off parts) bool {
-	if off.noClasses {
-		return p.queues[0].waiting == 0
-	}
-	for class := 0; class <= int(s.class); class++ {
-		if p.queues[class].waiting > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func (p *pool) queueOf(w *waiting, off parts) *queue {
-	if off.noClasses {
-		return &p.queues[0]
-	}
-	return &p.queues[w.service.class]
-}
-
 // admitToQueue lets a flow wait, or returns why it is refused.
 func (p *pool) admitToQueue(now time.Duration, w *waiting, off parts) resultcode.Code {
-	q := p.queueOf(w, off)
-	if w.service.waitLimit(now, q, off) <= 0 {
+	q := &w.service.queue
+	if w.service.waitLimit(now, off) <= 0 {
 		return resultcode.RefusedDeadline
 	}
 	if off.noFairShare {
@@ -151,9 +122,9 @@
 
 // waitLimit returns how long a flow may wait: never so long that an answer of typical duration would be past the
 // deadline, and in a standing queue no longer than the goal.
-func (s *service) waitLimit(now time.Duration, q *queue, off parts) time.Duration {
+func (s *service) waitLimit(now time.Duration, off parts) time.Duration {
 	limit := burstWait
-	if q.standing(now) {
+	if s.queue.standing(now) {
 		limit = standingGoal
 	}
 	if off.noWaitLimit {
@@ -167,8 +138,8 @@
 
 // expire refuses the flows whose wait is over. Within one caller the oldest flow is first.
 func (p *pool) expire(now time.Duration, off parts, refused func(*waiting, resultcode.Code)) {
-	for class := range p.queues {
-		q := &p.queues[class]
+	for _, s := range p.services {
+		q := &s.queue
 		if q.oldest(now) <= standingGoal {
 			q.goalAt = now
 		}
@@ -176,7 +147,7 @@
 			c := q.order[i]
 			for len(c.flows) > 0 {
 				w := c.flows[0]
-				if now-w.since < w.service.waitLimit(now, q, off) {
+				if now-w.since < w.service.waitLimit(now, off) {
 					break
 				}
 				code := resultcode.RefusedNoSlot
@@ -193,38 +164,39 @@
 	}
 }
 
-// next returns the waiting flow to serve: urgent before bulk, then of the caller that was given the least, then the
-// oldest. Flows of services that can use no free slot are passed over.
-func (p *pool) next(hasSlot func(*service) bool) *waiting {
+// next returns the waiting flow to serve, or nil when none can get a slot: urgent before bulk, then the one that waits
+// longest among the fairest of every service.
+func (p *pool) next(off parts, hasSlot func(*service) bool) *waiting {
+	var best *waiting
 	for _, s := range p.services {
-		s.ready = hasSlot(s)
-	}
-	for class := range p.queues {
-		q := &p.queues[class]
-		best := q.fairest()
-		if best != nil {
-			q.virtual = max(q.virtual, best.served)
-			return best.flows[0]
+		if s.queue.waiting == 0 || !hasSlot(s) {
+			continue
+		}
+		w := s.queue.fairest().flows[0]
+		if best == nil || w.before(best, off) {
+			best = w
 		}
 	}
-	return nil
+	return best
+}
+
+func (w *waiting) before(o *waiting, off parts) bool {
+	if w.service.class != o.service.class && !off.noClasses {
+		return w.service.class < o.service.class
+	}
+	return w.since < o.since
 }
 
-// fairest returns the caller to serve next, or nil when none can be served: the one whose flow waits longest among those
+// fairest returns the caller to serve next: the one whose flow waits longest among those
 // that were given at most fairQuantum more than the one that was given the least.
 func (q *queue) fairest() *caller {
 	least := math.Inf(1)
 	for _, c := range q.order {
-		if c.flows[0].service.ready {
-			least = min(least, c.served)
-		}
+		least = min(least, c.served)
 	}
 	var best *caller
 	for _, c := range q.order {
-		if !c.flows[0].service.ready || c.served > least+fairQuantum {
-			continue
-		}
-		if best == nil || c.flows[0].since < best.flows[0].since {
+		if c.served <= least+fairQuantum && (best == nil || c.flows[0].since < best.flows[0].since) {
 			best = c
 		}
 	}
@@ -232,9 +204,9 @@
 }
 
 // charge records that a slot was given to the flow's caller.
-func (p *pool) charge(w *waiting, off parts) {
-	q := p.queueOf(w, off)
+func (q *queue) charge(w *waiting) {
 	if c := q.callers[w.prefix]; c != nil {
+		q.virtual = max(q.virtual, c.served)
 		c.served++
 	}
 }
@@ -242,35 +214,21 @@
 // forget removes a flow from its queue.
 func (p *pool) forget(w *waiting) {
 	delete(p.byKey, w.key)
-	for class := range p.queues {
-		q := &p.queues[class]
-		c := q.callers[w.prefix]
-		if c == nil {
-			continue
-		}
-		for i, x := range c.flows {
-			if x != w {
-				continue
-			}
-			c.flows = append(c.flows[:i], c.flows[i+1:]...)
-			q.waiting--
-			if len(c.flows) == 0 {
-				q.remove(c)
-			}
-			return
-		}
+	q := &w.service.queue
+	c := q.callers[w.prefix]
+	i := slices.Index(c.flows, w)
+	c.flows = slices.Delete(c.flows, i, i+1)
+	q.waiting--
+	if len(c.flows) == 0 {
+		q.remove(c)
 	}
 }
 
 // remove takes a caller without waiting flows out of the order. Its account is kept while others wait, so that a caller
 // cannot reset it by pausing.
 func (q *queue) remove(c *caller) {
-	for i, x := range q.order {
-		if x == c {
-			q.order = append(q.order[:i], q.order[i+1:]...)
-			break
-		}
-	}
+	i := slices.Index(q.order, c)
+	q.order = slices.Delete(q.order, i, i+1)
 	if q.waiting == 0 {
 		clear(q.callers)
 		q.virtual = 0
--- a/admission/service.go
+++ b/admission/service.go
@@ -33,7 +33,7 @@
 	typical time.Duration // median, 0 until learned
 	late    time.Duration // 95th percentile, 0 until learned
 	budget  budget
-	ready   bool // a slot can be taken; valid during one dispatch
+	queue   queue
 }
 
 // target is what the controller knows of one target address. Services that list the same address share it.
@@ -57,7 +57,7 @@
 	}
 	s := c.services[state.Info.ID]
 	if s == nil {
-		s = &service{}
+		s = &service{queue: queue{callers: make(map[netip.Prefix]*caller)}}
 		for i := range s.took {
 			s.took[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 2)
 		}
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -17,10 +17,10 @@
 // The last-slot rule keeps long-running work from filling the slots that short work needs.
 //
 // The threshold of a pool is longFactor times the shortest typical (median) duration of its services. A piece of work is
-// long when it has run for longer than the threshold, or when its service's typical duration is above the threshold. A
-// service whose typical duration is above the threshold gets a slot of a target only if another slot of that target
-// stays free of long work. Work of other services, which may still turn out long, goes to the targets with the fewest
-// long pieces first.
+// long when it has run for longer than the threshold, or when its service is: the service's typical duration is above the
+// threshold, or not known yet while that of another service is. A long service gets a slot of a target only if another
+// slot of that target stays free of long work. Work of other services, which may still turn out long, goes to the targets
+// with the fewest long pieces first.
 
 func (p *pool) threshold() time.Duration {
 	shortest := time.Duration(math.MaxInt64)
@@ -35,11 +35,16 @@
 	return max(longFloor, longFactor*shortest)
 }
 
+// isLong reports whether work of the service is taken to be long before it has run. Without a known threshold none is.
+func (s *service) isLong(threshold time.Duration) bool {
+	return s.typical > threshold || (s.typical == 0 && threshold < math.MaxInt64)
+}
+
 // long counts the pieces of long work at the target.
 func (t *target) long(now, threshold time.Duration) int {
 	n := 0
 	for _, r := range t.running {
-		if now-r.started > threshold || r.service.typical > threshold {
+		if now-r.started > threshold || r.service.isLong(threshold) {
 			n++
 		}
 	}
@@ -67,7 +72,7 @@
 // not depend on the hash.
 func (c *Controller) slotFor(now time.Duration, s *service, hash uint64) int {
 	threshold := s.pool.threshold()
-	predicted := s.typical > threshold
+	predicted := s.isLong(threshold)
 	best, bestLong, bestUsed := -1, 0, 0
 	def := s.state.Table.Default(hash)
 	for i, t := range s.targets {
