--- a/admission/controller.go
+++ b/admission/controller.go
@@ -129,6 +129,7 @@
 		return refuse(code)
 	}
 	c.dispatch(now, p)
+	c.tellDemand(now, p)
 	if h, found := c.held[r.Key]; found {
 		c.unhold(r.Key)
 		return forward.Verdict{Outcome: forward.Admitted, Target: h.target}
@@ -153,6 +154,7 @@
 		s.observeDuration(now, took)
 	}
 	c.dispatch(now, s.pool)
+	c.tellDemand(now, s.pool)
 }
 
 // end returns the slot or connection of a flow that started at the given time.
--- a/admission/crest_test.go
+++ b/admission/crest_test.go
@@ -37,17 +37,23 @@
 	longest, normal            time.Duration
 	bulkInTime                 float64
 	bulkRefused, urgentRefused int
+	overrun                    int
 }
 
 // runCrest offers urgent work of 0.15 and bulk work of 0.35 of capacity, so that at the top urgent work alone is 0.9 of
 // capacity and all work 3 times capacity.
 func runCrest(seed uint64, policy forward.Admission, reserved int) crestResult {
+	return offerCrest(seed, reserved, func(*simulation, *forward.ServiceState) forward.Admission { return policy })
+}
+
+func offerCrest(seed uint64, reserved int, policy func(*simulation, *forward.ServiceState) forward.Admission) crestResult {
 	limits := bundle.Limits{SlotsPerTarget: slotsPerTarget, ReservedUrgentSlots: reserved}
 	urgent := newState("urgent", bundle.ClassUrgent, 250*time.Millisecond, limits)
 	bulk := newState("bulk", bundle.ClassBulk, time.Second, limits)
-	s := newSimulation(seed, policy,
+	s := newSimulation(seed, nil,
 		load{state: urgent, rate: crest(0.15 * capacity), peak: 0.9 * capacity, mean: workMean, minimum: workMin},
 		load{state: bulk, rate: crest(0.35 * capacity), peak: 2.1 * capacity, mean: workMean, minimum: workMin})
+	s.policy = policy(s, urgent)
 	var r crestResult
 	var useful time.Duration
 	slow := time.Duration(0)
@@ -68,7 +74,7 @@
 	r.bulkInTime = float64(b.inTime) / float64(b.offered)
 	r.goodput = useful.Seconds() / (crestTop.Seconds() * targetCount * slotsPerTarget)
 	r.longest, r.normal = max(u.longest, b.longest), slow
-	r.bulkRefused, r.urgentRefused = b.refused, u.refused
+	r.bulkRefused, r.urgentRefused, r.overrun = b.refused, u.refused, s.overrun
 	return r
 }
 
--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -91,6 +91,8 @@
 	speed    func(target int, now time.Duration) float64
 	onDone   func(j *job, latency time.Duration)
 	port     uint32
+	ended    flow.Key // the flow that Done is called for
+	overrun  int      // pieces of work that found every slot of their target taken
 }
 
 func newSimulation(seed uint64, policy forward.Admission, loads ...load) *simulation {
@@ -186,6 +188,7 @@
 		s.work(j)
 		return
 	}
+	s.overrun++
 	s.queues[j.target] = append(s.queues[j.target], j)
 }
 
@@ -220,6 +223,7 @@
 	if s.onDone != nil {
 		s.onDone(j, latency)
 	}
+	s.ended = j.key
 	s.policy.Done(s.now, l.state.Info.ID, l.state.Table.Targets[j.target].ID, s.now-j.started, false)
 	s.release()
 }
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -10,10 +10,10 @@
 const (
 	// renewAfter leaves room for two lost renewals in one Term.
 	renewAfter = Term / 3
-	// idleAfter is how long a lease is kept without need. Work that comes and goes within it needs no new lease.
-	idleAfter = 200 * time.Millisecond
-	// askGap is the least time between two requests for one resource, except for returns of recalled slots.
-	askGap = 25 * time.Millisecond
+	// idleAfter is how long a lease is kept without need while nobody else waits for it.
+	idleAfter = 2 * time.Second
+	// askGap is the least time between two requests for one resource, except for slots that are given up.
+	askGap = 10 * time.Millisecond
 )
 
 // Holder keeps the leases of one balancer. It is safe for use by several goroutines.
@@ -22,94 +22,99 @@
 	host        membership.HostID
 	incarnation uint64
 	sequence    uint64
-	leases      map[leaseKey]*lease
+	leases      map[ResourceID]*lease
 	order       []*lease // in the order of creation, so that a seeded run repeats
 }
 
-type leaseKey struct {
-	resource ResourceID
-	class    Class
-}
-
 type lease struct {
-	key      leaseKey
-	ledger   membership.HostID
-	slots    uint32 // usable until validTil
-	validTil time.Duration
-	inUse    uint32
-	waiting  uint32
-	peak     uint32 // most slots needed since peakAt
-	peakAt   time.Duration
-	promised uint32 // Keep of the newest request
-	asked    uint32 // Want of the newest request
-	sentAt   time.Duration
-	sequence uint64
-	accepted Grant
-	pending  []pending
-	fresh    bool // nothing has been sent to this ledger yet
+	resource  ResourceID
+	group     uint64
+	ledger    membership.HostID
+	slots     slots // usable until validTil
+	validTil  time.Duration
+	inUse     [classCount]uint32
+	waiting   [classCount]uint32
+	peak      uint32 // most slots needed since peakAt
+	peakAt    time.Duration
+	promised  slots  // of the newest request
+	asked     uint32 // Need of the newest request
+	askedUrg  uint32
+	sentAt    time.Duration
+	accepted  Grant
+	pending   []pending
+	contended bool
+	fresh     bool // nothing has been sent to this ledger yet
 }
 
 // pending is a request whose grant may still arrive.
 type pending struct {
 	sequence uint64
 	sentAt   time.Duration
-	most     uint32 // the promise of later requests
+	most     slots // the promise of later requests
 }
 
 // NewHolder returns a holder without leases.
 func NewHolder(host membership.HostID, incarnation uint64) *Holder {
-	return &Holder{host: host, incarnation: incarnation, leases: make(map[leaseKey]*lease)}
+	return &Holder{host: host, incarnation: incarnation, leases: make(map[ResourceID]*lease)}
 }
 
-func (h *Holder) lease(r ResourceID, c Class) *lease {
-	k := leaseKey{r, c}
-	l := h.leases[k]
+// SetLedger tells which member keeps the ledger of a resource, and the group of resources that can stand in for each
+// other, such as the slots of all targets of a service. Leases of the former ledger end with their term.
+func (h *Holder) SetLedger(r ResourceID, group uint64, owner membership.HostID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.leases[r]
 	if l == nil {
-		l = &lease{key: k}
-		h.leases[k] = l
+		l = &lease{resource: r}
+		h.leases[r] = l
 		h.order = append(h.order, l)
 	}
-	return l
+	l.group = group
+	if l.ledger != owner {
+		l.ledger, l.pending, l.fresh = owner, nil, true
+	}
 }
 
-// SetLedger tells which member keeps the ledger of a resource. Leases of the former ledger end with their term.
-func (h *Holder) SetLedger(r ResourceID, owner membership.HostID) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for c := range Class(classCount) {
-		if l := h.lease(r, c); l.ledger != owner {
-			l.ledger, l.pending, l.fresh = owner, nil, true
-		}
+// used returns the slots in use.
+func (l *lease) used() slots { return slots{l.inUse[Urgent] + l.inUse[Bulk], l.inUse[Bulk]} }
+
+// usable returns the leased slots; a lease that has ended has none.
+func (l *lease) usable(now time.Duration) slots {
+	if now >= l.validTil {
+		return slots{}
+	}
+	return l.slots
+}
+
+func (l *lease) free(now time.Duration, c Class) uint32 {
+	usable, used := l.usable(now), l.used()
+	free := minus(usable.all, used.all)
+	if c == Bulk {
+		free = min(free, minus(usable.bulk, used.bulk))
 	}
+	return free
 }
 
 // Free returns how many slots can be taken at time now.
 func (h *Holder) Free(now time.Duration, r ResourceID, c Class) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.leases[leaseKey{r, c}]; l != nil {
-		return int(minus(l.usable(now), l.inUse))
+	if l := h.leases[r]; l != nil {
+		return int(l.free(now, c))
 	}
 	return 0
 }
 
-func (l *lease) usable(now time.Duration) uint32 {
-	if now >= l.validTil {
-		return 0
-	}
-	return l.slots
-}
-
 // Acquire takes a slot and reports whether one was free. The time must be read after any pause of the caller: a lease
 // that ended during a pause is gone.
 func (h *Holder) Acquire(now time.Duration, r ResourceID, c Class) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.leases[leaseKey{r, c}]
-	if l == nil || l.inUse >= l.usable(now) {
+	l := h.leases[r]
+	if l == nil || l.free(now, c) == 0 {
 		return false
 	}
-	l.inUse++
+	l.inUse[c]++
 	return true
 }
 
@@ -117,8 +122,8 @@
 func (h *Holder) Release(_ time.Duration, r ResourceID, c Class) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.leases[leaseKey{r, c}]; l != nil && l.inUse > 0 {
-		l.inUse--
+	if l := h.leases[r]; l != nil {
+		l.inUse[c] = minus(l.inUse[c], 1)
 	}
 }
 
@@ -126,14 +131,16 @@
 func (h *Holder) Wait(_ time.Duration, r ResourceID, c Class, waiting int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lease(r, c).waiting = uint32(max(0, waiting))
+	if l := h.leases[r]; l != nil {
+		l.waiting[c] = uint32(max(0, waiting))
+	}
 }
 
 // Granted takes a grant from the ledger at host from.
 func (h *Holder) Granted(now time.Duration, from membership.HostID, g Grant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.leases[leaseKey{g.Resource, g.Class}]
+	l := h.leases[g.Resource]
 	if l == nil || from != l.ledger || g.To != h.host || g.Incarnation != h.incarnation || !l.isNews(g) {
 		return
 	}
@@ -141,8 +148,8 @@
 		if p.sequence != g.Sequence || now >= p.sentAt+Term {
 			continue
 		}
-		l.accepted = g
-		l.slots, l.validTil = min(g.Slots, p.most), p.sentAt+Term
+		l.accepted, l.contended = g, g.Contended
+		l.slots, l.validTil = p.most.min(slots{g.Slots, g.BulkSlots}), p.sentAt+Term
 	}
 }
 
@@ -151,69 +158,78 @@
 	return g.Sequence > l.accepted.Sequence || (g.Sequence == l.accepted.Sequence && g.Round > l.accepted.Round)
 }
 
-// Tick returns the requests to send. It is due every 10 ms.
+// Tick returns the requests to send. It is due every 10 ms, and at once after a Grant, a Release or a Wait that changes
+// what is needed: a slot that waits for the next tick does no work.
 func (h *Holder) Tick(now time.Duration) []Send {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []Send
 	for _, l := range h.order {
-		if l.ledger == 0 {
-			continue
-		}
-		if want := l.need(now); l.due(now, want) {
-			out = append(out, Send{To: l.ledger, Request: h.request(now, l, want)})
+		if l.ledger != 0 && l.due(now) {
+			out = append(out, Send{To: l.ledger, Request: h.request(now, l)})
 		}
 	}
 	return out
 }
 
-// need returns the slots that the holder wants: the most that it needed within idleAfter.
-func (l *lease) need(now time.Duration) uint32 {
-	current := l.inUse + l.waiting
-	if current >= l.peak || now-l.peakAt >= idleAfter {
-		l.peak, l.peakAt = current, now
+func (l *lease) needUrgent() uint32 { return l.inUse[Urgent] + l.waiting[Urgent] }
+
+func (l *lease) need() uint32 { return l.needUrgent() + l.inUse[Bulk] + l.waiting[Bulk] }
+
+// keep returns the promise of a request that is sent now: what is in use, and as much of the rest of the lease as was
+// needed lately. Nothing idle is kept while others wait.
+func (l *lease) keep(now time.Duration) slots {
+	need := l.need()
+	if need >= l.peak || now-l.peakAt >= idleAfter || l.contended {
+		l.peak, l.peakAt = need, now
 	}
-	return l.peak
+	return l.used().max(l.usable(now).min(slots{l.peak, l.peak}))
 }
 
-func (l *lease) due(now time.Duration, want uint32) bool {
-	keep := l.keep(now, want)
+func (l *lease) due(now time.Duration) bool {
+	keep, need, usable := l.keep(now), l.need(), l.usable(now)
+	givesUp := keep.all < l.promised.all || keep.bulk < l.promised.bulk
 	switch {
 	case l.fresh:
-		return want > 0 || l.usable(now) > 0
-	case keep < l.promised && l.usable(now) < l.promised: // recalled, or ended while work went on
+		return need > 0 || usable.all > 0
+	case givesUp && (l.contended || usable.all < l.promised.all || usable.bulk < l.promised.bulk):
 		return true
 	case now-l.sentAt < askGap:
 		return false
-	case want > l.asked && want > l.usable(now):
+	case need > usable.all && (need > l.asked || l.needUrgent() > l.askedUrg):
 		return true
-	case keep < l.promised: // idle
+	case l.asked > usable.all && need <= usable.all: // the ledger must not move slots for a need that is gone
 		return true
 	}
-	return now-l.sentAt >= renewAfter && (want > 0 || l.promised > 0 || l.asked > 0)
-}
-
-// keep returns the promise of a request that is sent now.
-func (l *lease) keep(now time.Duration, want uint32) uint32 {
-	return max(l.inUse, min(l.usable(now), want))
+	return now-l.sentAt >= renewAfter && (need > 0 || l.promised.all > 0 || l.asked > 0)
 }
 
-func (h *Holder) request(now time.Duration, l *lease, want uint32) Request {
+func (h *Holder) request(now time.Duration, l *lease) Request {
 	h.sequence++
-	keep := l.keep(now, want)
-	l.slots = min(l.slots, keep)
-	l.sequence, l.sentAt, l.promised, l.asked = h.sequence, now, keep, want
-	l.fresh = false
+	keep := l.keep(now)
+	l.slots = l.slots.min(keep)
+	l.sentAt, l.promised, l.asked, l.askedUrg, l.fresh = now, keep, l.need(), l.needUrgent(), false
 	live := l.pending[:0]
 	for _, p := range l.pending {
 		if now < p.sentAt+Term {
-			p.most = min(p.most, keep)
+			p.most = p.most.min(keep)
 			live = append(live, p)
 		}
 	}
-	l.pending = append(live, pending{sequence: h.sequence, sentAt: now, most: ^uint32(0)})
+	l.pending = append(live, pending{sequence: h.sequence, sentAt: now, most: slots{^uint32(0), ^uint32(0)}})
 	return Request{
-		Resource: l.key.resource, Class: l.key.class, From: h.host, Incarnation: h.incarnation, Sequence: h.sequence,
-		Keep: keep, InUse: l.inUse, Want: want,
+		Resource: l.resource, From: h.host, Incarnation: h.incarnation, Sequence: h.sequence,
+		Keep: keep.all, KeepBulk: keep.bulk, Need: l.asked, NeedUrgent: l.askedUrg, Held: h.held(now, l.group),
+	}
+}
+
+// held returns the slots of all leases of a group.
+func (h *Holder) held(now time.Duration, group uint64) uint32 {
+	var sum uint32
+	for _, l := range h.order {
+		if l.group == group {
+			sum += l.usable(now).all
+		}
 	}
+	return sum
 }
--- a/limits/ledger.go
+++ b/limits/ledger.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// rotateAfter is how long a holder keeps a slot that others wait for when there are fewer slots than holders. Shorter
-	// times spend a larger part of the slot's time on moving it.
+	// rotateAfter is how long a holder keeps its slots when there are fewer slots than holders with work. Shorter times
+	// spend a larger part of a slot's time on moving it.
 	rotateAfter = 250 * time.Millisecond
+	// heldGap is how many more slots of the group a holder must have for one to be moved to another. A gap of one would
+	// move a slot back and forth.
+	heldGap = 2
 	// loadMargin is how much later than the end of a lease a load must have been measured to count, to cover the time that
 	// a report spends on the network.
 	loadMargin = 500 * time.Millisecond
@@ -24,6 +27,9 @@
 	Linger         time.Duration // longest time that work goes on after its lease ended
 }
 
+// bulkLimit returns the slots that bulk work may use.
+func (s LedgerSettings) bulkLimit() uint32 { return minus(s.Limit, s.ReservedUrgent) }
+
 // Ledger grants the leases of one resource. It is used by one goroutine.
 type Ledger struct {
 	resource ResourceID
@@ -32,25 +38,40 @@
 	entries  []*entry
 }
 
-// entry is what the ledger knows of one holder and class. When a holder restarts, the entry of its former life stays
-// until its work is over.
+// entry is what the ledger knows of one holder. When a holder restarts, the entry of its former life stays until its work
+// is over.
 type entry struct {
 	from        membership.HostID
-	class       Class
 	incarnation uint64
 	sequence    uint64
 	round       uint32
-	counted     uint32 // the most slots that the holder can have in use
-	granted     uint32 // by the newest grant
-	inUse       uint32
-	want        uint32
+	counted     slots // the most that the holder can have in use
+	granted     slots // by the newest grant
+	need        uint32
+	needUrgent  uint32
+	held        uint32
 	expires     time.Duration
-	heldSince   time.Duration // since when granted is above 0
-	waitsSince  time.Duration // since when want is above granted
+	heldSince   time.Duration // since when the holder has the slots it has
+	waitsSince  time.Duration // since when need is above what is granted
 	former      bool          // a higher incarnation of the holder exists
 	changed     bool          // the holder must be told
 }
 
+// slots is a number of slots, and how many of them may be used for bulk work.
+type slots struct{ all, bulk uint32 }
+
+func (a slots) max(b slots) slots { return slots{max(a.all, b.all), max(a.bulk, b.bulk)} }
+
+func (a slots) min(b slots) slots { return slots{min(a.all, b.all), min(a.bulk, b.bulk)} }
+
+// minus returns a - b, or 0 when b is larger.
+func minus(a, b uint32) uint32 {
+	if b > a {
+		return 0
+	}
+	return a - b
+}
+
 // NewLedger returns a ledger. With takeover set, another ledger may have granted leases up to now, so this one grants
 // nothing for one Term; it already records what holders report.
 func NewLedger(now time.Duration, resource ResourceID, settings LedgerSettings, takeover bool) *Ledger {
@@ -69,7 +90,7 @@
 
 // Request handles a request at time now and returns the grants to send.
 func (l *Ledger) Request(now time.Duration, r Request) []Grant {
-	if r.Class >= classCount || r.Resource != l.resource {
+	if r.Resource != l.resource || r.KeepBulk > r.Keep {
 		return nil
 	}
 	e := l.entryFor(now, r)
@@ -77,17 +98,21 @@
 		return nil
 	}
 	e.sequence, e.round = r.Sequence, 0
-	e.counted, e.inUse, e.want = max(r.Keep, r.InUse), r.InUse, r.Want
-	e.granted = min(e.counted, e.want)
+	e.counted = slots{r.Keep, r.KeepBulk}
+	e.granted = e.counted
+	e.need, e.needUrgent, e.held = r.Need, min(r.NeedUrgent, r.Need), r.Held
 	e.expires = now + Term
 	e.changed = true
+	if e.need <= e.granted.all {
+		e.waitsSince = now
+	}
 	return l.Tick(now)
 }
 
 // entryFor returns the entry that a request updates, or nil when the request is old.
 func (l *Ledger) entryFor(now time.Duration, r Request) *entry {
 	for _, e := range l.entries {
-		if e.former || e.from != r.From || e.class != r.Class {
+		if e.former || e.from != r.From {
 			continue
 		}
 		switch {
@@ -96,9 +121,9 @@
 		case r.Incarnation == e.incarnation:
 			return e
 		}
-		e.former, e.granted, e.want = true, 0, 0
+		e.former, e.granted, e.need = true, slots{}, 0
 	}
-	e := &entry{from: r.From, class: r.Class, incarnation: r.Incarnation, heldSince: now, waitsSince: now}
+	e := &entry{from: r.From, incarnation: r.Incarnation, heldSince: now, waitsSince: now}
 	l.entries = append(l.entries, e)
 	return e
 }
@@ -108,7 +133,7 @@
 func (l *Ledger) Load(now, at time.Duration, inProgress uint32) []Grant {
 	for _, e := range l.entries {
 		if at-loadMargin > e.expires {
-			e.counted = min(e.counted, inProgress)
+			e.counted = e.counted.min(slots{inProgress, inProgress})
 		}
 	}
 	return l.Tick(now)
@@ -117,11 +142,11 @@
 // Tick drops what has ended, divides free slots and returns the grants to send. It is due every 100 ms.
 func (l *Ledger) Tick(now time.Duration) []Grant {
 	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
-		return now > e.expires+l.settings.Linger || (e.former && e.counted == 0)
+		return now > e.expires+l.settings.Linger || (e.former && e.counted.all == 0)
 	})
 	for _, e := range l.entries {
 		if now >= e.expires {
-			e.granted, e.want = 0, 0
+			e.granted, e.need = slots{}, 0
 		}
 	}
 	if now < l.openAt {
@@ -133,93 +158,120 @@
 	return l.grants(now)
 }
 
-// free returns how many more slots can be counted for a class.
-func (l *Ledger) free(c Class) uint32 {
-	var all, bulk uint32
-	for _, e := range l.entries {
-		all += e.counted
-		if e.class == Bulk {
-			bulk += e.counted
-		}
-	}
-	left := minus(l.settings.Limit, all)
-	if c == Bulk {
-		left = min(left, minus(minus(l.settings.Limit, l.settings.ReservedUrgent), bulk))
-	}
-	return left
-}
-
-// minus returns a - b, or 0 when b is larger.
-func minus(a, b uint32) uint32 {
-	if b > a {
-		return 0
-	}
-	return a - b
-}
-
-// needier orders entries that want more: urgent before bulk, then by the slots held, then by the time waited.
-func needier(a, b *entry) int {
-	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.granted, b.granted), cmp.Compare(a.waitsSince, b.waitsSince),
-		cmp.Compare(a.from, b.from))
-}
+// Counted returns how many slots count against the limit.
+func (l *Ledger) Counted() uint32 { return l.counted().all }
 
-// unmet returns the entry that most needs a slot, or nil.
-func (l *Ledger) unmet(canUse func(*entry) bool) *entry {
-	var best *entry
+func (l *Ledger) counted() slots {
+	var sum slots
 	for _, e := range l.entries {
-		if e.want > e.granted && canUse(e) && (best == nil || needier(e, best) < 0) {
-			best = e
-		}
+		sum.all += e.counted.all
+		sum.bulk += e.counted.bulk
 	}
-	return best
+	return sum
 }
 
 // shrink lowers grants until they fit the limit, which holders can exceed together after a partition or when the limit
 // was lowered.
 func (l *Ledger) shrink() {
-	for _, c := range []Class{Bulk, Urgent} {
-		for {
-			var sum uint32
-			var most *entry
-			for _, e := range l.entries {
-				if c == Bulk && e.class != Bulk {
-					continue
-				}
-				sum += e.granted
-				if e.granted > 0 && (most == nil || moreOver(e, most)) {
-					most = e
-				}
-			}
-			limit := l.settings.Limit
-			if c == Bulk {
-				limit = minus(limit, l.settings.ReservedUrgent)
+	for {
+		var sum slots
+		var most, mostBulk *entry
+		for _, e := range l.entries {
+			sum.all += e.granted.all
+			sum.bulk += e.granted.bulk
+			if most == nil || e.granted.all > most.granted.all {
+				most = e
 			}
-			if sum <= limit {
-				break
+			if mostBulk == nil || e.granted.bulk > mostBulk.granted.bulk {
+				mostBulk = e
 			}
-			most.granted--
-			most.changed = true
+		}
+		switch {
+		case sum.all > l.settings.Limit:
+			most.lower()
+		case sum.bulk > l.settings.bulkLimit():
+			mostBulk.granted.bulk--
+			mostBulk.changed = true
+		default:
+			return
 		}
 	}
 }
 
+// lower takes one slot from the grant of an entry.
+func (e *entry) lower() {
+	e.granted.all--
+	e.granted.bulk = min(e.granted.bulk, e.granted.all)
+	e.changed = true
+}
+
 // divide gives free slots one by one to the entry that needs one most.
 func (l *Ledger) divide(now time.Duration) {
 	for {
-		e := l.unmet(func(e *entry) bool { return l.free(e.class) > 0 })
+		sum := l.counted()
+		freeBulk := minus(l.settings.bulkLimit(), sum.bulk)
+		if sum.all >= l.settings.Limit {
+			break
+		}
+		e := l.unmet(freeBulk > 0)
 		if e == nil {
-			return
+			break
 		}
-		if e.granted == 0 {
-			e.heldSince = now
+		e.granted.all++
+		e.held++
+		if freeBulk > 0 && e.granted.bulk < e.granted.all {
+			e.granted.bulk++
 		}
-		e.granted++
-		e.counted = max(e.counted, e.granted)
-		e.changed = true
-		if e.want <= e.granted {
+		e.counted = e.counted.max(e.granted)
+		e.heldSince, e.changed = now, true
+		if e.need <= e.granted.all {
 			e.waitsSince = now
 		}
 	}
+	l.allowBulk()
+}
+
+// allowBulk lets holders use slots that they have for bulk work while the reserve stays untouched.
+func (l *Ledger) allowBulk() {
+	for _, e := range l.entries {
+		for e.granted.bulk < min(e.granted.all, minus(e.need, 0)) && l.counted().bulk < l.settings.bulkLimit() {
+			e.granted.bulk++
+			e.counted = e.counted.max(e.granted)
+			e.changed = true
+		}
+	}
+}
+
+// unmet returns the entry that most needs a slot, or nil. Without free slots for bulk work only urgent needs count.
+func (l *Ledger) unmet(bulk bool) *entry {
+	var best *entry
+	for _, e := range l.entries {
+		if e.need <= e.granted.all || (!bulk && !e.lacksUrgent()) {
+			continue
+		}
+		if best == nil || needier(e, best) < 0 {
+			best = e
+		}
+	}
+	return best
+}
+
+func (e *entry) lacksUrgent() bool { return e.needUrgent > e.granted.all }
+
+// needier orders entries that need more: urgent needs first, then by the slots held of the group, then by the time waited.
+func needier(a, b *entry) int {
+	return cmp.Or(compareBool(b.lacksUrgent(), a.lacksUrgent()), cmp.Compare(a.held, b.held),
+		cmp.Compare(a.waitsSince, b.waitsSince), cmp.Compare(a.from, b.from))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
 // recall lowers grants of holders that have more than their part while others wait. The slots stay counted until the
@@ -227,50 +279,70 @@
 func (l *Ledger) recall(now time.Duration) {
 	var missing, pending uint32
 	for _, e := range l.entries {
-		missing += minus(e.want, e.granted)
+		missing += minus(e.need, e.granted.all)
 		if now < e.expires {
-			pending += minus(e.counted, e.granted)
+			pending += minus(e.counted.all, e.granted.all)
 		}
 	}
-	for missing > pending {
-		needy := l.unmet(func(*entry) bool { return true })
+	for ; missing > pending; pending++ {
+		needy := l.unmet(true)
+		if needy == nil {
+			return
+		}
 		victim := l.victim(now, needy)
 		if victim == nil {
 			return
 		}
-		victim.granted--
+		victim.lower()
+		victim.held = minus(victim.held, 1)
 		victim.waitsSince, victim.heldSince = now, now
-		victim.changed = true
-		pending++
 	}
 }
 
-// victim returns the entry to take a slot from for needy, or nil: first any bulk entry when needy is urgent, then an
-// entry that holds at least two more slots, then one that has held its slots for rotateAfter while needy has none.
+// Reasons to take a slot from a holder, the best one first.
+const (
+	surplus   = iota // it has more than it needs
+	lessClass        // it has more than it needs for urgent work, and another one lacks slots for urgent work
+	overShare        // it holds more of the group
+	overTime         // it has held its slots for long, and another one has none
+	noReason
+)
+
+// victim returns the entry to take a slot from for needy, or nil.
 func (l *Ledger) victim(now time.Duration, needy *entry) *entry {
 	var best *entry
+	bestReason := noReason
 	for _, e := range l.entries {
-		if e == needy || e.granted == 0 || e.class < needy.class {
+		if e == needy || e.granted.all == 0 {
 			continue
 		}
-		overClass := e.class > needy.class
-		overShare := e.granted >= needy.granted+2
-		overTime := needy.granted == 0 && now-e.heldSince >= rotateAfter
-		if !overClass && !overShare && !overTime {
-			continue
-		}
-		if best == nil || moreOver(e, best) {
-			best = e
+		reason := e.reasonToTake(now, needy)
+		if reason < bestReason || (reason == bestReason && reason < noReason && e.held > best.held) {
+			best, bestReason = e, reason
 		}
 	}
 	return best
 }
 
-func moreOver(a, b *entry) bool {
-	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.granted, b.granted), cmp.Compare(b.heldSince, a.heldSince)) > 0
+func (e *entry) reasonToTake(now time.Duration, needy *entry) int {
+	urgentOnly := e.granted.all <= e.needUrgent
+	switch {
+	case e.granted.all > e.need:
+		return surplus
+	case needy.lacksUrgent() && !urgentOnly:
+		return lessClass
+	case urgentOnly && !needy.lacksUrgent():
+		return noReason
+	case e.held >= needy.held+heldGap:
+		return overShare
+	case needy.held == 0 && now-e.heldSince >= rotateAfter:
+		return overTime
+	}
+	return noReason
 }
 
 func (l *Ledger) grants(now time.Duration) []Grant {
+	contended := l.unmet(true) != nil
 	var out []Grant
 	for _, e := range l.entries {
 		if !e.changed || e.former || now >= e.expires {
@@ -279,18 +351,9 @@
 		e.changed = false
 		e.round++
 		out = append(out, Grant{
-			Resource: l.resource, Class: e.class, To: e.from, Incarnation: e.incarnation,
-			Sequence: e.sequence, Round: e.round, Slots: e.granted,
+			Resource: l.resource, To: e.from, Incarnation: e.incarnation, Sequence: e.sequence, Round: e.round,
+			Slots: e.granted.all, BulkSlots: e.granted.bulk, Contended: contended,
 		})
 	}
 	return out
 }
-
-// Counted returns how many slots count against the limit.
-func (l *Ledger) Counted() uint32 {
-	var all uint32
-	for _, e := range l.entries {
-		all += e.counted
-	}
-	return all
-}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -70,7 +70,7 @@
 func (c *cluster) restart(i int) {
 	c.lives[i]++
 	c.holders[i] = NewHolder(membership.HostID(i+1), c.lives[i])
-	c.holders[i].SetLedger(resource, c.side(i))
+	c.holders[i].SetLedger(resource, 1, c.side(i))
 }
 
 func (c *cluster) chance(percent int) bool {
@@ -227,7 +227,7 @@
 		move := func(side func(int) membership.HostID) {
 			c.side = side
 			for i, h := range c.holders {
-				h.SetLedger(resource, side(i))
+				h.SetLedger(resource, 1, side(i))
 			}
 		}
 		run(100)
@@ -253,7 +253,7 @@
 	l := NewLedger(0, resource, LedgerSettings{Limit: 2, Linger: time.Minute}, false)
 	ask := func(now time.Duration, from membership.HostID, seq uint64, keep, want uint32) map[membership.HostID]uint32 {
 		got := map[membership.HostID]uint32{}
-		for _, g := range l.Request(now, Request{Resource: resource, From: from, Incarnation: 1, Sequence: seq, Keep: keep, InUse: keep, Want: want}) {
+		for _, g := range l.Request(now, Request{Resource: resource, From: from, Incarnation: 1, Sequence: seq, Keep: keep, Held: keep, Need: want}) {
 			got[g.To] = g.Slots
 		}
 		return got
--- a/limits/message.go
+++ b/limits/message.go
@@ -65,26 +65,29 @@
 // Request asks a ledger for leases, renews them and returns them (the LeaseRequest and LeaseReturn messages).
 type Request struct {
 	Resource    ResourceID
-	Class       Class
 	From        membership.HostID
 	Incarnation uint64
 	Sequence    uint64 // rises with every request of one incarnation
-	// Keep is a promise: from the sending of this request on, the holder uses at most Keep slots under grants that answer
-	// earlier requests. It is never below InUse.
-	Keep  uint32
-	InUse uint32
-	Want  uint32 // slots wanted in total
+	// Keep and KeepBulk are promises: from the sending of this request on, the holder uses at most Keep slots, KeepBulk of
+	// them for bulk work, under grants that answer earlier requests. They are never below what is in use.
+	Keep, KeepBulk uint32
+	// Need is how many slots the work in progress and the waiting work could use, NeedUrgent the urgent part of it.
+	Need, NeedUrgent uint32
+	// Held is how many slots the holder has of all resources of the group. Ledgers of one group, which know nothing of each
+	// other, use it to treat holders evenly.
+	Held uint32
 }
 
 // Grant answers a request (the LeaseGrant message). A ledger may answer one request several times with rising Round.
 type Grant struct {
 	Resource    ResourceID
-	Class       Class
 	To          membership.HostID
 	Incarnation uint64 // of the holder
 	Sequence    uint64 // of the request
 	Round       uint32
 	Slots       uint32 // slots leased in total, from the sending of the request for one Term
+	BulkSlots   uint32 // the most of them that bulk work may use
+	Contended   bool   // others wait: idle slots are to be returned
 }
 
 // Send asks to deliver a request to the ledger of its resource at a host.
