--- a/membership/core.go
+++ b/membership/core.go
@@ -38,7 +38,7 @@
 	announced State // what the member said last, without suspicion
 	suspected bool
 	expires   time.Duration // end of the suspicion
-	byProbe   bool          // this member's own probe failed, rather than another member's
+	contested bool          // suspected only because another member says that it is gone
 	goneAt    time.Duration
 	misses    int // failed samples of a member of another data centre
 }
@@ -68,6 +68,7 @@
 	nextProbe, nextContact time.Duration
 	lastHeard              time.Duration
 	lastChange             time.Duration
+	digest                 uint64 // cached viewDigest, 0 when it must be computed
 	sync                   syncState
 	refreshUntil           time.Duration // 0 when no refresh is under way
 	rejoins                []time.Duration
@@ -195,13 +196,17 @@
 // viewDigest summarizes the incarnations and states of this data centre, so that two members notice that their views
 // differ although every update has been retransmitted as often as it may be.
 func (c *Core) viewDigest() uint64 {
+	if c.digest != 0 {
+		return c.digest
+	}
 	digest := memberDigest(c.self)
 	for _, m := range c.members {
 		if m.announced != Gone {
 			digest += memberDigest(m)
 		}
 	}
-	return digest
+	c.digest = max(digest, 1)
+	return c.digest
 }
 
 func memberDigest(m *member) uint64 {
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -41,6 +41,7 @@
 	selfGone   int
 	views      int
 	held       time.Duration
+	due        time.Duration // next tick
 }
 
 type packet struct {
@@ -96,7 +97,7 @@
 		case membership.Send:
 			f.send(n, effect)
 		case membership.MemberChanged:
-			if effect.Member.State == membership.Gone {
+			if effect.Member.State == membership.Gone && effect.Member.ID != n.Self().ID {
 				n.gone[effect.Member.ID] = f.now
 			}
 		case membership.SelfGone:
@@ -106,6 +107,7 @@
 			n.views++
 		}
 	}
+	n.due = n.NextTick()
 }
 
 func (f *fleet) send(n *node, s membership.Send) {
@@ -126,7 +128,7 @@
 func (f *fleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += step {
 		for _, n := range f.nodes {
-			if f.awake(n) {
+			if f.awake(n) && f.now >= n.due {
 				f.handle(n, membership.Tick{})
 			}
 		}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -42,7 +42,7 @@
 	return Update{
 		Name: m.Name, DataCentre: m.DataCentre, Address: m.Probe.Addr(),
 		DataPort: m.Data.Port(), ProbePort: m.Probe.Port(), PeerPort: m.Peer.Port(),
-		Incarnation: m.Incarnation, State: m.announced, Suspected: m.suspected,
+		Incarnation: m.Incarnation, State: m.announced, Suspected: m.suspected && !m.contested,
 	}
 }
 
@@ -51,7 +51,9 @@
 func (c *Core) pickUpdates(to *member) []Update {
 	var updates []Update
 	if to != nil && (to.suspected || to.announced == Gone) {
-		updates = append(updates, c.update(to))
+		u := c.update(to)
+		u.Suspected = to.suspected
+		updates = append(updates, u)
 	}
 	ids := make([]HostID, 0, len(c.gossip))
 	for id := range c.gossip {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +25,10 @@
 	expires  time.Duration
 }
 
+// contestTime is how long a member that another one has declared gone may take to answer. With maxSuspectPings, a
+// member reaches 16 others in that time; gossip carries their answers to the rest.
+const contestTime = 2 * time.Second
+
 // maxSuspectPings bounds the extra pings per probe interval while many members are suspected, as after a partition;
 // other members ping the rest.
 const maxSuspectPings = 2
@@ -57,22 +62,28 @@
 	c.sendPing(m, c.sequence)
 }
 
-// probeSuspects pings the members whose suspicion this member raised, so that a member that lost single packets hears
-// of the suspicion and its refutation comes back within the suspicion time.
+// probeSuspects pings the suspected members whose time ends first. A member that lost single packets so hears of the
+// suspicion, and its answer brings the refutation even to a member that gossip has missed.
 func (c *Core) probeSuspects() {
-	var suspects []*member
-	for _, id := range c.sortedMembers() {
-		if m := c.members[id]; m.suspected && m.byProbe {
-			suspects = append(suspects, m)
-		}
-	}
-	c.rng.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	suspects := c.suspects()
+	slices.SortStableFunc(suspects, func(a, b *member) int { return cmp.Compare(a.expires, b.expires) })
 	for _, m := range suspects[:min(maxSuspectPings, len(suspects))] {
 		c.sequence++
 		c.sendPing(m, c.sequence)
 	}
 }
 
+func (c *Core) suspects() []*member {
+	var all []*member
+	for _, m := range c.members {
+		if m.suspected {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 func (c *Core) sendPing(m *member, sequence uint64) {
 	msg := c.message(Ping, sequence, m)
 	c.emit(Send{To: m.Probe, Message: msg})
@@ -110,6 +121,7 @@
 	}
 	p.indirect, p.deadline = true, c.now+AckTimeout
 	c.probes = append(c.probes, p)
+	c.sendPing(m, p.sequence) // a lost packet is more frequent than a lost host
 	for _, helper := range c.pickHelpers(p.target) {
 		msg := c.message(PingReq, p.sequence, helper)
 		msg.Target, msg.TargetAddr = m.ID, m.Probe
@@ -135,7 +147,6 @@
 		return
 	}
 	previous := m.State
-	m.byProbe = true
 	c.setSuspected(m)
 	if m.State != previous {
 		c.changed(m, previous, false)
@@ -143,19 +154,31 @@
 	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
 		delete(c.gossip, m.ID)
 	}
+	c.sequence++
+	c.sendPing(m, c.sequence)
 }
 
 func (c *Core) setSuspected(m *member) {
-	m.suspected, m.expires = true, c.now+SuspicionTime
+	m.suspected, m.contested, m.expires = true, false, c.now+SuspicionTime
 	if m.announced == Serving {
 		c.transition(m, "suspect")
 	}
 	c.spread(m.ID)
 }
 
+// contest follows another member's word that m, which seems alive here, is gone. After a partition each side has
+// declared the other gone; to take over that verdict would remove the members of the own side. m gets longer than a
+// suspicion to answer, and the word is not spread.
+func (c *Core) contest(m *member) {
+	m.suspected, m.contested, m.expires = true, true, c.now+contestTime
+	if m.announced == Serving {
+		c.transition(m, "suspect")
+	}
+}
+
 func (c *Core) expireSuspicions() {
-	for _, id := range c.sortedMembers() {
-		if m := c.members[id]; m.suspected && c.now >= m.expires {
+	for _, m := range c.suspects() {
+		if c.now >= m.expires {
 			c.declareGone(m)
 		}
 	}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -90,7 +90,7 @@
 		if !newer && !u.Suspected && u.State <= c.self.announced {
 			continue
 		}
-		c.self.Incarnation = u.Incarnation + 1
+		c.self.Incarnation, c.digest = u.Incarnation+1, 0
 		if u.State == Gone {
 			c.rejoin()
 		}
@@ -116,15 +116,16 @@
 		c.replace(m, u)
 	case u.Incarnation < m.Incarnation || m.announced == Gone:
 		return
-	case u.State == Gone && !direct && !m.suspected:
-		// A member that seems alive here is suspected first: after a partition each side has declared the other gone,
-		// and taking over that verdict would remove every member of the own side.
-		c.suspectHearsay(m)
+	case u.State == Gone && !direct && (!m.suspected || m.contested):
+		if m.contested {
+			return
+		}
+		c.contest(m)
 	case u.State > m.announced:
 		c.advance(m, u.State)
 		c.spread(id)
 	}
-	if u.Suspected && !m.suspected && m.announced != Gone && u.Incarnation == m.Incarnation {
+	if u.Suspected && (!m.suspected || m.contested) && m.announced != Gone && u.Incarnation == m.Incarnation {
 		c.setSuspected(m)
 	}
 	if m.State != previous || m.Incarnation != incarnation {
@@ -132,17 +133,12 @@
 	}
 }
 
-func (c *Core) suspectHearsay(m *member) {
-	m.byProbe = true
-	c.setSuspected(m)
-}
-
 func (c *Core) add(u *Update) {
 	if u.State == Gone {
 		return
 	}
 	m := &member{Member: u.member()}
-	c.members[m.ID] = m
+	c.members[m.ID], c.digest = m, 0
 	at := c.next
 	if n := len(c.order) - c.next; n > 0 {
 		at += c.rng.IntN(n + 1)
@@ -161,7 +157,8 @@
 func (c *Core) replace(m *member, u *Update) {
 	fresh := u.member()
 	m.Data, m.Probe, m.Peer, m.Incarnation = fresh.Data, fresh.Probe, fresh.Peer, u.Incarnation
-	m.suspected, m.byProbe = false, false
+	m.suspected, m.contested = false, false
+	c.digest = 0
 	if m.announced == Gone {
 		c.order = append(c.order, m.ID)
 	}
@@ -181,7 +178,7 @@
 	if to <= m.announced {
 		return
 	}
-	m.announced = to
+	m.announced, c.digest = to, 0
 	switch to {
 	case Warm:
 		c.transition(m, "warm")
@@ -190,7 +187,7 @@
 	case Leaving:
 		c.transition(m, "leave")
 	case Gone:
-		m.suspected, m.byProbe, m.goneAt = false, false, c.now
+		m.suspected, m.contested, m.goneAt = false, false, c.now
 		c.transition(m, "expire")
 	}
 }
--- a/membership/state.go
+++ b/membership/state.go
@@ -51,9 +51,11 @@
 		hold = min(flapHold<<(min(n, 6)-1), maxHold)
 	}
 	c.rejoins = append(c.rejoins, c.now)
-	if hold > 0 && c.self.announced == Serving {
+	if hold > 0 && c.local.State == Serving {
 		c.holdUntil = c.now + hold
-		c.restartSelf(Warm)
+		if c.self.announced == Serving {
+			c.restartSelf(Warm)
+		}
 	}
 	c.emit(SelfGone{Incarnation: c.self.Incarnation, Hold: hold})
 }
