--- a/membership/core.go
+++ b/membership/core.go
@@ -39,6 +39,7 @@
 	suspected bool
 	expires   time.Duration // end of the suspicion
 	contested bool          // suspected only because another member says that it is gone
+	pings     int           // sent while contested
 	goneAt    time.Duration
 	misses    int // failed samples of a member of another data centre
 }
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -105,6 +105,9 @@
 			n.held = max(n.held, effect.Hold)
 		case membership.ViewChanged:
 			n.views++
+			if n.index == 0 && testing.Verbose() {
+				f.t.Logf("%v: %d owners", f.now, len(effect.Owners))
+			}
 		}
 	}
 	n.due = n.NextTick()
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -25,9 +25,12 @@
 	expires  time.Duration
 }
 
-// contestTime is how long a member that another one has declared gone may take to answer. With maxSuspectPings, a
-// member reaches 16 others in that time; gossip carries their answers to the rest.
-const contestTime = 2 * time.Second
+// A member that another one has declared gone is gone here too when it leaves contestPings pings without an answer. The
+// wait for its turn is bounded by contestTime: after a partition many members are contested at once.
+const (
+	contestPings = 4
+	contestTime  = 30 * time.Second
+)
 
 // maxSuspectPings bounds the extra pings per probe interval while many members are suspected, as after a partition;
 // other members ping the rest.
@@ -68,8 +71,16 @@
 	suspects := c.suspects()
 	slices.SortStableFunc(suspects, func(a, b *member) int { return cmp.Compare(a.expires, b.expires) })
 	for _, m := range suspects[:min(maxSuspectPings, len(suspects))] {
-		c.sequence++
-		c.sendPing(m, c.sequence)
+		c.pingSuspect(m)
+	}
+}
+
+func (c *Core) pingSuspect(m *member) {
+	c.sequence++
+	c.sendPing(m, c.sequence)
+	if m.contested {
+		m.pings++
+		m.expires = min(m.expires, c.now+time.Duration(1+contestPings-min(m.pings, contestPings))*ProbeInterval)
 	}
 }
 
@@ -154,8 +165,7 @@
 	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
 		delete(c.gossip, m.ID)
 	}
-	c.sequence++
-	c.sendPing(m, c.sequence)
+	c.pingSuspect(m)
 }
 
 func (c *Core) setSuspected(m *member) {
@@ -170,7 +180,7 @@
 // declared the other gone; to take over that verdict would remove the members of the own side. m gets longer than a
 // suspicion to answer, and the word is not spread.
 func (c *Core) contest(m *member) {
-	m.suspected, m.contested, m.expires = true, true, c.now+contestTime
+	m.suspected, m.contested, m.pings, m.expires = true, true, 0, c.now+contestTime
 	if m.announced == Serving {
 		c.transition(m, "suspect")
 	}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -116,7 +116,7 @@
 		c.replace(m, u)
 	case u.Incarnation < m.Incarnation || m.announced == Gone:
 		return
-	case u.State == Gone && !direct && (!m.suspected || m.contested):
+	case u.State == Gone && !direct && m.announced < Leaving && (!m.suspected || m.contested):
 		if m.contested {
 			return
 		}
