--- a/membership/core.go
+++ b/membership/core.go
@@ -41,7 +41,10 @@
 	contested bool          // suspected only because another member says that it is gone
 	pings     int           // sent while contested
 	goneAt    time.Duration
-	misses    int // failed samples of a member of another data centre
+
+	returned   bool // it was gone and came back, last at returnedAt
+	returnedAt time.Duration
+	misses     int // failed samples of a member of another data centre
 }
 
 // Core keeps the membership as one balancer sees it. It is not safe for use by several goroutines.
@@ -68,6 +71,7 @@
 
 	nextProbe, nextContact time.Duration
 	lastHeard              time.Duration
+	wokeAt                 time.Duration
 	lastChange             time.Duration
 	digest                 uint64 // cached viewDigest, 0 when it must be computed
 	sync                   syncState
@@ -82,7 +86,7 @@
 		cfg: cfg, rng: rng, now: now,
 		members: make(map[HostID]*member), remote: make(map[HostID]*member),
 		relays: make(map[uint64]relay), gossip: make(map[HostID]int),
-		nextProbe: now, nextContact: now,
+		nextProbe: now, nextContact: now, lastHeard: now, wokeAt: now - refreshLimit,
 	}
 	cfg.Self.ID = NewHostID(cfg.Self.Name)
 	c.self = &member{Member: cfg.Self, announced: cfg.Self.State}
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// Guards against the loss of a rack, 20 of 118 members at once, overtaxing the updates that a message carries.
+func TestRackLost(t *testing.T) {
+	f := newFleet(t, 1, 118, oneDC)
+	f.agreeWithin(30 * time.Second)
+	for _, n := range f.nodes[90:110] {
+		n.stopped = true
+	}
+	f.bytes = 0
+	took := f.agreeWithin(10 * time.Second)
+	t.Logf("known to all after %v, %.0f bytes/s per node", took, float64(f.bytes)/took.Seconds()/98)
+	for _, n := range f.nodes {
+		if len(n.gone) > 20 {
+			t.Errorf("%s declared %d gone, want 20", n.Self().Name, len(n.gone))
+		}
+	}
+}
+
 // Guards against members that are declared gone because of packet loss alone.
 func TestLoss(t *testing.T) {
 	f := newFleet(t, 1, 24, oneDC)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -151,8 +151,7 @@
 	return live[:min(IndirectProbes, len(live))]
 }
 
-// suspect starts a suspicion after a failed probe. A member that has itself heard nothing for a while may be the one
-// that is cut off; it then keeps the suspicion to itself instead of disturbing the others.
+// suspect starts a suspicion after a failed probe.
 func (c *Core) suspect(m *member) {
 	if m.suspected {
 		return
@@ -162,9 +161,6 @@
 	if m.State != previous {
 		c.changed(m, previous, false)
 	}
-	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
-		delete(c.gossip, m.ID)
-	}
 	c.pingSuspect(m)
 }
 
@@ -173,12 +169,20 @@
 	if m.announced == Serving {
 		c.transition(m, "suspect")
 	}
-	c.spread(m.ID)
+	c.spreadVerdict(m.ID)
+}
+
+// spreadVerdict spreads a suspicion or its outcome. A member that has heard nothing for a while may be the one that is
+// cut off; it then keeps its verdict to itself instead of disturbing the others.
+func (c *Core) spreadVerdict(id HostID) {
+	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
+		delete(c.gossip, id)
+		return
+	}
+	c.spread(id)
 }
 
-// contest follows another member's word that m, which seems alive here, is gone. After a partition each side has
-// declared the other gone; to take over that verdict would remove the members of the own side. m gets longer than a
-// suspicion to answer, and the word is not spread.
+// contest follows another member's doubtful word that m is gone: m is asked, and the word is not spread.
 func (c *Core) contest(m *member) {
 	m.suspected, m.contested, m.pings, m.expires = true, true, 0, c.now+contestTime
 	if m.announced == Serving {
@@ -197,7 +201,7 @@
 func (c *Core) declareGone(m *member) {
 	previous := m.State
 	c.advance(m, Gone)
-	c.spread(m.ID)
+	c.spreadVerdict(m.ID)
 	c.changed(m, previous, false)
 }
 
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -27,14 +27,14 @@
 		return
 	}
 	c.lastHeard = c.now
-	c.merge(&msg.Sender, true)
+	c.merge(&msg.Sender, nil)
 	m := c.members[id]
 	if m == nil {
 		return
 	}
 	c.readStatus(m, &msg.Status, true)
 	for i := range msg.Updates {
-		c.merge(&msg.Updates[i], false)
+		c.merge(&msg.Updates[i], m)
 	}
 	c.answer(from, msg, m)
 	c.compareViews(m, msg)
@@ -99,8 +99,8 @@
 	}
 }
 
-// merge applies what a message says about a member. direct tells that the member itself sent it.
-func (c *Core) merge(u *Update, direct bool) {
+// merge applies what a message of the member by says about a member. by is nil when a member speaks of itself.
+func (c *Core) merge(u *Update, by *member) {
 	id := u.ID()
 	if !u.valid() || id == c.self.ID || u.DataCentre != c.self.DataCentre {
 		return
@@ -116,11 +116,10 @@
 		c.replace(m, u)
 	case u.Incarnation < m.Incarnation || m.announced == Gone:
 		return
-	case u.State == Gone && !direct && m.announced < Leaving && (!m.suspected || m.contested):
-		if m.contested {
-			return
+	case u.State == Gone && by != nil && c.doubts(m, by):
+		if !m.contested {
+			c.contest(m)
 		}
-		c.contest(m)
 	case u.State > m.announced:
 		c.advance(m, u.State)
 		c.spread(id)
@@ -133,6 +132,15 @@
 	}
 }
 
+// doubts reports whether the word of by that m is gone may be wrong. After a partition each side has declared the other
+// gone, and a member that was cut off all others; to believe it would remove the members of the own side.
+func (c *Core) doubts(m, by *member) bool {
+	if m.announced >= Leaving || m.suspected && !m.contested {
+		return false
+	}
+	return m.contested || c.now-m.LastHeard < 2*ProbeInterval || by.returned && c.now-by.returnedAt < flapWindow
+}
+
 func (c *Core) add(u *Update) {
 	if u.State == Gone {
 		return
@@ -160,6 +168,7 @@
 	m.suspected, m.contested = false, false
 	c.digest = 0
 	if m.announced == Gone {
+		m.returned, m.returnedAt = true, c.now
 		c.order = append(c.order, m.ID)
 	}
 	switch {
--- a/membership/state.go
+++ b/membership/state.go
@@ -35,7 +35,7 @@
 	c.emit(MemberChanged{Member: m.Member, Previous: previous, New: isNew})
 }
 
-// Damping of a member that is declared gone again and again: from the second time within flapWindow on, it waits
+// Damping of a member that is cut off and declared gone again and again: from the second time within flapWindow on, it waits
 // before it serves again, each time twice as long. Every return moves ownership of its buckets twice.
 const (
 	flapWindow = time.Minute
@@ -45,14 +45,17 @@
 
 // rejoin follows the news that others declared this member gone.
 func (c *Core) rejoin() {
-	c.rejoins = slices.DeleteFunc(c.rejoins, func(at time.Duration) bool { return c.now-at > flapWindow })
 	var hold time.Duration
-	if n := len(c.rejoins); n > 0 {
-		hold = min(flapHold<<(min(n, 6)-1), maxHold)
+	if c.wasCutOff() {
+		c.dropVerdicts()
+		c.rejoins = slices.DeleteFunc(c.rejoins, func(at time.Duration) bool { return c.now-at > flapWindow })
+		if n := len(c.rejoins); n > 0 {
+			hold = min(flapHold<<(min(n, 6)-1), maxHold)
+		}
+		c.rejoins = append(c.rejoins, c.now)
 	}
-	c.rejoins = append(c.rejoins, c.now)
 	if hold > 0 && c.local.State == Serving {
-		c.holdUntil = c.now + hold
+		c.holdUntil = max(c.holdUntil, c.now+hold)
 		if c.self.announced == Serving {
 			c.restartSelf(Warm)
 		}
@@ -60,6 +63,33 @@
 	c.emit(SelfGone{Incarnation: c.self.Incarnation, Hold: hold})
 }
 
+// wasCutOff tells an outage of this member from that of its accuser, and from a partition into halves: this one was
+// paused, heard nobody, or found more than two thirds of the others gone.
+func (c *Core) wasCutOff() bool {
+	lost := 0
+	for _, m := range c.members {
+		if m.suspected || m.announced == Gone {
+			lost++
+		}
+	}
+	return c.now-c.lastHeard > SuspicionTime || c.now-c.wokeAt < refreshLimit || 3*lost > 2*len(c.members)
+}
+
+// dropVerdicts forgets the members that this one declared gone while it was cut off. The view of those that it meets
+// now is better, and spreading its own would make every one of them refute it.
+func (c *Core) dropVerdicts() {
+	for id, m := range c.members {
+		if m.suspected {
+			m.expires = c.now + SuspicionTime
+		}
+		if m.announced == Gone {
+			delete(c.members, id)
+			delete(c.gossip, id)
+		}
+	}
+	c.digest = 0
+}
+
 func (c *Core) restartSelf(to State) {
 	previous := c.self.State
 	c.transition(c.self, "restart")
@@ -124,7 +154,7 @@
 			m.expires = c.now + SuspicionTime
 		}
 	}
-	c.nextProbe, c.lastHeard = c.now+ProbeInterval, c.now
+	c.nextProbe, c.lastHeard, c.wokeAt = c.now+ProbeInterval, c.now, c.now
 	c.refreshUntil = c.now + refreshLimit
 	c.sync = syncState{}
 	for _, m := range c.pickMembers(3) {
