--- /dev/null
+++ b/ownership/cluster_test.go
@@ -0,0 +1,313 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+)
+
+const (
+	targets      = 15
+	testStep     = 10 * time.Millisecond
+	targetOffset = 1000 // target IDs are targetOffset plus a position
+)
+
+// cluster runs the cores of several members over a network in memory, with a flow table for each.
+type cluster struct {
+	t     testing.TB
+	rng   *rand.Rand
+	now   time.Duration
+	nodes map[membership.HostID]*testNode
+	queue []delivery
+	cut   func(from, to membership.HostID) bool
+	bytes int // of batches and acks
+	sent  int // batches
+
+	newScheme func(id membership.HostID) Scheme
+}
+
+type testNode struct {
+	id       membership.HostID
+	h        *Handover
+	copier   Scheme
+	store    *Store
+	flows    map[flow.Key]flow.TargetID
+	view     []membership.HostID
+	leaving  bool
+	frozen   bool
+	newView  bool // a view is on its way
+}
+
+type delivery struct {
+	at       time.Duration
+	from, to membership.HostID
+	apply    func(*testNode)
+}
+
+func newCluster(t testing.TB, seed uint64, n int) *cluster {
+	t.Logf("seed %d", seed)
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 0)), nodes: make(map[membership.HostID]*testNode)}
+	c.newScheme = func(id membership.HostID) Scheme { return NewReplicator(id, uint64(id)<<20) }
+	for i := range n {
+		c.join(i)
+	}
+	c.spreadView()
+	c.settle(10 * time.Second)
+	return c
+}
+
+func hostID(i int) membership.HostID { return membership.NewHostID(fmt.Sprintf("host-%d", i)) }
+
+func (c *cluster) join(i int) *testNode {
+	id := hostID(i)
+	n := &testNode{id: id, store: NewStore(), flows: make(map[flow.Key]flow.TargetID), copier: c.newScheme(id)}
+	n.h = NewHandover(id, n.store, rand.New(rand.NewPCG(c.rng.Uint64(), 0)))
+	c.nodes[id] = n
+	return n
+}
+
+// spreadView gives each member its view within 300 ms; members in the same part of the network see each other.
+func (c *cluster) spreadView() {
+	for _, id := range c.ids() {
+		n := c.nodes[id]
+		at := c.now + time.Duration(c.rng.IntN(300))*time.Millisecond
+		c.queue = append(c.queue, delivery{at: at, from: id, to: id, apply: func(n *testNode) { c.setView(n) }})
+		n.newView = true
+	}
+}
+
+func (c *cluster) setView(n *testNode) {
+	n.newView = false
+	var members, reachable []membership.HostID
+	for _, id := range c.ids() {
+		if c.cut != nil && c.cut(n.id, id) && id != n.id {
+			continue
+		}
+		reachable = append(reachable, id)
+		if !c.nodes[id].leaving {
+			members = append(members, id)
+		}
+	}
+	n.view = members
+	c.handle(n, NewMap{Map: Build(members), Reachable: reachable})
+}
+
+func (c *cluster) ids() []membership.HostID { return sortedIDs(c.nodes) }
+
+func (c *cluster) send(from, to membership.HostID, apply func(*testNode)) {
+	if c.cut != nil && c.cut(from, to) {
+		return
+	}
+	at := c.now + time.Millisecond*time.Duration(1+c.rng.IntN(5))
+	c.queue = append(c.queue, delivery{at: at, from: from, to: to, apply: apply})
+}
+
+func (c *cluster) handle(n *testNode, e Event) {
+	for _, effect := range n.h.Handle(c.now, e) {
+		switch effect := effect.(type) {
+		case SendClaim:
+			c.send(n.id, effect.To, func(to *testNode) { c.handle(to, ClaimReceived{From: n.id, Buckets: effect.Buckets}) })
+		case SendGrant:
+			c.send(n.id, effect.To, func(to *testNode) { c.handle(to, GrantReceived{From: n.id, Grant: effect.Grant}) })
+		case Collect:
+			c.handle(n, c.collect(n, effect))
+		case Install:
+			for _, e := range effect.Exceptions.Flows {
+				if _, found := n.flows[e.Key]; !found {
+					n.flows[e.Key] = e.Target
+				}
+				n.copier.Opened(c.now, e, true)
+			}
+		case Publish:
+			m := n.h.current
+			if m != nil {
+				n.copier.SetOwnership(c.now, m, n.h.States())
+			}
+			if effect.Quiesce {
+				at := c.now + time.Millisecond
+				c.queue = append(c.queue, delivery{at: at, from: n.id, to: n.id, apply: func(n *testNode) {
+					c.handle(n, Quiesced{Number: effect.Number})
+				}})
+			}
+		}
+	}
+}
+
+func (c *cluster) collect(n *testNode, e Collect) Collected {
+	out := Collected{To: e.To, Buckets: e.Buckets}
+	for key, target := range n.flows {
+		if !slices.Contains(e.Buckets, BucketOf(key.Hash())) {
+			continue
+		}
+		if target != defaultTarget(key) {
+			out.Exceptions.Flows = append(out.Exceptions.Flows, Exception{Key: key, Target: target})
+		}
+		delete(n.flows, key)
+	}
+	return out
+}
+
+func defaultTarget(k flow.Key) flow.TargetID {
+	return flow.TargetID(targetOffset + flow.Mix(k.Hash(), 99)%targets)
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end; c.now += testStep {
+		for _, id := range c.ids() {
+			if n := c.nodes[id]; !n.frozen {
+				c.handle(n, Tick{})
+				c.copy(n)
+			}
+		}
+		for {
+			due := c.takeDue()
+			if len(due) == 0 {
+				break
+			}
+			for _, d := range due {
+				if n := c.nodes[d.to]; n != nil {
+					d.apply(n)
+				}
+			}
+		}
+	}
+}
+
+func (c *cluster) takeDue() (due []delivery) {
+	c.queue = slices.DeleteFunc(c.queue, func(d delivery) bool {
+		if n := c.nodes[d.to]; d.at > c.now || n != nil && n.frozen {
+			return false
+		}
+		due = append(due, d)
+		return true
+	})
+	slices.SortStableFunc(due, func(a, b delivery) int { return int(a.at - b.at) })
+	return due
+}
+
+func (c *cluster) copy(n *testNode) {
+	for _, b := range n.copier.Tick(c.now) {
+		c.bytes += len(b.Batch.Data) + 12
+		c.sent++
+		c.send(n.id, b.To, func(to *testNode) {
+			ack, err := to.store.Apply(n.id, &b.Batch)
+			if err != nil {
+				c.t.Errorf("batch refused: %v", err)
+			}
+			c.send(to.id, n.id, func(n *testNode) { n.copier.Acked(c.now, to.id, ack) })
+		})
+	}
+}
+
+// settled reports whether every bucket has exactly one owner, the one that the common map names.
+func (c *cluster) settled() bool {
+	for _, n := range c.nodes {
+		if n.newView || n.h.current == nil {
+			return false
+		}
+		for b, s := range n.h.States() {
+			want := n.h.current.Owner(Bucket(b))
+			if (s.Role == RoleOwner) != (want == n.id) || s.Role == RoleAcquiring || s.Role == RoleForward && s.Peer != want {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *cluster) settle(limit time.Duration) time.Duration {
+	c.t.Helper()
+	for start := c.now; ; c.run(testStep) {
+		if c.settled() {
+			return c.now - start
+		}
+		if c.now-start > limit {
+			for _, id := range c.ids() {
+				n := c.nodes[id]
+				c.t.Logf("%d: %d owned, %d pending, leaving %v", id, n.h.Owned(), n.h.Pending(), n.leaving)
+			}
+			c.t.Fatalf("not settled after %v", limit)
+		}
+	}
+}
+
+// open places flows at their owners; the given share are exceptions.
+func (c *cluster) open(n int, exceptions float64) map[flow.Key]flow.TargetID {
+	flows := make(map[flow.Key]flow.TargetID)
+	for range n {
+		ip := netip.AddrFrom4([4]byte{10, byte(c.rng.IntN(256)), byte(c.rng.IntN(256)), byte(c.rng.IntN(256))})
+		key := flow.NewKey(netip.AddrPortFrom(ip, uint16(1024+c.rng.IntN(60000))), flow.EndpointID(c.rng.IntN(3)))
+		target := defaultTarget(key)
+		if c.rng.Float64() < exceptions {
+			target = flow.TargetID(targetOffset + (uint64(target)-targetOffset+1+c.rng.Uint64N(targets-1))%targets)
+		}
+		owner := c.owner(key)
+		if owner == nil {
+			continue
+		}
+		flows[key] = target
+		owner.flows[key] = target
+		owner.copier.Opened(c.now, Exception{Key: key, Target: target}, target != defaultTarget(key))
+	}
+	return flows
+}
+
+func (c *cluster) owner(key flow.Key) *testNode {
+	for _, id := range c.ids() {
+		if n := c.nodes[id]; n.h.buckets[BucketOf(key.Hash())].phase == phaseOwner {
+			return n
+		}
+	}
+	return nil
+}
+
+type outcome int
+
+const (
+	delivered outcome = iota
+	dropped
+	broken
+)
+
+// packet follows a packet of a running flow from the member that the fabric handed it to.
+func (c *cluster) packet(at *testNode, key flow.Key, want flow.TargetID) (outcome, int) {
+	b := BucketOf(key.Hash())
+	for hops := 0; hops <= 3; hops++ {
+		s := at.h.buckets[b].state()
+		if s.Role == RoleOwner {
+			target, found := at.flows[key]
+			if !found {
+				if !s.InSync {
+					return broken, hops // answered with a reset
+				}
+				target = defaultTarget(key)
+			}
+			if target != want {
+				return broken, hops
+			}
+			return delivered, hops
+		}
+		next := c.nodes[s.Peer]
+		if next == nil || c.cut != nil && c.cut(at.id, next.id) {
+			return dropped, hops
+		}
+		at = next
+	}
+	return dropped, 3
+}
+
+// count sends one packet of every flow through a random member.
+func (c *cluster) count(flows map[flow.Key]flow.TargetID) (n [3]int) {
+	ids := c.ids()
+	for key, target := range flows {
+		result, _ := c.packet(c.nodes[ids[c.rng.IntN(len(ids))]], key, target)
+		n[result]++
+	}
+	return n
+}
