--- a/ownership/change.go
+++ b/ownership/change.go
@@ -33,12 +33,15 @@
 func (h *Handover) changeBucket(b Bucket, previous *Map, takenOver *Exceptions) {
 	k := &h.buckets[b]
 	owner := h.current.Owner(b)
+	if k.phase == phaseMerging && (owner != h.self || !h.reachable[k.peer]) {
+		h.own(k, k.inSync, k.takenOverAt)
+	}
 	switch {
+	case k.phase == phaseMerging:
 	case k.phase == phaseReleasing:
 		// The grant is finished first; a claim of the owner that the new map names follows.
 	case k.phase == phaseOwner && owner == h.self:
 		k.since = 0
-		k.merging = k.merging && h.reachable[k.peer]
 	case k.phase == phaseOwner:
 		h.awaitClaim(k)
 	case k.phase == phaseAcquiring && owner == h.self:
--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -213,6 +213,9 @@
 		}
 		for b, s := range n.h.States() {
 			want := n.h.current.Owner(Bucket(b))
+			if n.h.buckets[b].phase == phaseReleasing {
+				return false
+			}
 			if (s.Role == RoleOwner) != (want == n.id) || s.Role == RoleAcquiring || s.Role == RoleForward && s.Peer != want {
 				return false
 			}
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -21,7 +21,7 @@
 		switch k.phase {
 		case phaseOwner:
 			h.release(k, from)
-		case phaseReleasing:
+		case phaseReleasing, phaseMerging:
 		case phaseAcquiring:
 			redirects[k.peer] = append(redirects[k.peer], b)
 			*k = bucket{peer: from, holder: k.peer}
@@ -88,7 +88,13 @@
 	due := make(map[membership.HostID][]Bucket)
 	for b := range h.buckets {
 		k := &h.buckets[b]
-		if k.phase == phaseReleasing && !k.collecting && k.publication > 0 && k.publication <= number {
+		if k.collecting || k.publication == 0 || k.publication > number {
+			continue
+		}
+		switch k.phase {
+		case phaseMerging:
+			k.collecting, k.next = true, h.now // the claim may go out
+		case phaseReleasing:
 			k.collecting = true
 			due[k.peer] = append(due[k.peer], Bucket(b))
 		}
@@ -178,10 +184,8 @@
 	switch k.phase {
 	case phaseReleasing:
 		k.inSync = k.inSync || g.InSync
-	case phaseOwner:
-		k.inSync = k.inSync || g.InSync
-		k.merging = false
-		h.dirty = true
+	case phaseOwner, phaseMerging:
+		h.own(k, k.inSync || g.InSync, k.takenOverAt)
 	default:
 		h.own(k, g.InSync, 0)
 	}
@@ -191,8 +195,8 @@
 }
 
 func (h *Handover) redirected(b Bucket, k *bucket, from, holder membership.HostID) {
-	if k.phase == phaseOwner && k.merging && k.peer == from {
-		k.merging = false
+	if k.phase == phaseMerging && k.peer == from {
+		h.own(k, k.inSync, k.takenOverAt)
 		return
 	}
 	if k.phase != phaseAcquiring || k.peer != from {
@@ -224,9 +228,7 @@
 	}
 	switch k.phase {
 	case phaseOwner:
-		if !k.merging {
-			k.merging, k.peer, k.next, k.wait = true, from, h.now, 0
-		}
+		h.merge(k, from)
 	case phaseAcquiring:
 		k.peer, k.lost, k.next = from, false, h.now
 		h.dirty = true
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -16,6 +16,7 @@
 	copiesLimit    = time.Second            // longest wait for the copies of an owner that is gone
 	maxRedirects   = 8                      // redirects after which nobody holds the bucket
 	offerDelay     = 500 * time.Millisecond // an owner that the map does not name waits so long for a claim
+	mergeLimit     = 500 * time.Millisecond // longest time without decisions while another owner's exceptions are merged
 	retainGranted  = 30 * time.Second       // granted exceptions are kept so long, in case the grant is lost
 	grantPartFlows = 1024                   // exceptions in one message; about 36 KB, below the limit of 64 KiB
 )
@@ -28,6 +29,7 @@
 	phaseOwner                  // this member decides
 	phaseAcquiring              // claimed from peer
 	phaseReleasing              // granting to peer; waits for traffic to quiesce and exceptions to be collected
+	phaseMerging                // owner that claims from peer, another owner; decides nothing until the grant arrives
 )
 
 type bucket struct {
@@ -36,14 +38,13 @@
 	holder      membership.HostID // other: member that may still hold the bucket while its owner acquires it
 	alternative membership.HostID // acquiring: member that holds copies if peer does not own the bucket
 	lost        bool              // acquiring: the previous owner is gone and peer is asked for copies
-	merging     bool              // owner: a claim to peer is out, to merge its exceptions
 	inSync      bool
 	takenOverAt time.Duration
-	since       time.Duration // acquiring: start; owner that the map does not name: since when
+	since       time.Duration // acquiring, merging: start; owner that the map does not name: since when
 	next        time.Duration // next claim or offer
 	wait        time.Duration
 	redirects   int
-	publication uint64 // releasing: publication that must be quiesced
+	publication uint64 // releasing, merging: publication that must be quiesced
 	collecting  bool
 }
 
@@ -105,7 +106,7 @@
 	if h.dirty {
 		h.number++
 		for b := range h.buckets {
-			if k := &h.buckets[b]; k.phase == phaseReleasing && k.publication == 0 {
+			if k := &h.buckets[b]; (k.phase == phaseReleasing || k.phase == phaseMerging) && k.publication == 0 {
 				k.publication = h.number
 			}
 		}
@@ -127,6 +128,8 @@
 	switch k.phase {
 	case phaseOwner:
 		return BucketState{Role: RoleOwner, InSync: k.inSync, TakenOverAt: k.takenOverAt}
+	case phaseMerging:
+		return BucketState{Role: RoleAcquiring}
 	case phaseAcquiring:
 		if k.lost {
 			return BucketState{Role: RoleAcquiring}
@@ -140,7 +143,8 @@
 func (h *Handover) Owned() int {
 	n := 0
 	for b := range h.buckets {
-		if p := h.buckets[b].phase; p == phaseOwner || p == phaseReleasing {
+		switch h.buckets[b].phase {
+		case phaseOwner, phaseReleasing, phaseMerging:
 			n++
 		}
 	}
@@ -174,6 +178,13 @@
 	h.dirty = true
 }
 
+// merge starts to take a bucket over from another owner that this one meets after a partition. Both know flows that the
+// other does not, so this member stops deciding before the other one does.
+func (h *Handover) merge(k *bucket, from membership.HostID) {
+	*k = bucket{phase: phaseMerging, peer: from, inSync: k.inSync, takenOverAt: k.takenOverAt, since: h.now}
+	h.dirty, h.quiesce = true, true
+}
+
 func (h *Handover) release(k *bucket, to membership.HostID) {
 	*k = bucket{phase: phaseReleasing, peer: to, inSync: k.inSync, takenOverAt: k.takenOverAt}
 	h.dirty, h.quiesce = true, true
@@ -189,7 +200,7 @@
 			continue
 		}
 		switch {
-		case k.phase == phaseAcquiring, k.phase == phaseOwner && k.merging:
+		case k.phase == phaseAcquiring, k.phase == phaseMerging && k.collecting:
 			claims[k.peer] = append(claims[k.peer], Bucket(b))
 		case k.phase == phaseOwner && k.since > 0:
 			to := h.current.Owner(Bucket(b))
@@ -227,6 +238,9 @@
 		if k.phase == phaseAcquiring && k.lost && h.now-k.since >= copiesLimit {
 			h.own(k, false, h.now)
 		}
+		if k.phase == phaseMerging && h.now-k.since >= mergeLimit {
+			h.own(k, k.inSync, k.takenOverAt)
+		}
 	}
 	for b, g := range h.granted {
 		if h.now >= g.until {
