--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -29,19 +29,20 @@
 	bytes int // of batches and acks
 	sent  int // batches
 
+	drained   [targets]bool
 	newScheme func(id membership.HostID) Scheme
 }
 
 type testNode struct {
-	id       membership.HostID
-	h        *Handover
-	copier   Scheme
-	store    *Store
-	flows    map[flow.Key]flow.TargetID
-	view     []membership.HostID
-	leaving  bool
-	frozen   bool
-	newView  bool // a view is on its way
+	id      membership.HostID
+	h       *Handover
+	copier  Scheme
+	store   *Store
+	flows   map[flow.Key]flow.TargetID
+	view    []membership.HostID
+	leaving bool
+	frozen  bool
+	newView bool // a view is on its way
 }
 
 type delivery struct {
@@ -141,11 +142,15 @@
 
 func (c *cluster) collect(n *testNode, e Collect) Collected {
 	out := Collected{To: e.To, Buckets: e.Buckets}
+	leaving := make(map[Bucket]bool)
+	for _, b := range e.Buckets {
+		leaving[b] = true
+	}
 	for key, target := range n.flows {
-		if !slices.Contains(e.Buckets, BucketOf(key.Hash())) {
+		if !leaving[BucketOf(key.Hash())] {
 			continue
 		}
-		if target != defaultTarget(key) {
+		if target != c.defaultTarget(key) {
 			out.Exceptions.Flows = append(out.Exceptions.Flows, Exception{Key: key, Target: target})
 		}
 		delete(n.flows, key)
@@ -153,8 +158,29 @@
 	return out
 }
 
-func defaultTarget(k flow.Key) flow.TargetID {
-	return flow.TargetID(targetOffset + flow.Mix(k.Hash(), 99)%targets)
+// defaultTarget ranks the targets that are not drained by rendezvous hashing.
+func (c *cluster) defaultTarget(k flow.Key) flow.TargetID { return c.ranked(k, 0) }
+
+func (c *cluster) ranked(k flow.Key, rank int) flow.TargetID {
+	var ids [targets]flow.TargetID
+	n, hash := 0, k.Hash()
+	for i := range targets {
+		if !c.drained[i] {
+			ids[n] = flow.TargetID(targetOffset + i)
+			n++
+		}
+	}
+	score := func(id flow.TargetID) uint64 { return flow.Mix(uint64(id), hash) }
+	for i := 0; i <= rank; i++ {
+		best := i
+		for j := i + 1; j < n; j++ {
+			if score(ids[j]) > score(ids[best]) {
+				best = j
+			}
+		}
+		ids[i], ids[best] = ids[best], ids[i]
+	}
+	return ids[rank]
 }
 
 func (c *cluster) run(d time.Duration) {
@@ -191,18 +217,29 @@
 	return due
 }
 
+// Bytes of a frame around the data of a batch, and of an ack, as package peer encodes them.
+const (
+	batchFrameBytes = 48
+	ackFrameBytes   = 45
+)
+
 func (c *cluster) copy(n *testNode) {
 	for _, b := range n.copier.Tick(c.now) {
-		c.bytes += len(b.Batch.Data) + 12
+		c.bytes += len(b.Batch.Data) + batchFrameBytes
 		c.sent++
 		c.send(n.id, b.To, func(to *testNode) {
-			ack, err := to.store.Apply(n.id, &b.Batch)
-			if err != nil {
+			if err := to.store.Apply(n.id, &b.Batch); err != nil {
 				c.t.Errorf("batch refused: %v", err)
 			}
-			c.send(to.id, n.id, func(n *testNode) { n.copier.Acked(c.now, to.id, ack) })
 		})
 	}
+	if c.now%(500*time.Millisecond) != 0 {
+		return
+	}
+	for _, a := range n.store.Acks() {
+		c.bytes += ackFrameBytes
+		c.send(n.id, a.To, func(to *testNode) { to.copier.Acked(c.now, n.id, a.Ack) })
+	}
 }
 
 // settled reports whether every bucket has exactly one owner, the one that the common map names.
@@ -246,7 +283,7 @@
 	for range n {
 		ip := netip.AddrFrom4([4]byte{10, byte(c.rng.IntN(256)), byte(c.rng.IntN(256)), byte(c.rng.IntN(256))})
 		key := flow.NewKey(netip.AddrPortFrom(ip, uint16(1024+c.rng.IntN(60000))), flow.EndpointID(c.rng.IntN(3)))
-		target := defaultTarget(key)
+		target := c.defaultTarget(key)
 		if c.rng.Float64() < exceptions {
 			target = flow.TargetID(targetOffset + (uint64(target)-targetOffset+1+c.rng.Uint64N(targets-1))%targets)
 		}
@@ -256,7 +293,7 @@
 		}
 		flows[key] = target
 		owner.flows[key] = target
-		owner.copier.Opened(c.now, Exception{Key: key, Target: target}, target != defaultTarget(key))
+		owner.copier.Opened(c.now, Exception{Key: key, Target: target}, target != c.defaultTarget(key))
 	}
 	return flows
 }
@@ -289,7 +326,7 @@
 				if !s.InSync {
 					return broken, hops // answered with a reset
 				}
-				target = defaultTarget(key)
+				target = c.defaultTarget(key)
 			}
 			if target != want {
 				return broken, hops
--- a/ownership/replicate.go
+++ b/ownership/replicate.go
@@ -11,8 +11,8 @@
 
 // Timing and bounds of replication.
 const (
-	batchInterval   = 100 * time.Millisecond // an owner that is killed loses the additions of this time
-	removalInterval = 2 * time.Second        // a copy of an ended flow does no harm; removals wait for company
+	batchAge        = 80 * time.Millisecond // of the oldest addition; with a tick every 20 ms, batches are at most 100 ms apart
+	removalInterval = 2 * time.Second       // a copy of an ended flow does no harm; removals wait for company
 	resendAfter     = time.Second
 	resyncRate      = 4 << 10 // bytes per second, for the copies that a new backup needs
 	resyncBurst     = 1 << 10
@@ -169,7 +169,7 @@
 	return owned, synced
 }
 
-// Tick returns the batches that are due. Call it at least every 50 ms.
+// Tick returns the batches that are due. Call it every 20 ms.
 func (r *Replicator) Tick(now time.Duration) []SendBatch {
 	r.tokens = min(r.tokens+resyncRate*(now-r.filled).Seconds(), resyncBurst)
 	r.filled = now
--- a/ownership/store.go
+++ b/ownership/store.go
@@ -32,6 +32,7 @@
 	endpoints       []flow.EndpointID
 	targets         []flow.TargetID
 	keys            map[uint32]flow.Key
+	ack             bool // an ack is due
 }
 
 // Store holds the exception copies for which this member is the backup. It is not safe for use by several goroutines.
@@ -53,28 +54,49 @@
 // Len returns the number of copies held.
 func (s *Store) Len() int { return s.count }
 
-// Apply applies a batch and returns the ack to send. A batch that comes after a gap is ignored and the ack names the
-// last one applied, so that the owner sends again from there.
-func (s *Store) Apply(from membership.HostID, b *Batch) (BatchAck, error) {
+// SendAck sends an ack to an owner.
+type SendAck struct {
+	To  membership.HostID
+	Ack BatchAck
+}
+
+// Acks returns the acks that are due. One ack covers all batches before it, so call it every 200 to 500 ms rather than
+// after each batch: with small batches the acks would take as many bytes as the batches.
+func (s *Store) Acks() []SendAck {
+	var out []SendAck
+	for _, id := range sortedIDs(s.streams) {
+		if in := s.streams[id]; in.ack {
+			in.ack = false
+			out = append(out, SendAck{To: id, Ack: BatchAck{Epoch: in.epoch, Sequence: in.sequence}})
+		}
+	}
+	return out
+}
+
+// Apply applies a batch. A batch that comes after a gap, or again, is ignored; the ack names the last one applied, so
+// that the owner sends again from there. The error tells that the batch cannot be decoded.
+func (s *Store) Apply(from membership.HostID, b *Batch) error {
 	in := s.streams[from]
 	if in == nil || b.Epoch > in.epoch {
 		in = &incoming{epoch: b.Epoch, keys: make(map[uint32]flow.Key)}
 		s.streams[from] = in
 	}
-	ack := BatchAck{Epoch: in.epoch, Sequence: in.sequence}
-	if b.Epoch != in.epoch || b.Sequence != in.sequence+1 {
-		return ack, nil
+	if b.Epoch < in.epoch {
+		return nil
+	}
+	in.ack = true
+	if b.Sequence != in.sequence+1 {
+		return nil
 	}
 	c, err := decodeChanges(b.Data)
 	if err != nil {
-		return ack, err
+		return err
 	}
 	if err := s.apply(from, in, c); err != nil {
-		return ack, err
+		return err
 	}
 	in.sequence = b.Sequence
-	ack.Sequence = b.Sequence
-	return ack, nil
+	return nil
 }
 
 func (s *Store) apply(from membership.HostID, in *incoming, c *changes) error {
