--- a/membership/core.go
+++ b/membership/core.go
@@ -38,9 +38,13 @@
 	announced State // what the member said last, without suspicion
 	suspected bool
 	expires   time.Duration // end of the suspicion
-	byProbe   bool          // this member's own probe failed, rather than another member's
+	contested bool          // suspected only because another member says that it is gone
+	pings     int           // sent while contested
 	goneAt    time.Duration
-	misses    int // failed samples of a member of another data centre
+
+	returned   bool // it was gone and came back, last at returnedAt
+	returnedAt time.Duration
+	misses     int // failed samples of a member of another data centre
 }
 
 // Core keeps the membership as one balancer sees it. It is not safe for use by several goroutines.
@@ -67,7 +71,9 @@
 
 	nextProbe, nextContact time.Duration
 	lastHeard              time.Duration
+	wokeAt                 time.Duration
 	lastChange             time.Duration
+	digest                 uint64 // cached viewDigest, 0 when it must be computed
 	sync                   syncState
 	refreshUntil           time.Duration // 0 when no refresh is under way
 	rejoins                []time.Duration
@@ -80,7 +86,7 @@
 		cfg: cfg, rng: rng, now: now,
 		members: make(map[HostID]*member), remote: make(map[HostID]*member),
 		relays: make(map[uint64]relay), gossip: make(map[HostID]int),
-		nextProbe: now, nextContact: now,
+		nextProbe: now, nextContact: now, lastHeard: now, wokeAt: now - refreshLimit,
 	}
 	cfg.Self.ID = NewHostID(cfg.Self.Name)
 	c.self = &member{Member: cfg.Self, announced: cfg.Self.State}
@@ -195,13 +201,17 @@
 // viewDigest summarizes the incarnations and states of this data centre, so that two members notice that their views
 // differ although every update has been retransmitted as often as it may be.
 func (c *Core) viewDigest() uint64 {
+	if c.digest != 0 {
+		return c.digest
+	}
 	digest := memberDigest(c.self)
 	for _, m := range c.members {
 		if m.announced != Gone {
 			digest += memberDigest(m)
 		}
 	}
-	return digest
+	c.digest = max(digest, 1)
+	return c.digest
 }
 
 func memberDigest(m *member) uint64 {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +25,13 @@
 	expires  time.Duration
 }
 
+// A member that another one has declared gone is gone here too when it leaves contestPings pings without an answer. The
+// wait for its turn is bounded by contestTime: after a partition many members are contested at once.
+const (
+	contestPings = 4
+	contestTime  = 30 * time.Second
+)
+
 // maxSuspectPings bounds the extra pings per probe interval while many members are suspected, as after a partition;
 // other members ping the rest.
 const maxSuspectPings = 2
@@ -57,22 +65,36 @@
 	c.sendPing(m, c.sequence)
 }
 
-// probeSuspects pings the members whose suspicion this member raised, so that a member that lost single packets hears
-// of the suspicion and its refutation comes back within the suspicion time.
+// probeSuspects pings the suspected members whose time ends first. A member that lost single packets so hears of the
+// suspicion, and its answer brings the refutation even to a member that gossip has missed.
 func (c *Core) probeSuspects() {
-	var suspects []*member
-	for _, id := range c.sortedMembers() {
-		if m := c.members[id]; m.suspected && m.byProbe {
-			suspects = append(suspects, m)
-		}
-	}
-	c.rng.Shuffle(len(suspects), func(i, j int) { suspects[i], suspects[j] = suspects[j], suspects[i] })
+	suspects := c.suspects()
+	slices.SortStableFunc(suspects, func(a, b *member) int { return cmp.Compare(a.expires, b.expires) })
 	for _, m := range suspects[:min(maxSuspectPings, len(suspects))] {
-		c.sequence++
-		c.sendPing(m, c.sequence)
+		c.pingSuspect(m)
 	}
 }
 
+func (c *Core) pingSuspect(m *member) {
+	c.sequence++
+	c.sendPing(m, c.sequence)
+	if m.contested {
+		m.pings++
+		m.expires = min(m.expires, c.now+time.Duration(1+contestPings-min(m.pings, contestPings))*ProbeInterval)
+	}
+}
+
+func (c *Core) suspects() []*member {
+	var all []*member
+	for _, m := range c.members {
+		if m.suspected {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 func (c *Core) sendPing(m *member, sequence uint64) {
 	msg := c.message(Ping, sequence, m)
 	c.emit(Send{To: m.Probe, Message: msg})
@@ -110,6 +132,7 @@
 	}
 	p.indirect, p.deadline = true, c.now+AckTimeout
 	c.probes = append(c.probes, p)
+	c.sendPing(m, p.sequence) // a lost packet is more frequent than a lost host
 	for _, helper := range c.pickHelpers(p.target) {
 		msg := c.message(PingReq, p.sequence, helper)
 		msg.Target, msg.TargetAddr = m.ID, m.Probe
@@ -128,34 +151,48 @@
 	return live[:min(IndirectProbes, len(live))]
 }
 
-// suspect starts a suspicion after a failed probe. A member that has itself heard nothing for a while may be the one
-// that is cut off; it then keeps the suspicion to itself instead of disturbing the others.
+// suspect starts a suspicion after a failed probe.
 func (c *Core) suspect(m *member) {
 	if m.suspected {
 		return
 	}
 	previous := m.State
-	m.byProbe = true
 	c.setSuspected(m)
 	if m.State != previous {
 		c.changed(m, previous, false)
 	}
+	c.pingSuspect(m)
+}
+
+func (c *Core) setSuspected(m *member) {
+	m.suspected, m.contested, m.expires = true, false, c.now+SuspicionTime
+	if m.announced == Serving {
+		c.transition(m, "suspect")
+	}
+	c.spreadVerdict(m.ID)
+}
+
+// spreadVerdict spreads a suspicion or its outcome. A member that has heard nothing for a while may be the one that is
+// cut off; it then keeps its verdict to itself instead of disturbing the others.
+func (c *Core) spreadVerdict(id HostID) {
 	if c.now-c.lastHeard > SuspicionTime && len(c.order) > 1 {
-		delete(c.gossip, m.ID)
+		delete(c.gossip, id)
+		return
 	}
+	c.spread(id)
 }
 
-func (c *Core) setSuspected(m *member) {
-	m.suspected, m.expires = true, c.now+SuspicionTime
+// contest follows another member's doubtful word that m is gone: m is asked, and the word is not spread.
+func (c *Core) contest(m *member) {
+	m.suspected, m.contested, m.pings, m.expires = true, true, 0, c.now+contestTime
 	if m.announced == Serving {
 		c.transition(m, "suspect")
 	}
-	c.spread(m.ID)
 }
 
 func (c *Core) expireSuspicions() {
-	for _, id := range c.sortedMembers() {
-		if m := c.members[id]; m.suspected && c.now >= m.expires {
+	for _, m := range c.suspects() {
+		if c.now >= m.expires {
 			c.declareGone(m)
 		}
 	}
@@ -164,7 +201,7 @@
 func (c *Core) declareGone(m *member) {
 	previous := m.State
 	c.advance(m, Gone)
-	c.spread(m.ID)
+	c.spreadVerdict(m.ID)
 	c.changed(m, previous, false)
 }
 
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -27,14 +27,14 @@
 		return
 	}
 	c.lastHeard = c.now
-	c.merge(&msg.Sender, true)
+	c.merge(&msg.Sender, nil)
 	m := c.members[id]
 	if m == nil {
 		return
 	}
 	c.readStatus(m, &msg.Status, true)
 	for i := range msg.Updates {
-		c.merge(&msg.Updates[i], false)
+		c.merge(&msg.Updates[i], m)
 	}
 	c.answer(from, msg, m)
 	c.compareViews(m, msg)
@@ -90,7 +90,7 @@
 		if !newer && !u.Suspected && u.State <= c.self.announced {
 			continue
 		}
-		c.self.Incarnation = u.Incarnation + 1
+		c.self.Incarnation, c.digest = u.Incarnation+1, 0
 		if u.State == Gone {
 			c.rejoin()
 		}
@@ -99,8 +99,8 @@
 	}
 }
 
-// merge applies what a message says about a member. direct tells that the member itself sent it.
-func (c *Core) merge(u *Update, direct bool) {
+// merge applies what a message of the member by says about a member. by is nil when a member speaks of itself.
+func (c *Core) merge(u *Update, by *member) {
 	id := u.ID()
 	if !u.valid() || id == c.self.ID || u.DataCentre != c.self.DataCentre {
 		return
@@ -116,15 +116,15 @@
 		c.replace(m, u)
 	case u.Incarnation < m.Incarnation || m.announced == Gone:
 		return
-	case u.State == Gone && !direct && !m.suspected:
-		// A member that seems alive here is suspected first: after a partition each side has declared the other gone,
-		// and taking over that verdict would remove every member of the own side.
-		c.suspectHearsay(m)
+	case u.State == Gone && by != nil && c.doubts(m, by):
+		if !m.contested {
+			c.contest(m)
+		}
 	case u.State > m.announced:
 		c.advance(m, u.State)
 		c.spread(id)
 	}
-	if u.Suspected && !m.suspected && m.announced != Gone && u.Incarnation == m.Incarnation {
+	if u.Suspected && (!m.suspected || m.contested) && m.announced != Gone && u.Incarnation == m.Incarnation {
 		c.setSuspected(m)
 	}
 	if m.State != previous || m.Incarnation != incarnation {
@@ -132,9 +132,13 @@
 	}
 }
 
-func (c *Core) suspectHearsay(m *member) {
-	m.byProbe = true
-	c.setSuspected(m)
+// doubts reports whether the word of by that m is gone may be wrong. After a partition each side has declared the other
+// gone, and a member that was cut off all others; to believe it would remove the members of the own side.
+func (c *Core) doubts(m, by *member) bool {
+	if m.announced >= Leaving || m.suspected && !m.contested {
+		return false
+	}
+	return m.contested || c.now-m.LastHeard < 2*ProbeInterval || by.returned && c.now-by.returnedAt < flapWindow
 }
 
 func (c *Core) add(u *Update) {
@@ -142,7 +146,7 @@
 		return
 	}
 	m := &member{Member: u.member()}
-	c.members[m.ID] = m
+	c.members[m.ID], c.digest = m, 0
 	at := c.next
 	if n := len(c.order) - c.next; n > 0 {
 		at += c.rng.IntN(n + 1)
@@ -161,8 +165,10 @@
 func (c *Core) replace(m *member, u *Update) {
 	fresh := u.member()
 	m.Data, m.Probe, m.Peer, m.Incarnation = fresh.Data, fresh.Probe, fresh.Peer, u.Incarnation
-	m.suspected, m.byProbe = false, false
+	m.suspected, m.contested = false, false
+	c.digest = 0
 	if m.announced == Gone {
+		m.returned, m.returnedAt = true, c.now
 		c.order = append(c.order, m.ID)
 	}
 	switch {
@@ -181,7 +187,7 @@
 	if to <= m.announced {
 		return
 	}
-	m.announced = to
+	m.announced, c.digest = to, 0
 	switch to {
 	case Warm:
 		c.transition(m, "warm")
@@ -190,7 +196,7 @@
 	case Leaving:
 		c.transition(m, "leave")
 	case Gone:
-		m.suspected, m.byProbe, m.goneAt = false, false, c.now
+		m.suspected, m.contested, m.goneAt = false, false, c.now
 		c.transition(m, "expire")
 	}
 }
