--- a/rollout/network_test.go
+++ b/rollout/network_test.go
@@ -23,6 +23,7 @@
 
 const (
 	probeInterval = 250 * time.Millisecond
+	viewInterval  = 500 * time.Millisecond
 	detectionTime = 2 * time.Second // until a member view shows that a host is gone
 	stepLength    = 10 * time.Millisecond
 )
@@ -68,19 +69,20 @@
 
 // host is one balancer with what the test observes of it.
 type host struct {
-	member                          membership.Member
-	core                            *Core
-	epoch                           int
-	side                            int // hosts on different sides of a partition do not reach each other
-	down, paused, noPlatform        bool
-	separated                       map[int]time.Duration // since when another host has been out of reach
-	nextTick, nextProbe, watchUntil time.Duration
-	watching                        bool
-	watchAfter                      string
-	version                         uint64 // highest version in force in this life
-	inForceAt                       map[uint64]time.Duration
-	bytes                           int
-	refusals                        []BundleRefused
+	member                        membership.Member
+	core                          *Core
+	epoch                         int
+	side                          int // hosts on different sides of a partition do not reach each other
+	down, paused, noPlatform      bool
+	separated                     map[int]time.Duration // since when another host has been out of reach
+	nextTick, nextProbe, nextView time.Duration
+	watchUntil                    time.Duration
+	watching                      bool
+	watchAfter                    string
+	version                       uint64 // highest version in force in this life
+	inForceAt                     map[uint64]time.Duration
+	bytes                         int
+	refusals                      []BundleRefused
 }
 
 // network carries messages between cores with faults.
@@ -90,6 +92,7 @@
 	seq             int
 	queue           queue
 	hosts           []*host
+	index           map[membership.HostID]int
 	loss, duplicate float64
 	delay           time.Duration
 	revision        int
@@ -101,11 +104,12 @@
 }
 
 func newNetwork(seed uint64, centres ...int) *network {
-	n := &network{rng: rand.New(rand.NewPCG(seed, 1)), contents: map[uint64]DigestPrefix{}, reasons: map[Reason]int{}}
+	n := &network{rng: rand.New(rand.NewPCG(seed, 1)), index: map[membership.HostID]int{}, contents: map[uint64]DigestPrefix{}, reasons: map[Reason]int{}}
 	for dc, size := range centres {
 		for range size {
 			name := fmt.Sprintf("h%d", len(n.hosts))
 			h := &host{member: membership.Member{ID: membership.NewHostID(name), Name: name, DataCentre: fmt.Sprintf("dc%d", dc), State: membership.Serving}}
+			n.index[h.member.ID] = len(n.hosts)
 			n.hosts = append(n.hosts, h)
 		}
 	}
@@ -124,6 +128,7 @@
 	h.inForceAt, h.separated = map[uint64]time.Duration{}, map[int]time.Duration{}
 	h.nextTick = n.now + time.Duration(n.rng.Int64N(int64(100*time.Millisecond)))
 	h.nextProbe = n.now + time.Duration(n.rng.Int64N(int64(probeInterval)))
+	h.nextView = n.now
 }
 
 func (n *network) reachable(a, b int) bool {
@@ -146,15 +151,6 @@
 	}
 }
 
-func (n *network) index(id membership.HostID) int {
-	for i, h := range n.hosts {
-		if h.member.ID == id {
-			return i
-		}
-	}
-	panic("unknown host")
-}
-
 func size(body any) int {
 	data, err := msgpack.Marshal(body)
 	if err != nil {
@@ -166,7 +162,7 @@
 func (n *network) announce(from int, to []membership.HostID) {
 	a := n.hosts[from].core.Announcement(n.now)
 	for _, id := range to {
-		n.send(from, n.index(id), probeOverhead+size(a), PeerAnnounced{a})
+		n.send(from, n.index[id], probeOverhead+size(a), PeerAnnounced{a})
 	}
 }
 
@@ -178,14 +174,14 @@
 			n.calls++
 			h.watching, h.watchAfter, h.watchUntil = true, x.After, n.now+x.Wait
 		case RequestBundle:
-			n.send(i, n.index(x.To), frameOverhead+size(x.Request), PeerRequested{h.member.ID, x.Request})
+			n.send(i, n.index[x.To], frameOverhead+size(x.Request), PeerRequested{h.member.ID, x.Request})
 		case SendData:
-			n.send(i, n.index(x.To), frameOverhead+size(x.Data), PeerData{h.member.ID, x.Data})
+			n.send(i, n.index[x.To], frameOverhead+size(x.Data), PeerData{h.member.ID, x.Data})
 		case Announce:
 			n.announce(i, x.To)
 		case PushActivate:
 			for _, id := range x.To {
-				n.send(i, n.index(id), frameOverhead+20, PeerInForce{h.member.ID, x.Version, x.Digest})
+				n.send(i, n.index[id], frameOverhead+20, PeerInForce{h.member.ID, x.Version, x.Digest})
 			}
 		case BundleInForce:
 			n.observe(h, x)
@@ -267,9 +263,12 @@
 			n.poll(i)
 			if n.now >= h.nextTick {
 				h.nextTick = n.now + 100*time.Millisecond
-				n.view(i)
 				n.handle(i, Tick{})
 			}
+			if n.now >= h.nextView {
+				h.nextView = n.now + viewInterval
+				n.view(i)
+			}
 			if n.now >= h.nextProbe {
 				h.nextProbe = n.now + probeInterval
 				n.probe(i)
@@ -287,7 +286,7 @@
 	}
 	to := h.core.local[n.rng.IntN(len(h.core.local))]
 	n.announce(i, []membership.HostID{to})
-	if j := n.index(to); n.reachable(i, j) && !n.hosts[j].paused {
+	if j := n.index[to]; n.reachable(i, j) && !n.hosts[j].paused {
 		n.announce(j, []membership.HostID{h.member.ID})
 	}
 }
