--- a/flow/key.go
+++ b/flow/key.go
@@ -96,7 +96,9 @@
 // Hash returns a 64-bit hash of the key that is the same on every host.
 func (k *Key) Hash() uint64 {
 	var b [KeyLength]byte
-	k.AppendTo(b[:0])
+	*(*[16]byte)(b[:]) = k.Caller
+	binary.BigEndian.PutUint64(b[16:], uint64(k.Endpoint))
+	binary.BigEndian.PutUint16(b[24:], k.CallerPort)
 	return xxhash.Sum64(b[:])
 }
 
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -21,7 +21,7 @@
 		p := tcp(SYN, 1, 0, 0)
 		callerOf(p, i)
 		d := e.FromCaller(0, p)
-		e.FromTarget(0, answer(p, SYN|ACK), d.Addr.Addr(), d.VNI)
+		e.FromTarget(0, answer(p, SYN|ACK), d.Addr().Addr(), d.VNI)
 		p.Flags, p.Seq, p.Ack = ACK, 2, 1
 		e.FromCaller(0, p)
 	}
--- a/forward/counters.go
+++ b/forward/counters.go
@@ -9,46 +9,53 @@
 // codeLimit is above the highest result code.
 const codeLimit = 1000
 
-// counterShards spreads the action counters so that traffic goroutines rarely write to the same cache line.
-const counterShards = 64
-
 type counters struct {
-	actions [counterShards]actionCounters
+	actions [actionCount]atomic.Uint64
 	codes   [codeLimit]atomic.Uint64
 }
 
-type actionCounters struct {
-	n [actionCount]atomic.Uint64
-	_ [64 - actionCount*8%64]byte
-}
-
 func (c *counters) code(code resultcode.Code) {
 	if code != resultcode.OK && code < codeLimit {
 		c.codes[code].Add(1)
 	}
 }
 
-// count notes a decision and returns it.
-func (e *Engine) count(q *query, d Decision) Decision {
-	e.counters.actions[q.hash%counterShards].n[d.Action].Add(1)
-	e.counters.code(d.Code)
+// count notes the result code of a decision and returns the decision. Most have none, so that goroutines rarely write
+// to the same cache line.
+func (e *Engine) count(d Decision) Decision {
+	if d.Code != resultcode.OK {
+		e.counters.code(d.Code)
+	}
 	return d
 }
 
-// CountDrop counts a packet that was dropped before a decision could be asked for.
-func (e *Engine) CountDrop(code resultcode.Code) {
-	e.counters.actions[0].n[Drop].Add(1)
-	e.counters.code(code)
+// Tally holds the number of decisions of each action that one goroutine has carried out. It adds them to the counters
+// of the engine now and then, since an atomic addition for every packet would take a tenth of its time.
+type Tally [actionCount]uint64
+
+// AddActions adds a tally to the counters and clears it.
+func (e *Engine) AddActions(t *Tally) {
+	for a, n := range t {
+		if n > 0 {
+			e.counters.actions[a].Add(n)
+		}
+	}
+	*t = Tally{}
+}
+
+// CountDrop counts packets that were dropped before or after the decision about them.
+func (e *Engine) CountDrop(code resultcode.Code, n int) {
+	if n <= 0 {
+		return
+	}
+	e.counters.actions[Drop].Add(uint64(n))
+	e.counters.codes[code%codeLimit].Add(uint64(n))
 }
 
 // Actions calls fn with the number of decisions of each action.
 func (e *Engine) Actions(fn func(a Action, n uint64)) {
 	for a := range actionCount {
-		var n uint64
-		for i := range e.counters.actions {
-			n += e.counters.actions[i].n[a].Load()
-		}
-		fn(a, n)
+		fn(a, e.counters.actions[a].Load())
 	}
 }
 
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -66,7 +66,7 @@
 	st.inherit(e.state.Load(), time.Duration(e.clock.Load()))
 	e.state.Store(st)
 	for id, c := range e.open {
-		if st.targets[id] == nil && c.Load() == 0 {
+		if st.target(id) == nil && c.Load() == 0 {
 			delete(e.open, id)
 		}
 	}
@@ -107,15 +107,15 @@
 
 // serviceOf returns the service that a target had in the last snapshot that knew it, 0 when there was none.
 func (e *Engine) serviceOf(id flow.TargetID) flow.ServiceID {
-	if st := e.state.Load(); st != nil && st.targets[id] != nil {
-		return st.targets[id].service.id
+	if st := e.state.Load(); st != nil && st.target(id) != nil {
+		return st.target(id).service.id
 	}
 	return 0
 }
 
 // addOpen changes the number of open flows of a target.
 func (e *Engine) addOpen(st *state, id flow.TargetID, delta int64) {
-	if t := st.targets[id]; t != nil {
+	if t := st.target(id); t != nil {
 		t.open.Add(delta)
 		return
 	}
@@ -148,9 +148,9 @@
 		code = q.find(p.Source, p.Destination)
 	}
 	if code != resultcode.OK {
-		return e.count(&q, e.lost(&q, code))
+		return e.count(e.lost(&q, code))
 	}
-	return e.count(&q, e.route(&q))
+	return e.count(e.route(&q))
 }
 
 // FromTarget decides about a packet that the target at source sent with the VNI.
@@ -161,9 +161,9 @@
 		code = q.findTarget(source, vni)
 	}
 	if code != resultcode.OK {
-		return e.count(&q, drop(code))
+		return e.count(drop(code))
 	}
-	return e.count(&q, e.route(&q))
+	return e.count(e.route(&q))
 }
 
 // FromPeer decides about a packet that the balancer at source passed on.
@@ -177,9 +177,9 @@
 		code = q.findFromPeer()
 	}
 	if code != resultcode.OK {
-		return e.count(&q, e.lost(&q, code))
+		return e.count(e.lost(&q, code))
 	}
-	return e.count(&q, e.route(&q))
+	return e.count(e.route(&q))
 }
 
 // begin loads the state and reports why nothing can be decided.
@@ -210,7 +210,7 @@
 
 // find sets the flow of the packet.
 func (q *query) find(caller, at netip.AddrPort) resultcode.Code {
-	q.ep = q.st.endpoints[newEndpointKey(q.p.Protocol, at)]
+	q.ep = q.st.endpoint(q.p.Protocol, at)
 	if q.ep == nil {
 		return resultcode.PacketUnknownEndpoint
 	}
@@ -269,13 +269,13 @@
 
 // route decides by the role for the bucket.
 func (e *Engine) route(q *query) Decision {
-	b := &q.st.Buckets[q.bucket]
-	if b.Role == RoleOwner {
+	if q.st.owns(q.bucket) {
 		if q.direction == ToTarget {
 			return e.ownerFromCaller(q)
 		}
 		return e.ownerFromTarget(q)
 	}
+	b := &q.st.Buckets[q.bucket]
 	if q.sender != 0 && q.sender == b.Peer && q.info.Version < q.st.version {
 		return e.byDefault(q) // the owner is behind and has passed on a flow that it does not know
 	}
@@ -297,19 +297,18 @@
 
 // toPeer passes the packet to a balancer, or drops it with the code when that has no address.
 func (q *query) toPeer(id membership.HostID, code resultcode.Code) Decision {
-	addr, found := q.st.Peers[id]
-	if id == 0 || !found || id == q.st.Self {
+	addr := q.st.peers[id]
+	if addr == nil || id == q.st.Self {
 		return drop(code)
 	}
 	if q.info.Hops >= HopLimit {
 		return drop(resultcode.PacketHopLimit)
 	}
-	d := Decision{Action: ForwardPeer, Addr: addr, Direction: q.direction}
-	d.Peer = PeerInfo{
-		Version: q.st.version, Incarnation: q.st.Incarnation, Hops: q.info.Hops + 1, Direction: q.direction, Target: q.source,
+	d := Decision{
+		Action: ForwardPeer, Direction: q.direction, hops: q.info.Hops + 1, source: q.source, to: addr, snapshot: q.st.Snapshot,
 	}
 	if q.ep != nil {
-		d.Peer.VNI = q.ep.service.Info.VNI
+		d.VNI = q.ep.service.Info.VNI
 	}
 	return d
 }
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -90,7 +90,7 @@
 		}
 		found = true
 		x.State, x.TargetID, x.Idle = en.State(), en.Target, time.Duration(en.IdleMS(nowMS))*time.Millisecond
-		if t := st.targets[en.Target]; t != nil {
+		if t := st.target(en.Target); t != nil {
 			x.Target = t.addr
 		}
 		switch {
--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -118,8 +118,8 @@
 		return
 	}
 	endpoint := s.Bundle.Endpoint(bundle.EndpointAddr{Protocol: p.Protocol, Addr: p.Destination})
-	if endpoint == nil || !belongs(s, earlier, endpoint.Service.ID, d.Addr.Addr()) {
-		t.Fatalf("a packet to %v went to %v with VNI %d", p.Destination, d.Addr, d.VNI)
+	if endpoint == nil || !belongs(s, earlier, endpoint.Service.ID, d.Addr().Addr()) {
+		t.Fatalf("a packet to %v went to %v with VNI %d", p.Destination, d.Addr(), d.VNI)
 	}
 }
 
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -45,7 +45,7 @@
 	if en.State() == flow.Waiting {
 		return q.whileWaiting(), true
 	}
-	t := q.st.targets[en.Target]
+	t := q.st.target(en.Target)
 	if t == nil || t.service != q.ep.service {
 		return e.targetGone(q, en)
 	}
@@ -89,7 +89,7 @@
 	if t == nil || t.service != q.ep.service {
 		return drop(resultcode.PacketNoTarget)
 	}
-	return Decision{Action: ForwardTarget, Direction: ToTarget, VNI: t.vni, Addr: t.addr}
+	return Decision{Action: ForwardTarget, Direction: ToTarget, VNI: t.vni, to: &t.addr}
 }
 
 // reset answers a TCP segment with a RST, unless it is a RST itself.
@@ -103,7 +103,7 @@
 		if t == nil {
 			return drop(code)
 		}
-		d.Addr, d.VNI = t.addr, t.vni
+		d.to, d.VNI = &t.addr, t.vni
 	}
 	return d
 }
--- a/forward/owner_test.go
+++ b/forward/owner_test.go
@@ -28,7 +28,7 @@
 				p := tcp(x.flags, uint32(i), uint32(i), 0)
 				if x.target {
 					p = answer(p, x.flags)
-					expectAction(t, e.FromTarget(0, p, to.Addr.Addr(), to.VNI), SendCaller)
+					expectAction(t, e.FromTarget(0, p, to.Addr().Addr(), to.VNI), SendCaller)
 				} else {
 					to = e.FromCaller(0, p)
 					expectAction(t, to, ForwardTarget)
@@ -99,8 +99,8 @@
 			if d.Action != ForwardTarget {
 				return
 			}
-			if table, i := tableOf(s, c.service.name, c.p); d.Addr.Addr() != table.Targets[i].Addr {
-				t.Fatalf("delivered to %v, want the default target %v", d.Addr, table.Targets[i].Addr)
+			if table, i := tableOf(s, c.service.name, c.p); d.Addr().Addr() != table.Targets[i].Addr {
+				t.Fatalf("delivered to %v, want the default target %v", d.Addr(), table.Targets[i].Addr)
 			}
 		})
 	}
@@ -148,7 +148,7 @@
 	d := e.FromCaller(0, p)
 	for _, target := range s.Services[flow.NewServiceID("rounds")].Table.Targets {
 		got := e.FromTarget(0, answer(p, SYN|ACK), target.Addr, d.VNI)
-		if want := target.Addr == d.Addr.Addr(); want != (got.Action == SendCaller) {
+		if want := target.Addr == d.Addr().Addr(); want != (got.Action == SendCaller) {
 			t.Errorf("answer of %v: %v with %v", target.Addr, got.Action, got.Code)
 		}
 	}
@@ -164,7 +164,7 @@
 	p := udp(9)
 	d := e.FromCaller(0, p)
 	for range 3 {
-		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr.Addr(), d.VNI), SendCaller)
+		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr().Addr(), d.VNI), SendCaller)
 	}
 	e.FromCaller(2*time.Second, p)
 	for range 10 {
--- a/forward/packet.go
+++ b/forward/packet.go
@@ -100,7 +100,7 @@
 // Actions.
 const (
 	Drop          Action = iota
-	ForwardPeer          // pass to the balancer at Decision.Addr with the option Decision.Peer
+	ForwardPeer          // pass to the balancer at Decision.Addr with the option of Decision.Peer
 	ForwardTarget        // deliver to the target at Decision.Addr with Decision.VNI
 	SendCaller           // return to the caller through the fabric
 	Refuse               // answer the caller that nothing was run
@@ -131,13 +131,33 @@
 	ReplyRefused       // ICMP or ICMPv6 destination unreachable, administratively prohibited
 )
 
-// Decision tells what to do with a packet.
+// Decision tells what to do with a packet. It is small, because every packet's is copied a few times.
 type Decision struct {
 	Action    Action
 	Reply     Reply     // for Refuse and Reset
 	Direction Direction // of the packet that was decided about
+	hops      uint8
 	Code      resultcode.Code
-	VNI       uint32
-	Addr      netip.AddrPort // outer destination; not set where the fabric is the destination
-	Peer      PeerInfo       // for ForwardPeer
+	source    uint16
+	// VNI is that of the target. Towards the fabric and other balancers it does not apply.
+	VNI      uint32
+	to       *netip.AddrPort
+	snapshot *Snapshot
+}
+
+// Addr returns the outer destination. It is not valid where the fabric is the destination.
+func (d *Decision) Addr() netip.AddrPort {
+	if d.to == nil {
+		return netip.AddrPort{}
+	}
+	return *d.to
+}
+
+// Peer returns the option for ForwardPeer.
+func (d *Decision) Peer() PeerInfo {
+	p := PeerInfo{Hops: d.hops, Direction: d.Direction, VNI: d.VNI, Target: d.source}
+	if d.snapshot != nil && d.snapshot.Bundle != nil {
+		p.Version, p.Incarnation = d.snapshot.Bundle.Version, d.snapshot.Incarnation
+	}
+	return p
 }
--- a/forward/roles_test.go
+++ b/forward/roles_test.go
@@ -42,8 +42,8 @@
 				d = e.FromPeer(0, tcp(SYN, 1, 0, 0), thirdAddr.Addr(), fromPeer(c.hops, 1))
 			}
 			expect(t, d, c.want, c.code)
-			if d.Action == ForwardPeer && (d.Peer.Hops != c.hops+1 || d.Addr != peerAddr) {
-				t.Fatalf("hop %d to %v", d.Peer.Hops, d.Addr)
+			if d.Action == ForwardPeer && (d.Peer().Hops != c.hops+1 || d.Addr() != peerAddr) {
+				t.Fatalf("hop %d to %v", d.Peer().Hops, d.Addr())
 			}
 		})
 	}
@@ -66,13 +66,13 @@
 	e.Publish(&behind)
 	other := tcp(SYN, 1, 0, 0)
 	other.Source = udp(9).Source
-	if d := e.FromCaller(0, other); d.Action != ForwardPeer || d.Addr != thirdAddr {
-		t.Fatalf("got %v to %v, want a current member", d.Action, d.Addr)
+	if d := e.FromCaller(0, other); d.Action != ForwardPeer || d.Addr() != thirdAddr {
+		t.Fatalf("got %v to %v, want a current member", d.Action, d.Addr())
 	}
 	expectAction(t, e.FromCaller(0, known), ForwardTarget)
 	e.Publish(s)
-	if d := e.FromPeer(0, other, peerAddr.Addr(), fromPeer(1, 2)); d.Action != ForwardPeer || d.Addr != peerAddr || e.NewestVersion() != 2 {
-		t.Fatalf("got %v to %v, newest %d", d.Action, d.Addr, e.NewestVersion())
+	if d := e.FromPeer(0, other, peerAddr.Addr(), fromPeer(1, 2)); d.Action != ForwardPeer || d.Addr() != peerAddr || e.NewestVersion() != 2 {
+		t.Fatalf("got %v to %v, newest %d", d.Action, d.Addr(), e.NewestVersion())
 	}
 
 	current := testSnapshot(testBundle(t, 2, tcpSession))
@@ -111,16 +111,16 @@
 	}
 	next.Publish(s)
 	data := tcp(ACK, 2, 2, 10)
-	if d := next.FromCaller(0, data); d.Addr.Addr() != table.Targets[off].Addr {
-		t.Fatalf("delivered to %v after the handover, want %v", d.Addr, table.Targets[off].Addr)
+	if d := next.FromCaller(0, data); d.Addr().Addr() != table.Targets[off].Addr {
+		t.Fatalf("delivered to %v after the handover, want %v", d.Addr(), table.Targets[off].Addr)
 	}
 	if x := next.Explain(0, k); x.Rule != RuleException || x.TargetID != table.Targets[off].ID {
 		t.Fatalf("explained as %+v", x)
 	}
 	next.Publish(&released) // lost by failure and regained: the old entry must not be used
 	next.Publish(s)
-	if got := next.FromCaller(0, data); got.Addr.Addr() != table.Targets[d].Addr {
-		t.Fatalf("delivered to %v by an entry of an earlier ownership", got.Addr)
+	if got := next.FromCaller(0, data); got.Addr().Addr() != table.Targets[d].Addr {
+		t.Fatalf("delivered to %v by an entry of an earlier ownership", got.Addr())
 	}
 }
 
@@ -150,14 +150,14 @@
 		data := *p
 		data.Flags, data.Seq = ACK, 2
 		table, i := tableOf(s, "rounds", p)
-		if d := e.FromCaller(0, &data); d.Addr.Addr() != table.Targets[i].Addr {
-			t.Fatalf("a running flow moved from %v to %v", table.Targets[i].Addr, d.Addr)
+		if d := e.FromCaller(0, &data); d.Addr().Addr() != table.Targets[i].Addr {
+			t.Fatalf("a running flow moved from %v to %v", table.Targets[i].Addr, d.Addr())
 		}
 	}
 	for port := range uint16(200) { // a retired target gets no new flow
 		p := tcp(SYN, 1, 0, 0)
 		p.Source = udp(2000 + port).Source
-		if d := e.FromCaller(0, p); d.Addr.Addr() == dropped.Addr {
+		if d := e.FromCaller(0, p); d.Addr().Addr() == dropped.Addr {
 			t.Fatal("a new flow went to a retired target")
 		}
 	}
@@ -192,7 +192,7 @@
 func TestSweepEndsSilentConnection(t *testing.T) {
 	e, r := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
 	to := e.FromCaller(0, tcp(SYN, 100, 0, 0))
-	e.FromTarget(0, answer(tcp(SYN, 100, 500, 0), SYN|ACK), to.Addr.Addr(), to.VNI) // sequence 500, acknowledges 101
+	e.FromTarget(0, answer(tcp(SYN, 100, 500, 0), SYN|ACK), to.Addr().Addr(), to.VNI) // sequence 500, acknowledges 101
 	e.FromCaller(0, tcp(ACK, 101, 501, 0))
 	for i := range time.Duration(6) {
 		e.FromCaller(time.Second+i*3*time.Second, tcp(ACK, 101, 501, 10))
@@ -201,7 +201,7 @@
 	for range 10 {
 		endings = e.Sweep(17*time.Second, endings)
 	}
-	if len(endings) != 1 || endings[0].ToCaller != 501 || endings[0].ToTarget != 101 || endings[0].Target != to.Addr || len(r.done) != 1 {
+	if len(endings) != 1 || endings[0].ToCaller != 501 || endings[0].ToTarget != 101 || endings[0].Target != to.Addr() || len(r.done) != 1 {
 		t.Fatalf("got %+v, done %v", endings, r.done)
 	}
 }
--- a/forward/state.go
+++ b/forward/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
 )
 
@@ -14,11 +15,14 @@
 type state struct {
 	*Snapshot
 	version   uint64
-	endpoints map[endpointKey]*endpoint
+	endpoints index[endpointKey, endpoint]
+	targets   index[flow.TargetID, target]
 	byID      map[flow.EndpointID]*endpoint
-	targets   map[flow.TargetID]*target
 	byAddr    map[netip.Addr]*target
 	services  map[flow.ServiceID]*service
+	peers     map[membership.HostID]*netip.AddrPort
+	// owned repeats which buckets this balancer owns, in a form that fits the first-level cache.
+	owned [ownership.BucketCount]bool
 	// epochs counts for each bucket how often this balancer ceased to own it. Entries of an earlier epoch are not
 	// valid, because another owner may have moved their flows.
 	epochs [ownership.BucketCount]uint8
@@ -26,17 +30,6 @@
 	gained [ownership.BucketCount]time.Duration
 }
 
-// endpointKey holds an address as bytes, which hash faster than a netip.Addr.
-type endpointKey struct {
-	addr     [16]byte
-	port     uint16
-	protocol flow.Protocol
-}
-
-func newEndpointKey(p flow.Protocol, a netip.AddrPort) endpointKey {
-	return endpointKey{addr: a.Addr().As16(), port: a.Port(), protocol: p}
-}
-
 type endpoint struct {
 	id      flow.EndpointID
 	addr    netip.AddrPort
@@ -76,14 +69,30 @@
 
 func compile(s *Snapshot, counter counterOf) *state {
 	st := &state{
-		Snapshot: s, endpoints: make(map[endpointKey]*endpoint), byID: make(map[flow.EndpointID]*endpoint),
-		targets: make(map[flow.TargetID]*target), byAddr: make(map[netip.Addr]*target),
-		services: make(map[flow.ServiceID]*service),
+		Snapshot: s, byID: make(map[flow.EndpointID]*endpoint), byAddr: make(map[netip.Addr]*target),
+		services: make(map[flow.ServiceID]*service), peers: make(map[membership.HostID]*netip.AddrPort),
+	}
+	for id, addr := range s.Peers {
+		st.peers[id] = &addr
+	}
+	if s.Buckets != nil {
+		for b := range s.Buckets {
+			st.owned[b] = s.Buckets[b].Role == RoleOwner
+		}
 	}
 	if s.Bundle == nil {
 		return st
 	}
 	st.version = s.Bundle.Version
+	endpoints, targets := 0, len(s.Retired)
+	for _, info := range s.Bundle.ServiceInfos() {
+		endpoints += len(info.Endpoints)
+		if ss := s.Services[info.ID]; ss != nil {
+			targets += len(ss.Table.Targets)
+		}
+	}
+	st.endpoints = newIndex[endpointKey, endpoint](endpoints)
+	st.targets = newIndex[flow.TargetID, target](targets)
 	for _, info := range s.Bundle.ServiceInfos() {
 		if ss := s.Services[info.ID]; ss != nil {
 			st.addService(info, ss, counter)
@@ -115,7 +124,8 @@
 			id: t.ID, addr: netip.AddrPortFrom(t.Addr, t.DataPort), vni: info.VNI, service: sv, position: i, open: counter(t.ID),
 		}
 		sv.targets[i] = ref
-		st.targets[t.ID], st.byAddr[t.Addr] = ref, ref
+		st.targets.put(uint64(t.ID), t.ID, ref)
+		st.byAddr[t.Addr] = ref
 	}
 	for _, text := range info.Endpoints {
 		addr, err := netip.ParseAddrPort(text)
@@ -128,7 +138,8 @@
 			continue
 		}
 		ref := &endpoint{id: e.ID, addr: addr, service: sv}
-		st.endpoints[newEndpointKey(info.Proto, addr)] = ref
+		key := newEndpointKey(info.Proto, addr)
+		st.endpoints.put(key.hash(), key, ref)
 		st.byID[e.ID] = ref
 	}
 }
@@ -136,11 +147,21 @@
 // addRetired adds a target that is no longer in the bundle, unless its address now belongs to another service.
 func (st *state) addRetired(id flow.TargetID, r RetiredTarget, counter counterOf) {
 	sv := st.services[r.Service]
-	if sv == nil || st.targets[id] != nil || st.byAddr[r.Addr] != nil || st.TargetAddrs[r.Addr] != nil {
+	if sv == nil || st.target(id) != nil || st.byAddr[r.Addr] != nil || st.TargetAddrs[r.Addr] != nil {
 		return
 	}
 	ref := &target{id: id, addr: netip.AddrPortFrom(r.Addr, r.DataPort), vni: r.VNI, service: sv, position: -1, open: counter(id)}
-	st.targets[id], st.byAddr[r.Addr] = ref, ref
+	st.targets.put(uint64(id), id, ref)
+	st.byAddr[r.Addr] = ref
+}
+
+// target returns a target of the bundle or a retired one, or nil.
+func (st *state) target(id flow.TargetID) *target { return st.targets.get(uint64(id), id) }
+
+// endpoint returns the endpoint at an address, or nil.
+func (st *state) endpoint(p flow.Protocol, a netip.AddrPort) *endpoint {
+	k := newEndpointKey(p, a)
+	return st.endpoints.get(k.hash(), k)
 }
 
 // inherit carries the epochs and gain times over from the state before.
@@ -160,9 +181,7 @@
 	}
 }
 
-func (st *state) owns(b ownership.Bucket) bool {
-	return st.Buckets != nil && st.Buckets[b].Role == RoleOwner
-}
+func (st *state) owns(b ownership.Bucket) bool { return st.owned[b%ownership.BucketCount] }
 
 // defaultTarget returns the default target of a flow, or nil.
 func (sv *service) defaultTarget(hash uint64) *target {
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -95,7 +95,7 @@
 func (e *Engine) end(st *state, now time.Duration, k *flow.Key, en *flow.Entry, code resultcode.Code, dst []Ending) []Ending {
 	ending := Ending{Key: *k, Caller: k.CallerAddrPort(), Code: code}
 	ending.ToCaller, ending.ToTarget = en.ResetSequences()
-	ep, t := st.byID[k.Endpoint], st.targets[en.Target]
+	ep, t := st.byID[k.Endpoint], st.target(en.Target)
 	e.finish(st, now, k, en)
 	en.SetState(flow.Closed)
 	en.Touch(uint32(now.Milliseconds()))
@@ -144,7 +144,7 @@
 	if !st.owns(q.bucket) || st.Fenced {
 		e.giveBack(&q, q.ep.service.id, r)
 		e.remove(&q)
-		return e.count(&q, q.toPeer(st.Buckets[q.bucket].Peer, resultcode.PacketNoOwner))
+		return e.count(q.toPeer(st.Buckets[q.bucket].Peer, resultcode.PacketNoOwner))
 	}
 	taken := false
 	e.table.Visit(&q.key, q.hash, q.nowMS, func(en *flow.Entry, room flow.Room) (keep bool) {
@@ -163,7 +163,7 @@
 	if !taken {
 		e.giveBack(&q, q.ep.service.id, r)
 	}
-	return e.count(&q, d)
+	return e.count(d)
 }
 
 // giveBack returns the slot of an admitted flow that is no longer wanted.
@@ -209,7 +209,7 @@
 // EndpointOf returns the ID of the endpoint that the packet of a caller is sent to, 0 when there is none.
 func (e *Engine) EndpointOf(p *Packet) flow.EndpointID {
 	if st := e.state.Load(); st != nil {
-		if ep := st.endpoints[newEndpointKey(p.Protocol, p.Destination)]; ep != nil {
+		if ep := st.endpoint(p.Protocol, p.Destination); ep != nil {
 			return ep.id
 		}
 	}
--- a/internal/dataplane/output.go
+++ b/internal/dataplane/output.go
@@ -68,10 +68,10 @@
 // forward sends the inner packet at b[at:end] where the decision says. The buffer needs geneve.MaxHeaderBytes before it.
 func (o *output) forward(d *forward.Decision, b []byte, at, end int, p *forward.Packet) {
 	h := geneve.Header{VNI: d.VNI}
-	w, to := o.direct, d.Addr
+	w, to := o.direct, d.Addr()
 	switch d.Action {
 	case forward.ForwardPeer:
-		h = geneve.Header{VNI: geneve.VNIPeer, HasPeer: true, Peer: d.Peer}
+		h = geneve.Header{VNI: geneve.VNIPeer, HasPeer: true, Peer: d.Peer()}
 		w = o.peers[pathOf(p)]
 	case forward.SendCaller:
 		h.VNI, to = geneve.VNICaller, o.fabric
@@ -98,7 +98,7 @@
 	} else {
 		built = packet.AppendReset(built, p)
 	}
-	o.finish(space, len(built), d.Direction == forward.ToTarget, d.Addr, d.VNI)
+	o.finish(space, len(built), d.Direction == forward.ToTarget, d.Addr(), d.VNI)
 }
 
 // finish sends a packet of n bytes that was built behind the headroom of space.
@@ -137,7 +137,7 @@
 		o.countFailed(w.Flush())
 	}
 	if !w.Add(b, to) {
-		o.engine.CountDrop(resultcode.PacketSendFailed)
+		o.engine.CountDrop(resultcode.PacketSendFailed, 1)
 	}
 }
 
@@ -161,7 +161,5 @@
 }
 
 func (o *output) countFailed(n int) {
-	for range n {
-		o.engine.CountDrop(resultcode.PacketSendFailed)
-	}
+	o.engine.CountDrop(resultcode.PacketSendFailed, n)
 }
--- a/internal/dataplane/sweeper.go
+++ b/internal/dataplane/sweeper.go
@@ -15,8 +15,9 @@
 	plane   *Dataplane
 	engine  *forward.Engine
 	round   round
-	mu      sync.Mutex // guards out, which workers use for packets that were decided early
+	mu      sync.Mutex // guards out and tally, which workers use for packets that were decided early
 	out     *output
+	tally   forward.Tally
 	placed  []forward.Placed
 	endings []forward.Ending
 }
@@ -74,6 +75,7 @@
 func (s *sweeper) deliver(d *forward.Decision, inner []byte, p *forward.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tally[d.Action]++
 	switch d.Action {
 	case forward.ForwardTarget, forward.ForwardPeer:
 		b := make([]byte, geneve.MaxHeaderBytes+len(inner))
@@ -83,6 +85,7 @@
 		s.out.reply(d, inner, p)
 	}
 	s.out.flush()
+	s.engine.AddActions(&s.tally)
 }
 
 // end sends the resets of connections that the engine has ended.
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -21,6 +21,7 @@
 	round  round
 	header geneve.Header
 	packet forward.Packet
+	tally  forward.Tally
 }
 
 func newWorker(d *Dataplane, conn *udpbatch.Conn) *worker {
@@ -49,27 +50,22 @@
 	defer w.round.end()
 	now := w.plane.config.Clock()
 	if w.plane.fenced(now) {
-		w.countFenced(n)
+		w.engine.CountDrop(resultcode.PacketFenced, n)
 		return
 	}
 	for i := range n {
 		if code := w.handle(now, i); code != resultcode.OK {
-			w.engine.CountDrop(code)
+			w.engine.CountDrop(code, 1)
 		}
 	}
+	w.engine.AddActions(&w.tally)
 	if after := w.plane.config.Clock(); after-now > maxTickAge {
-		w.countFenced(w.out.discard()) // the process was paused meanwhile; the decisions may be out of date
+		w.engine.CountDrop(resultcode.PacketFenced, w.out.discard()) // the process was paused meanwhile; the decisions may be out of date
 		return
 	}
 	w.out.flush()
 }
 
-func (w *worker) countFenced(n int) {
-	for range n {
-		w.engine.CountDrop(resultcode.PacketFenced)
-	}
-}
-
 // handle decides about packet i. It returns a code when the packet cannot be decided about.
 func (w *worker) handle(now time.Duration, i int) resultcode.Code {
 	if w.reader.Truncated(i) {
@@ -109,6 +105,7 @@
 }
 
 func (w *worker) apply(d *forward.Decision, b []byte, at, end int) {
+	w.tally[d.Action]++
 	switch d.Action {
 	case forward.ForwardTarget, forward.ForwardPeer, forward.SendCaller:
 		w.out.forward(d, b, at, end, &w.packet)
@@ -129,6 +126,6 @@
 		w.plane.sweeper.deliver(&d, inner, &w.packet)
 	case heldFull:
 		w.engine.Cancel(w.plane.config.Clock(), k)
-		w.engine.CountDrop(resultcode.PacketTableFull)
+		w.engine.CountDrop(resultcode.PacketTableFull, 1)
 	}
 }
