--- a/flow/entry.go
+++ b/flow/entry.go
@@ -29,6 +29,7 @@
 const (
 	FlagException Flags = 1 << iota // reported to the exception sink
 	FlagAdmitted                    // admitted by Admission, which expects Done
+	FlagCounted                     // counted as open at its target
 	FlagSilent                      // the connection is silent and is to be reset
 	flagAnswered                    // the target has sent a packet since the caller's last
 	flagSequences                   // callerSeq is valid
--- a/forward/copies.go
+++ b/forward/copies.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/ownership"
 )
@@ -46,7 +45,7 @@
 		}
 		en.Target, en.Epoch, en.Flags = x.Target, st.epochs[b], flow.FlagException
 		en.SetState(state)
-		e.addOpen(st, x.Target, 1)
+		e.countOpen(st, en)
 		return true
 	})
 	return stored
@@ -108,60 +107,3 @@
 	})
 	return out
 }
-
-// Rebase compares the flows of owned buckets with the defaults and the eligibility in next, a snapshot that is about to
-// be published or has been, for example with a staged bundle. It reports flows that need a copy under next to the
-// sink and returns their number. Copies that are no longer needed are removed only when next holds the bundle in
-// force, since a staged bundle may take effect at some balancers before others.
-func (e *Engine) Rebase(next *Snapshot) (added int) {
-	st := e.state.Load()
-	if st == nil || next == nil || next.Bundle == nil {
-		return 0
-	}
-	inForce := st.Bundle == next.Bundle
-	services := rebaseServices(next)
-	e.table.Range(func(en *flow.Entry) bool {
-		if !en.State().Open() {
-			return true
-		}
-		k := en.Key()
-		ep := next.Bundle.EndpointByID(k.Endpoint)
-		if ep == nil || services[ep.Service.ID] == nil {
-			return true
-		}
-		hash := k.Hash()
-		b := ownership.BucketOf(hash)
-		if !st.owns(b) || en.Epoch != st.epochs[b] {
-			return true
-		}
-		needs := services[ep.Service.ID].needsCopy(hash, en.Target)
-		switch {
-		case needs && !en.Has(flow.FlagException):
-			en.Flags |= flow.FlagException
-			e.sink.ExceptionAdded(b, Exception{Key: k, Target: en.Target})
-			added++
-		case !needs && en.Has(flow.FlagException) && inForce:
-			en.Flags &^= flow.FlagException
-			e.sink.ExceptionRemoved(b, k)
-		}
-		return true
-	})
-	return added
-}
-
-func rebaseServices(s *Snapshot) map[flow.ServiceID]*service {
-	out := make(map[flow.ServiceID]*service)
-	for _, info := range s.Bundle.ServiceInfos() {
-		ss := s.Services[info.ID]
-		if ss == nil {
-			continue
-		}
-		copied := info.Kind != bundle.KindShort || !info.Idempotent
-		sv := &service{ServiceState: ss, id: info.ID, copied: copied, steady: copied && info.Proto == flow.UDP}
-		for i := range ss.Table.Targets {
-			sv.targets = append(sv.targets, &target{id: ss.Table.Targets[i].ID, service: sv, position: i})
-		}
-		out[info.ID] = sv
-	}
-	return out
-}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -31,7 +31,7 @@
 	state     atomic.Pointer[state]
 	counters  counters
 	newest    atomic.Uint64 // highest bundle version seen at a peer
-	clock     atomic.Int64  // time of the last sweep, nanoseconds
+	gains     gains
 
 	mu       sync.Mutex // guards Publish and open
 	open     map[flow.TargetID]*atomic.Int64
@@ -63,7 +63,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
-	st.inherit(e.state.Load(), time.Duration(e.clock.Load()))
+	st.inherit(e.state.Load(), &e.gains)
 	e.state.Store(st)
 	for id, c := range e.open {
 		if st.target(id) == nil && c.Load() == 0 {
@@ -113,7 +113,20 @@
 	return 0
 }
 
-// addOpen changes the number of open flows of a target.
+// countOpen counts the flow of an entry as open at its target.
+func (e *Engine) countOpen(st *state, en *flow.Entry) {
+	en.Flags |= flow.FlagCounted
+	e.addOpen(st, en.Target, 1)
+}
+
+// uncount ends countOpen, once.
+func (e *Engine) uncount(st *state, en *flow.Entry) {
+	if en.Has(flow.FlagCounted) {
+		en.Flags &^= flow.FlagCounted
+		e.addOpen(st, en.Target, -1)
+	}
+}
+
 func (e *Engine) addOpen(st *state, id flow.TargetID, delta int64) {
 	if t := st.target(id); t != nil {
 		t.open.Add(delta)
--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -81,7 +81,7 @@
 				next := testSnapshot(drawBundle(t, step+2))
 				earlier = append(earlier, s)
 				retire(next, earlier)
-				e.Rebase(next)
+				e.Rebase(s, next)
 				s = next
 				e.Publish(s)
 				continue
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -49,12 +49,12 @@
 	if t == nil || t.service != q.ep.service {
 		return e.targetGone(q, en)
 	}
+	if q.movable(en, t) {
+		e.finish(q.st, q.now, &q.key, en)
+		en.Renew(q.nowMS)
+		return e.place(q, en, flow.Free)
+	}
 	if q.p.Protocol == flow.UDP {
-		if !t.usable() && q.ep.service.Info.Idempotent {
-			e.finish(q.st, q.now, &q.key, en)
-			en.Renew(q.nowMS)
-			return e.place(q, en, flow.Free)
-		}
 		return q.deliver(t), true
 	}
 	en.FromCaller(q.p.segment(), q.nowMS)
@@ -64,6 +64,15 @@
 	return q.deliver(t), true
 }
 
+// movable reports whether the flow can be placed anew because its target cannot take it: a connection of which the target
+// has seen only SYNs, without data, and has answered none, or a flow of idempotent datagrams.
+func (q *query) movable(en *flow.Entry, t *target) bool {
+	if q.p.Protocol == flow.UDP {
+		return q.ep.service.Info.Idempotent && !t.usable()
+	}
+	return en.State() == flow.Opening && q.p.Has(SYN) && q.p.Payload == 0 && !q.ep.service.eligible(t)
+}
+
 // whileWaiting decides about a further packet of a flow that waits for admission. Datagrams of one request are kept
 // together; a repeated SYN adds nothing.
 func (q *query) whileWaiting() Decision {
@@ -133,7 +142,8 @@
 	if q.p.Protocol == flow.UDP {
 		if en.State() == flow.Unconfirmed {
 			e.step(q, en)
-			if q.ep.service.short {
+			if q.ep.service.short { // the request is answered; the entry stays for late packets
+				e.uncount(q.st, en)
 				e.done(q.now, q.ep.service.id, en, q.nowMS, false)
 			}
 		}
@@ -154,7 +164,7 @@
 	before := en.State()
 	en.Step(q.p.event(q.direction))
 	if before.Open() && en.State() == flow.Closed {
-		e.addOpen(q.st, en.Target, -1)
+		e.uncount(q.st, en)
 		e.done(q.now, q.ep.service.id, en, q.nowMS, before == flow.Opening && q.direction == ToCaller)
 	}
 }
@@ -174,9 +184,7 @@
 		e.admission.Cancel(now, *k)
 		return
 	}
-	if en.State().Open() {
-		e.addOpen(st, en.Target, -1)
-	}
+	e.uncount(st, en)
 	if ep := st.byID[k.Endpoint]; ep != nil {
 		e.done(now, ep.service.id, en, uint32(now.Milliseconds()), false)
 	} else if en.Has(flow.FlagAdmitted) {
--- a/forward/owner_test.go
+++ b/forward/owner_test.go
@@ -115,8 +115,9 @@
 	setRole(&before, BucketState{Role: RoleAcquiring, Peer: hostPeer})
 	e, r := newTestEngine(&before)
 	r.verdict = &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
-	e.Sweep(20*time.Second, nil)
 	e.Publish(s)
+	expect(t, e.FromCaller(20*time.Second, udp(9)), Drop, resultcode.RefusedNoSlot)
+	e.Sweep(20*time.Second, nil)
 	expect(t, e.FromCaller(21*time.Second, udp(9)), Drop, resultcode.RefusedNoSlot)
 	expect(t, e.FromCaller(26*time.Second, udp(9)), Refuse, resultcode.RefusedNoSlot)
 }
@@ -160,13 +161,17 @@
 
 // Guards against short UDP work whose slot is not returned, or is returned twice.
 func TestDoneAfterFirstAnswer(t *testing.T) {
-	e, r := newTestEngine(testSnapshot(testBundle(t, 1, udpShort)))
+	s := testSnapshot(testBundle(t, 1, udpShort))
+	e, r := newTestEngine(s)
 	p := udp(9)
 	d := e.FromCaller(0, p)
 	for range 3 {
 		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr().Addr(), d.VNI), SendCaller)
 	}
 	e.FromCaller(2*time.Second, p)
+	if open := e.OpenFlows(e.Explain(0, keyOf(s, p)).TargetID); open != 0 {
+		t.Fatalf("%d answered requests count as load", open)
+	}
 	for range 10 {
 		e.Sweep(time.Hour, nil)
 	}
@@ -175,6 +180,21 @@
 	}
 }
 
+// Guards against a connection that keeps trying a target that has become unfit before it answered.
+func TestUnansweredConnectionMoves(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, tcpSession))
+	e, r := newTestEngine(s)
+	p := tcp(SYN, 1, 0, 0)
+	first := e.FromCaller(0, p)
+	table, i := tableOf(s, "rounds", p)
+	s.Services[flow.NewServiceID("rounds")].Targets[i].Eligible = false
+	second := e.FromCaller(time.Second, p)
+	if first.Addr() == second.Addr() || len(r.copies) != 1 || e.OpenFlows(table.Targets[i].ID) != 0 {
+		t.Fatalf("sent to %v, then to %v; copies %v", first.Addr(), second.Addr(), r.copies)
+	}
+	expect(t, e.FromTarget(time.Second, answer(p, SYN|ACK), first.Addr().Addr(), first.VNI), Drop, resultcode.PacketForeignSource)
+}
+
 // Guards against a late duplicate of a SYN that is placed as a new connection after the first has closed.
 func TestReopening(t *testing.T) {
 	e, r := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
--- /dev/null
+++ b/forward/rebase.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"slices"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+// Rebase looks for running flows of owned buckets whose defaults or eligible targets differ between two snapshots, for
+// example when a bundle is staged, when it comes into force, or when a target is no longer eligible. It reports flows
+// that need a copy under next to the sink and returns their number. Copies that are no longer needed are removed only
+// when next holds the bundle in force, since a staged bundle may take effect at some balancers before others. With
+// old nil it looks at every flow.
+func (e *Engine) Rebase(old, next *Snapshot) (added int) {
+	st := e.state.Load()
+	if st == nil || next == nil || next.Bundle == nil {
+		return 0
+	}
+	inForce := st.Bundle == next.Bundle
+	services := changedServices(old, next)
+	if len(services) == 0 {
+		return 0
+	}
+	e.table.Range(func(en *flow.Entry) bool {
+		if !en.State().Open() {
+			return true
+		}
+		k := en.Key()
+		ep := next.Bundle.EndpointByID(k.Endpoint)
+		if ep == nil || services[ep.Service.ID] == nil {
+			return true
+		}
+		hash := k.Hash()
+		b := ownership.BucketOf(hash)
+		if !st.owns(b) || en.Epoch != st.epochs[b] {
+			return true
+		}
+		needs := services[ep.Service.ID].needsCopy(hash, en.Target)
+		switch {
+		case needs && !en.Has(flow.FlagException):
+			en.Flags |= flow.FlagException
+			e.sink.ExceptionAdded(b, Exception{Key: k, Target: en.Target})
+			added++
+		case !needs && en.Has(flow.FlagException) && inForce:
+			en.Flags &^= flow.FlagException
+			e.sink.ExceptionRemoved(b, k)
+		}
+		return true
+	})
+	return added
+}
+
+// changedServices returns the services of next for which old may give a flow another answer. Computing a default takes
+// longer than the rest of the scan, so the flows of the other services are passed over.
+func changedServices(old, next *Snapshot) map[flow.ServiceID]*service {
+	out := make(map[flow.ServiceID]*service)
+	for _, info := range next.Bundle.ServiceInfos() {
+		ss := next.Services[info.ID]
+		if ss == nil || old != nil && sameAnswers(old.Services[info.ID], ss) {
+			continue
+		}
+		sv := newService(info, ss)
+		for i := range ss.Table.Targets {
+			sv.targets[i] = &target{id: ss.Table.Targets[i].ID, service: sv, position: i}
+		}
+		out[info.ID] = sv
+	}
+	return out
+}
+
+// newService returns a service without its targets.
+func newService(info *bundle.ServiceInfo, ss *ServiceState) *service {
+	short := info.Kind == bundle.KindShort
+	copied := !short || !info.Idempotent
+	return &service{
+		ServiceState: ss, id: info.ID, short: short, copied: copied, steady: copied && info.Proto == flow.UDP,
+		targets: make([]*target, len(ss.Table.Targets)),
+	}
+}
+
+// sameAnswers reports whether every flow has the same default target in both states, and the same targets are eligible.
+func sameAnswers(a, b *ServiceState) bool {
+	return a != nil && a.Info.Kind == b.Info.Kind && a.Info.Idempotent == b.Info.Idempotent && a.Info.Proto == b.Info.Proto &&
+		slices.EqualFunc(a.Table.Targets, b.Table.Targets, func(x, y bundle.TargetInfo) bool {
+			return x.ID == y.ID && x.Weight == y.Weight && x.Drain == y.Drain
+		}) && slices.EqualFunc(a.Targets, b.Targets, func(x, y TargetState) bool { return x.Eligible == y.Eligible })
+}
--- a/forward/roles_test.go
+++ b/forward/roles_test.go
@@ -140,11 +140,11 @@
 	next := testSnapshot(testBundle(t, 2, fewer))
 	dropped := s.Services[flow.NewServiceID("rounds")].Table.Targets[0]
 	next.Retired[dropped.ID] = RetiredTarget{Addr: dropped.Addr, DataPort: dropped.DataPort, Service: flow.NewServiceID("rounds"), VNI: 20}
-	added := e.Rebase(next)
-	if added == 0 || added != len(r.copies) || e.Rebase(s) != 0 || len(r.copies) != 0 {
+	added := e.Rebase(s, next)
+	if added == 0 || added != len(r.copies) || e.Rebase(next, s) != 0 || len(r.copies) != 0 {
 		t.Fatalf("%d added, copies %v", added, r.copies)
 	}
-	e.Rebase(next)
+	e.Rebase(s, next)
 	e.Publish(next)
 	for _, p := range packets {
 		data := *p
--- a/forward/state.go
+++ b/forward/state.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -26,8 +25,6 @@
 	// epochs counts for each bucket how often this balancer ceased to own it. Entries of an earlier epoch are not
 	// valid, because another owner may have moved their flows.
 	epochs [ownership.BucketCount]uint8
-	// gained is the time at which this balancer became the owner, 0 when it was the first one.
-	gained [ownership.BucketCount]time.Duration
 }
 
 type endpoint struct {
@@ -105,16 +102,13 @@
 }
 
 func (st *state) addService(info *bundle.ServiceInfo, ss *ServiceState, counter counterOf) {
-	short := info.Kind == bundle.KindShort
-	copied := !short || !info.Idempotent
-	sv := &service{ServiceState: ss, id: info.ID, short: short, copied: copied, steady: copied && info.Proto == flow.UDP}
+	sv := newService(info, ss)
 	st.services[info.ID] = sv
 	members := 1
 	if st.Map != nil {
 		members = max(len(st.Map.Members()), 1)
 	}
 	sv.view = serviceView{service: sv, members: float64(members)}
-	sv.targets = make([]*target, len(ss.Table.Targets))
 	for i := range ss.Table.Targets {
 		t := &ss.Table.Targets[i]
 		if owner := st.TargetAddrs[t.Addr]; owner != nil && owner.ID != info.ID {
@@ -164,19 +158,19 @@
 	return st.endpoints.get(k.hash(), k)
 }
 
-// inherit carries the epochs and gain times over from the state before.
-func (st *state) inherit(old *state, now time.Duration) {
+// inherit carries the epochs over from the state before and notes the buckets that are gained.
+func (st *state) inherit(old *state, g *gains) {
 	if old == nil {
 		return
 	}
-	st.epochs, st.gained = old.epochs, old.gained
+	st.epochs = old.epochs
 	for b := range st.epochs {
 		was, is := old.owns(ownership.Bucket(b)), st.owns(ownership.Bucket(b))
 		switch {
 		case was && !is:
 			st.epochs[b]++
 		case is && !was:
-			st.gained[b] = max(now, 1)
+			g.add(ownership.Bucket(b))
 		}
 	}
 }
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -31,7 +31,7 @@
 // silent connections, which end. It is meant to be called every 100 ms.
 func (e *Engine) Sweep(now time.Duration, dst []Ending) []Ending {
 	st := e.state.Load()
-	e.clock.Store(int64(now))
+	e.gains.stamp(now)
 	if st == nil {
 		return dst
 	}
@@ -153,7 +153,7 @@
 		}
 		taken = true
 		if r.Verdict.Outcome != Admitted {
-			d = q.refuse(r.Verdict.Code)
+			d = e.refuse(&q, r.Verdict.Code)
 			return false
 		}
 		en.Touch(q.nowMS)
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -64,7 +64,7 @@
 func (e *Engine) enter(q *query, en *flow.Entry, t *target) {
 	en.Target, en.Epoch = t.id, q.st.epochs[q.bucket]
 	en.Step(q.p.event(q.direction))
-	t.open.Add(1)
+	e.countOpen(q.st, en)
 }
 
 // place asks for a target for a new flow.
@@ -73,7 +73,7 @@
 		return e.placeWithoutRoom(q), false
 	}
 	if q.st.Stopping && (q.st.Map == nil || q.st.Map.Backup(q.bucket) == 0) {
-		return q.refuse(resultcode.RefusedShutdown), false // no other balancer can take the flow over
+		return e.refuse(q, resultcode.RefusedShutdown), false // no other balancer can take the flow over
 	}
 	verdict := e.admission.Ask(q.now, q.request())
 	switch verdict.Outcome {
@@ -84,7 +84,7 @@
 		en.Step(flow.EventWait)
 		return Decision{Action: Hold, Direction: ToTarget}, true
 	}
-	return q.refuse(verdict.Code), false
+	return e.refuse(q, verdict.Code), false
 }
 
 func (q *query) request() Request {
@@ -145,9 +145,8 @@
 
 // refuse answers that nothing was run, when this is certain. Otherwise the packet is dropped, and the caller finds out
 // by itself.
-func (q *query) refuse(code resultcode.Code) Decision {
-	gained := q.st.gained[q.bucket]
-	if !q.st.owns(q.bucket) || q.recentTakeover() || gained != 0 && q.now-gained < takeoverWindow {
+func (e *Engine) refuse(q *query, code resultcode.Code) Decision {
+	if !q.st.owns(q.bucket) || q.recentTakeover() || e.gains.recent(q.bucket, q.now) {
 		return drop(code)
 	}
 	d := Decision{Action: Refuse, Reply: ReplyRefused, Direction: ToTarget, Code: code}
