--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -97,6 +97,17 @@
 			}
 			p := drawPacket(t)
 			late = append(late, p)
+			switch rapid.IntRange(0, 3).Draw(t, "way") {
+			case 0:
+				installAnything(t, e, s, now, p)
+			case 1:
+				info := PeerInfo{
+					Version: rapid.Uint64Range(0, 60).Draw(t, "version"), Hops: uint8(rapid.IntRange(1, 3).Draw(t, "hops")),
+					Direction: ToTarget, VNI: rapid.Uint32Range(19, 23).Draw(t, "vni"),
+				}
+				checkDelivery(t, s, earlier, p, e.FromPeer(now, p, peerAddr.Addr(), info))
+				continue
+			}
 			checkDelivery(t, s, earlier, p, e.FromCaller(now, p))
 		}
 	})
@@ -113,6 +124,22 @@
 	return p
 }
 
+// installAnything installs an exception that names a target of any service, as a faulty peer might send.
+func installAnything(t *rapid.T, e *Engine, s *Snapshot, now time.Duration, p *Packet) {
+	endpoint := s.Bundle.Endpoint(bundle.EndpointAddr{Protocol: p.Protocol, Addr: p.Destination})
+	if endpoint == nil {
+		return
+	}
+	k := flow.NewKey(p.Source, endpoint.ID)
+	for _, info := range s.Bundle.ServiceInfos() {
+		for _, x := range s.Services[info.ID].Table.Targets {
+			if rapid.Bool().Draw(t, "install") {
+				e.Install(now, bucketOf(&k), []Exception{{Key: k, Target: x.ID}})
+			}
+		}
+	}
+}
+
 func checkDelivery(t *rapid.T, s *Snapshot, earlier []*Snapshot, p *Packet, d Decision) {
 	if d.Action != ForwardTarget {
 		return
