--- a/flow/entry.go
+++ b/flow/entry.go
@@ -38,7 +38,7 @@
 )
 
 // openedUnitMS is the unit of the opening time, which has 16 bits: 32 ms gives a range of 35 minutes, far above the
-// duration of a request.
+// duration of a request. HoldAge stops the age of longer flows short of that.
 const openedUnitMS = 32
 
 // Key returns the key of the flow.
@@ -66,11 +66,21 @@
 	return uint32(max(int32(nowMS-e.last), 0))
 }
 
-// AgeMS returns the time since the flow was opened in milliseconds, to 32 ms and up to 35 minutes.
+// AgeMS returns the time since the flow was opened in milliseconds, to 32 ms and up to 32 minutes.
 func (e *Entry) AgeMS(nowMS uint32) uint32 {
 	return uint32(uint16(nowMS/openedUnitMS)-e.opened) * openedUnitMS
 }
 
+// maxAgeUnits is where AgeMS stops rising, 32 minutes.
+const maxAgeUnits = 60_000
+
+// HoldAge keeps the age of an old flow from wrapping around. It is called more often than every 3 minutes.
+func (e *Entry) HoldAge(nowMS uint32) {
+	if now := uint16(nowMS / openedUnitMS); now-e.opened > maxAgeUnits {
+		e.opened = now - maxAgeUnits
+	}
+}
+
 // Expired reports whether the flow has been idle for longer than its state allows.
 func (e *Entry) Expired(nowMS uint32) bool { return int32(nowMS-e.last) > timeoutMS[e.state] }
 
--- a/flow/table_test.go
+++ b/flow/table_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// Guards against the age of a long session that wraps around, and is then taken for that of a short request.
+func TestAge(t *testing.T) {
+	var e Entry
+	e.Renew(0)
+	for now := uint32(0); now <= 3*3600_000; now += 60_000 {
+		e.HoldAge(now)
+		if age := e.AgeMS(now); age < min(now, maxAgeUnits*openedUnitMS) {
+			t.Fatalf("age %d ms after %d ms", age, now)
+		}
+	}
+}
+
 // Guards against a sweep that misses entries or never comes to the end of the table.
 func TestSweepCoversTable(t *testing.T) {
 	table := NewTable(64 * 64)
--- a/forward/owner_test.go
+++ b/forward/owner_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -204,3 +205,28 @@
 	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 100, 0, 0)), ForwardTarget)
 	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 5000, 0, 0)), Refuse)
 }
+
+// Guards against a flood of SYNs that keeps new sessions out or breaks them.
+func TestSessionDuringFlood(t *testing.T) {
+	e, _ := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
+	for i := range 1 << 14 {
+		p := tcp(SYN, 1, 0, 0)
+		p.Source = netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, 0, byte(i >> 8), byte(i)}), 9)
+		expectAction(t, e.FromCaller(0, p), ForwardTarget)
+	}
+	if n := e.Flows(); n > 1<<10 {
+		t.Fatalf("%d flows of a flood in a table for %d", n, 1<<12)
+	}
+	p := tcp(SYN, 100, 0, 0)
+	to := e.FromCaller(0, p)
+	for _, flags := range []TCPFlags{SYN | ACK, ACK, PSH | ACK} {
+		expectAction(t, e.FromTarget(0, answer(p, flags), to.Addr().Addr(), to.VNI), SendCaller)
+		p.Flags = ACK
+		if d := e.FromCaller(0, p); d.Action != ForwardTarget || d.Addr() != to.Addr() {
+			t.Fatalf("%v to %v, want %v", d.Action, d.Addr(), to.Addr())
+		}
+	}
+	if x := e.Explain(0, keyOf(e.Snapshot(), p)); x.State != flow.Established {
+		t.Fatalf("the session is %v", x.State)
+	}
+}
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -37,6 +37,7 @@
 	}
 	nowMS := uint32(now.Milliseconds())
 	e.table.Sweep(sweepParts, func(en *flow.Entry) bool {
+		en.HoldAge(nowMS)
 		k := en.Key()
 		b := bucketOf(&k)
 		owned := st.owns(b)
--- a/internal/dataplane/sweeper.go
+++ b/internal/dataplane/sweeper.go
@@ -57,6 +57,9 @@
 		return
 	}
 	s.placed = s.engine.Poll(now, s.placed[:0])
+	if s.plane.config.Clock()-now > maxTickAge {
+		return // the process was paused meanwhile; callers send again
+	}
 	for i := range s.placed {
 		p := &s.placed[i]
 		for _, h := range s.plane.held.take(p.Key, p.Decision) {
--- a/internal/udpbatch/reader.go
+++ b/internal/udpbatch/reader.go
@@ -66,6 +66,9 @@
 		return true
 	case unix.EAGAIN, unix.EINTR:
 		return false
+	case unix.ENOBUFS, unix.ENOMEM: // passing shortages of the kernel; the caller tries again
+		r.n, r.errno = 0, 0
+		return true
 	}
 	r.n, r.errno = 0, errno
 	return true
