--- /dev/null
+++ b/flow/memory_other.go
@@ -0,0 +1,5 @@
+//go:build !linux
+
+package flow
+
+func adviseHugePages([]Entry) {}
--- a/flow/table.go
+++ b/flow/table.go
@@ -59,8 +59,12 @@
 	t := &Table{seed: rand.Uint64()} // a caller that cannot see the seed cannot choose keys that collide
 	each := (capacity + shardCount - 1) / shardCount
 	slots := int(float64(each)*slotsPerEntry) + 1
+	slab := make([]Entry, shardCount*slots)
+	adviseHugePages(slab)
 	for i := range t.shards {
-		t.shards[i] = shard{capacity: each, tags: make([]uint8, slots), entries: make([]Entry, slots)}
+		t.shards[i] = shard{
+			capacity: each, tags: make([]uint8, slots), entries: slab[i*slots : (i+1)*slots : (i+1)*slots],
+		}
 	}
 	return t
 }
