--- a/internal/dataplane/bench_test.go
+++ b/internal/dataplane/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"runtime"
 	"sync"
@@ -20,17 +21,22 @@
 )
 
 const (
-	benchFlows = 10_000
 	// benchPackets is the number of packets of one measurement. The two programs take turns, so that changes of the
 	// machine's load meet both.
-	benchPackets = 100_000
+	benchPackets = 20_000
 )
 
 // BenchmarkForwarding compares the packets per second of CPU time of the balancer with those of a bare UDP relay that
 // uses the same batches and makes no decisions.
 func BenchmarkForwarding(b *testing.B) {
+	for _, flows := range []int{10_000, 500_000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) { compare(b, flows) })
+	}
+}
+
+func compare(b *testing.B, flows int) {
 	p := newPlane(b, nil)
-	packets := benchTraffic(b, p)
+	packets := benchTraffic(b, p, flows)
 	relay, err := udpbatch.Listen(netip.MustParseAddrPort("127.31.0.9:0"))
 	if err != nil {
 		b.Fatal(err)
@@ -66,9 +72,9 @@
 }
 
 // benchTraffic opens flows and returns one encapsulated data packet of each.
-func benchTraffic(b *testing.B, p *plane) (out [][]byte) {
-	for i := range benchFlows {
-		source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, 0, byte(i >> 8), byte(i)}), 4000)
+func benchTraffic(b *testing.B, p *plane, flows int) (out [][]byte) {
+	for i := range flows {
+		source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), 4000)
 		var parsed forward.Packet
 		packet.Parse(inner(b, flow.TCP, source, endpoint, syn), &parsed)
 		p.engine.FromCaller(0, &parsed)
--- a/internal/dataplane/fixture_test.go
+++ b/internal/dataplane/fixture_test.go
@@ -87,7 +87,7 @@
 
 func newPlane(t testing.TB, admission forward.Admission) *plane {
 	p := &plane{fabric: newEnd(t, "127.31.0.1"), target: newEnd(t, "127.31.0.2"), peer: newEnd(t, "127.31.0.3")}
-	p.engine = forward.NewEngine(forward.Config{Flows: 1 << 16, Admission: admission})
+	p.engine = forward.NewEngine(forward.Config{Flows: 600_000, Admission: admission})
 	p.snapshot = snapshotFor(t, p.target.addr, p.peer.addr)
 	p.engine.Publish(p.snapshot)
 	start := time.Now()
