--- a/forward/owner_test.go
+++ b/forward/owner_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 				p := tcp(x.flags, uint32(i), uint32(i), 0)
 				if x.target {
 					p = answer(p, x.flags)
-					expectAction(t, e.FromTarget(0, p, to.Addr.Addr(), to.VNI), SendCaller)
+					expectAction(t, e.FromTarget(0, p, to.Addr().Addr(), to.VNI), SendCaller)
 				} else {
 					to = e.FromCaller(0, p)
 					expectAction(t, to, ForwardTarget)
@@ -99,8 +100,8 @@
 			if d.Action != ForwardTarget {
 				return
 			}
-			if table, i := tableOf(s, c.service.name, c.p); d.Addr.Addr() != table.Targets[i].Addr {
-				t.Fatalf("delivered to %v, want the default target %v", d.Addr, table.Targets[i].Addr)
+			if table, i := tableOf(s, c.service.name, c.p); d.Addr().Addr() != table.Targets[i].Addr {
+				t.Fatalf("delivered to %v, want the default target %v", d.Addr(), table.Targets[i].Addr)
 			}
 		})
 	}
@@ -115,8 +116,9 @@
 	setRole(&before, BucketState{Role: RoleAcquiring, Peer: hostPeer})
 	e, r := newTestEngine(&before)
 	r.verdict = &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
-	e.Sweep(20*time.Second, nil)
 	e.Publish(s)
+	expect(t, e.FromCaller(20*time.Second, udp(9)), Drop, resultcode.RefusedNoSlot)
+	e.Sweep(20*time.Second, nil)
 	expect(t, e.FromCaller(21*time.Second, udp(9)), Drop, resultcode.RefusedNoSlot)
 	expect(t, e.FromCaller(26*time.Second, udp(9)), Refuse, resultcode.RefusedNoSlot)
 }
@@ -148,7 +150,7 @@
 	d := e.FromCaller(0, p)
 	for _, target := range s.Services[flow.NewServiceID("rounds")].Table.Targets {
 		got := e.FromTarget(0, answer(p, SYN|ACK), target.Addr, d.VNI)
-		if want := target.Addr == d.Addr.Addr(); want != (got.Action == SendCaller) {
+		if want := target.Addr == d.Addr().Addr(); want != (got.Action == SendCaller) {
 			t.Errorf("answer of %v: %v with %v", target.Addr, got.Action, got.Code)
 		}
 	}
@@ -160,13 +162,17 @@
 
 // Guards against short UDP work whose slot is not returned, or is returned twice.
 func TestDoneAfterFirstAnswer(t *testing.T) {
-	e, r := newTestEngine(testSnapshot(testBundle(t, 1, udpShort)))
+	s := testSnapshot(testBundle(t, 1, udpShort))
+	e, r := newTestEngine(s)
 	p := udp(9)
 	d := e.FromCaller(0, p)
 	for range 3 {
-		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr.Addr(), d.VNI), SendCaller)
+		expectAction(t, e.FromTarget(time.Second, answer(p, 0), d.Addr().Addr(), d.VNI), SendCaller)
 	}
 	e.FromCaller(2*time.Second, p)
+	if open := e.OpenFlows(e.Explain(0, keyOf(s, p)).TargetID); open != 0 {
+		t.Fatalf("%d answered requests count as load", open)
+	}
 	for range 10 {
 		e.Sweep(time.Hour, nil)
 	}
@@ -175,6 +181,21 @@
 	}
 }
 
+// Guards against a connection that keeps trying a target that has become unfit before it answered.
+func TestUnansweredConnectionMoves(t *testing.T) {
+	s := testSnapshot(testBundle(t, 1, tcpSession))
+	e, r := newTestEngine(s)
+	p := tcp(SYN, 1, 0, 0)
+	first := e.FromCaller(0, p)
+	table, i := tableOf(s, "rounds", p)
+	s.Services[flow.NewServiceID("rounds")].Targets[i].Eligible = false
+	second := e.FromCaller(time.Second, p)
+	if first.Addr() == second.Addr() || len(r.copies) != 1 || e.OpenFlows(table.Targets[i].ID) != 0 {
+		t.Fatalf("sent to %v, then to %v; copies %v", first.Addr(), second.Addr(), r.copies)
+	}
+	expect(t, e.FromTarget(time.Second, answer(p, SYN|ACK), first.Addr().Addr(), first.VNI), Drop, resultcode.PacketForeignSource)
+}
+
 // Guards against a late duplicate of a SYN that is placed as a new connection after the first has closed.
 func TestReopening(t *testing.T) {
 	e, r := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
@@ -184,3 +205,28 @@
 	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 100, 0, 0)), ForwardTarget)
 	expectAction(t, e.FromCaller(time.Second, tcp(SYN, 5000, 0, 0)), Refuse)
 }
+
+// Guards against a flood of SYNs that keeps new sessions out or breaks them.
+func TestSessionDuringFlood(t *testing.T) {
+	e, _ := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
+	for i := range 1 << 14 {
+		p := tcp(SYN, 1, 0, 0)
+		p.Source = netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, 0, byte(i >> 8), byte(i)}), 9)
+		expectAction(t, e.FromCaller(0, p), ForwardTarget)
+	}
+	if n := e.Flows(); n > 1<<10 {
+		t.Fatalf("%d flows of a flood in a table for %d", n, 1<<12)
+	}
+	p := tcp(SYN, 100, 0, 0)
+	to := e.FromCaller(0, p)
+	for _, flags := range []TCPFlags{SYN | ACK, ACK, PSH | ACK} {
+		expectAction(t, e.FromTarget(0, answer(p, flags), to.Addr().Addr(), to.VNI), SendCaller)
+		p.Flags = ACK
+		if d := e.FromCaller(0, p); d.Action != ForwardTarget || d.Addr() != to.Addr() {
+			t.Fatalf("%v to %v, want %v", d.Action, d.Addr(), to.Addr())
+		}
+	}
+	if x := e.Explain(0, keyOf(e.Snapshot(), p)); x.State != flow.Established {
+		t.Fatalf("the session is %v", x.State)
+	}
+}
--- a/internal/dataplane/sweeper.go
+++ b/internal/dataplane/sweeper.go
@@ -15,8 +15,9 @@
 	plane   *Dataplane
 	engine  *forward.Engine
 	round   round
-	mu      sync.Mutex // guards out, which workers use for packets that were decided early
+	mu      sync.Mutex // guards out and tally, which workers use for packets that were decided early
 	out     *output
+	tally   forward.Tally
 	placed  []forward.Placed
 	endings []forward.Ending
 }
@@ -56,6 +57,9 @@
 		return
 	}
 	s.placed = s.engine.Poll(now, s.placed[:0])
+	if s.plane.config.Clock()-now > maxTickAge {
+		return // the process was paused meanwhile; callers send again
+	}
 	for i := range s.placed {
 		p := &s.placed[i]
 		for _, h := range s.plane.held.take(p.Key, p.Decision) {
@@ -74,6 +78,7 @@
 func (s *sweeper) deliver(d *forward.Decision, inner []byte, p *forward.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tally[d.Action]++
 	switch d.Action {
 	case forward.ForwardTarget, forward.ForwardPeer:
 		b := make([]byte, geneve.MaxHeaderBytes+len(inner))
@@ -83,6 +88,7 @@
 		s.out.reply(d, inner, p)
 	}
 	s.out.flush()
+	s.engine.AddActions(&s.tally)
 }
 
 // end sends the resets of connections that the engine has ended.
