--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -26,6 +26,7 @@
 	Seed    uint64         `json:"seed"`
 	Goals   []Goal         `json:"goals"`
 	Figures map[string]any `json:"figures"`
+	Plots   []Plot         `json:"plots,omitempty"`
 }
 
 // NewReport returns an empty report.
@@ -58,8 +59,13 @@
 	return n
 }
 
-// Write writes the report as JSON into a directory.
+// Write writes the report as JSON, and its plots, into a directory.
 func (r *Report) Write(dir string) (path string, err error) {
+	for i := range r.Plots {
+		if err := r.Plots[i].write(dir, r.Name); err != nil {
+			return "", err
+		}
+	}
 	b, err := json.MarshalIndent(r, "", "  ")
 	if err != nil {
 		return "", err
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -35,11 +35,17 @@
 
 // experiments by name.
 var experiments = map[string]experiment{
-	"demo":    demo,
-	"replace": replaceAll,
-	"kill":    killOne,
-	"pause":   pause,
-	"bundles": bundles,
+	"atmostonce": atMostOnce,
+	"bundles":    bundles,
+	"coldstart":  coldStart,
+	"crest":      crest,
+	"demo":       demo,
+	"headofline": headOfLine,
+	"kill":       killOne,
+	"limits":     limits,
+	"mislead":    mislead,
+	"pause":      pause,
+	"replace":    replaceAll,
 }
 
 // Names returns the names of all experiments, sorted.
--- a/internal/standin/minitcp/stack.go
+++ b/internal/standin/minitcp/stack.go
@@ -114,16 +114,20 @@
 	fn()
 }
 
+// setNow runs the timers that are due, each at its own time, so that the length of a sequence of timers does not depend
+// on how often Advance is called.
 func (s *Stack) setNow(now time.Duration) {
-	if now > s.now {
-		s.now = now
+	for t := s.timers.due(now); t != nil; t = s.timers.due(now) {
+		s.now = max(s.now, t.at)
+		t.run()
 	}
+	s.now = max(s.now, now)
 }
 
 // Now returns the time of the current call. It is valid inside callbacks and Do.
 func (s *Stack) Now() time.Duration { return s.now }
 
-// After runs fn once after d, inside Advance. It must be called from a callback or Do.
+// After runs fn once after d, inside a later call of the stack. It must be called from a callback or Do.
 func (s *Stack) After(d time.Duration, fn func()) *Timer {
 	t := &Timer{run: fn}
 	s.timers.schedule(t, s.now+d)
@@ -142,9 +146,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setNow(now)
-	for t := s.timers.due(s.now); t != nil; t = s.timers.due(s.now) {
-		t.run()
-	}
 }
 
 // Dial opens a connection. It must be called from a callback or Do.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -14,7 +14,7 @@
 	"github.com/marigoldwood/marigoldwood/internal/standin/process"
 )
 
-// tick is how often timers of all targets are run. Service times are rounded up to it.
+// tick is how often timers of all targets are run. Answers leave at most this late; the slot is free in time.
 const tick = time.Millisecond
 
 // expireEvery is how often old UDP flows are looked for.
