--- a/internal/experiment/address.go
+++ b/internal/experiment/address.go
@@ -74,3 +74,15 @@
 	six = netip.MustParseAddrPort(fmt.Sprintf("[2001:db8::%d]:%d", service, port))
 	return four, six
 }
+
+// Endpoint returns the IPv4 or IPv6 endpoint of a service, counted from 1.
+func Endpoint(service int, six bool) netip.AddrPort {
+	four, other := endpoints(service)
+	if six {
+		return other
+	}
+	return four
+}
+
+// TargetAddress returns the address of a target of a service, both counted from 1.
+func TargetAddress(service, i int) netip.Addr { return targetAddress(service, i) }
