--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -177,6 +177,7 @@
 func TestDrainedTarget(t *testing.T) {
 	for i, by := range []experiment.Notice{experiment.ByBundle, experiment.ByHostList, experiment.BySignal} {
 		t.Run(string(by), func(t *testing.T) {
+			t.Parallel() // the whole package is to end within 60 s
 			d := deploy(t)
 			start(t, d, 5)
 			pause(t, time.Second)
