--- a/cmd/marigoldwood-experiment/main.go
+++ b/cmd/marigoldwood-experiment/main.go
@@ -50,6 +50,11 @@
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error { return c.run("demo") }
 
+type capacityCommand struct{ runner }
+
+// Execute implements flags.Commander.
+func (c *capacityCommand) Execute([]string) error { return c.run("capacity") }
+
 type runCommand struct {
 	runner
 	Args struct {
@@ -69,6 +74,7 @@
 		}
 	}
 	add("demo", "Show a deployment while a target drains and a balancer is replaced", &demoCommand{runner{&o}})
+	add("capacity", "Measure the cost of a balancer and project it to the planned size", &capacityCommand{runner{&o}})
 	add("run", "Run a measurement: "+strings.Join(experiment.Names(), ", "), &runCommand{runner: runner{&o}})
 	_, err := parser.Parse()
 	var e *flags.Error
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -37,6 +37,7 @@
 var experiments = map[string]experiment{
 	"atmostonce": atMostOnce,
 	"bundles":    bundles,
+	"capacity":   capacity,
 	"coldstart":  coldStart,
 	"crest":      crest,
 	"demo":       demo,
--- a/internal/standin/caller/groups.go
+++ b/internal/standin/caller/groups.go
@@ -165,11 +165,10 @@
 	open := 0
 	for _, l := range c.lanes {
 		l.do(func() {
-			for _, s := range l.sessions {
+			for s := range l.sessions {
 				l.stack.Stop(s.timer)
-				if !s.ended {
-					open += len(s.waiting)
-				}
+				l.stack.Stop(s.life)
+				open += len(s.waiting)
 			}
 			for _, f := range l.udp {
 				if !f.done {
@@ -186,12 +185,10 @@
 	open := 0
 	for _, l := range c.lanes {
 		l.do(func() {
-			for _, s := range l.sessions {
+			for s := range l.sessions {
 				s.finish()
-				if !s.ended {
-					open++
-				}
 			}
+			open += len(l.sessions)
 		})
 	}
 	return open == 0
--- a/internal/standin/caller/lane.go
+++ b/internal/standin/caller/lane.go
@@ -27,7 +27,7 @@
 	random  *rand.Rand
 
 	udp      map[addresses]*datagramFlow
-	sessions []*session
+	sessions map[*session]struct{} // that have not ended
 	next     map[allocation]uint32 // flows opened so far
 	strays   uint64
 	damaged  uint64 // packets that cannot be decoded or do not come from the caller side of the fabric
@@ -49,7 +49,7 @@
 	}
 	l := &lane{
 		caller: c, index: index, conn: conn, encoder: wire.NewEncoder(), udp: make(map[addresses]*datagramFlow),
-		next: make(map[allocation]uint32), random: rand.New(rand.NewPCG(c.options.Seed, uint64(index))),
+		next: make(map[allocation]uint32), sessions: make(map[*session]struct{}), random: rand.New(rand.NewPCG(c.options.Seed, uint64(index))),
 	}
 	l.stack = minitcp.NewStack(minitcp.Config{Send: l.send, Random: l.random})
 	return l, conn.SetReadBuffer(socketBuffer)
--- a/internal/standin/caller/plan.go
+++ b/internal/standin/caller/plan.go
@@ -37,8 +37,9 @@
 	FeedMS      uint32         `json:"feed_ms"`     // asks the target to push data at this interval; 0 for none
 	AnswerBytes uint32         `json:"answer_bytes"`
 	WorkMicros  uint32         `json:"work_micros"`
-	Tenant      uint8          `json:"tenant"` // second byte of the callers' addresses
-	Spread      int            `json:"spread"` // number of caller prefixes, at most 250; 0 means 250
+	LifeMS      int            `json:"life_ms"` // mean life of a session, which is then closed and followed by a new one; 0 means the whole run
+	Tenant      uint8          `json:"tenant"`  // second byte of the callers' addresses
+	Spread      int            `json:"spread"`  // number of caller prefixes, at most 250; 0 means 250
 }
 
 // Load describes an open-loop stream of requests, one flow each.
--- a/internal/standin/caller/session.go
+++ b/internal/standin/caller/session.go
@@ -24,6 +24,7 @@
 	target   string
 	waiting  map[uint64]pending
 	timer    *minitcp.Timer
+	life     *minitcp.Timer
 }
 
 type pending struct {
@@ -38,7 +39,7 @@
 		local: l.address(g.plan.Tenant, g.plan.Spread, g.plan.Endpoint.Addr()),
 	}
 	s.stats.Started++
-	l.sessions = append(l.sessions, s)
+	l.sessions[s] = struct{}{}
 	s.conn = l.stack.Dial(s.local, g.plan.Endpoint, s)
 }
 
@@ -46,9 +47,30 @@
 func (s *session) Opened(*minitcp.Conn) {
 	s.opened = true
 	s.stats.Opened++
+	if mean := s.group.plan.LifeMS; mean > 0 {
+		life := time.Duration(float64(mean) * s.lane.random.ExpFloat64() * float64(time.Millisecond))
+		s.life = s.lane.stack.After(life, s.renew)
+	}
 	s.ask()
 }
 
+// renew closes the session once its answers have come, and opens another one in its place.
+func (s *session) renew() {
+	if s.ended || s.closing {
+		return
+	}
+	s.lane.stack.Stop(s.timer)
+	if len(s.waiting) > 0 {
+		s.life = s.lane.stack.After(renewPause, s.renew)
+		return
+	}
+	s.finish()
+	s.lane.open(s.group)
+}
+
+// renewPause is how long a session that is to be renewed waits for its answers before it looks again.
+const renewPause = 50 * time.Millisecond
+
 func (s *session) ask() {
 	s.sequence++
 	plan := &s.group.plan
@@ -145,6 +167,8 @@
 func (s *session) Closed(_ *minitcp.Conn, reason minitcp.Reason) {
 	s.ended = true
 	s.lane.stack.Stop(s.timer)
+	s.lane.stack.Stop(s.life)
+	delete(s.lane.sessions, s)
 	switch {
 	case reason == minitcp.Refused:
 		s.stats.Refused++
@@ -182,6 +206,7 @@
 	}
 	s.closing = true
 	s.lane.stack.Stop(s.timer)
+	s.lane.stack.Stop(s.life)
 	if !s.opened {
 		s.conn.Kill(minitcp.TimedOut)
 		return
