Plug admission and leases into the daemon

Slots are leased from ledgers; connections are divided evenly over the owners instead of leased, since a lease for each new connection would cost a message at 2,000 new flows a second. What traffic shows of targets of short services goes into their state.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -53,7 +53,7 @@
 	started time.Duration
 }
 
-// New returns a controller that takes slots and connections from leases. With nil leases the controller divides the
+// New returns a controller that takes slots from leases. With nil leases the controller divides the
 // limits of the bundle itself, as the only balancer.
 func New(leases Leases) *Controller {
 	return &Controller{
@@ -92,7 +92,7 @@
 	if s.state.Info.Limits.ConnectionsPerTarget == 0 {
 		return c.place(now, s, r, resultcode.RefusedNoTarget, nil)
 	}
-	return c.place(now, s, r, resultcode.RefusedConnections, func(i int) bool { return c.connectionFree(now, s, i) })
+	return c.place(now, s, r, resultcode.RefusedConnections, func(i int) bool { return c.connectionFree(s, i) })
 }
 
 // place asks the service's strategy for a target among those that are eligible and allowed.
@@ -107,9 +107,6 @@
 		}
 		return refuse(full)
 	}
-	if allowed != nil && c.leases != nil && !c.leases.Acquire(now, s.targets[i].connections, s.class) {
-		return refuse(full)
-	}
 	s.start(now, i)
 	return forward.Verdict{Outcome: forward.Admitted, Target: i}
 }
@@ -150,6 +147,7 @@
 		return
 	}
 	c.end(now, s, t, now-took)
+	t.seen.add(took, refused)
 	if !refused {
 		s.observeDuration(now, took)
 	}
@@ -162,10 +160,7 @@
 	if !t.remove(s, started) || c.leases == nil {
 		return
 	}
-	switch {
-	case s.state.Info.Kind == bundle.KindSession && s.state.Info.Limits.ConnectionsPerTarget > 0:
-		c.leases.Release(now, t.connections, s.class)
-	case s.state.Info.Kind != bundle.KindSession && s.slots() > 0:
+	if s.state.Info.Kind != bundle.KindSession && s.slots() > 0 {
 		c.leases.Release(now, t.slots, s.class)
 	}
 }
--- a/admission/service.go
+++ b/admission/service.go
@@ -38,10 +38,11 @@
 
 // target is what the controller knows of one target address. Services that list the same address share it.
 type target struct {
-	slots, connections limits.ResourceID
-	running            []run // work of this balancer; for sessions only counted
-	inFlight           map[*service]int
-	counts             [2]int // slots in use by class
+	slots    limits.ResourceID
+	seen     seen
+	running  []run // work of this balancer; for sessions only counted
+	inFlight map[*service]int
+	counts   [2]int // slots in use by class
 }
 
 // run is one piece of work in progress.
@@ -86,7 +87,7 @@
 		t := c.targets[info.Addr]
 		if t == nil {
 			t = &target{
-				slots: limits.SlotsOf(info.DataCentre, info.Addr), connections: limits.ConnectionsOf(info.DataCentre, info.Addr),
+				slots:    limits.SlotsOf(info.DataCentre, info.Addr),
 				inFlight: make(map[*service]int),
 			}
 			c.targets[info.Addr] = t
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -106,11 +106,13 @@
 	return i
 }
 
-// connectionFree reports whether the target at position i may get another connection of the service.
-func (c *Controller) connectionFree(now time.Duration, s *service, i int) bool {
-	t := s.targets[i]
-	if c.leases != nil {
-		return c.leases.Free(now, t.connections, s.class) > 0
+// connectionFree reports whether the target at position i may get another connection of the service from this balancer.
+// Connections are not leased: flows spread evenly over the balancers, so that an equal part of the limit for each keeps
+// the sum below it, also while a bucket moves, without a message for each connection.
+func (c *Controller) connectionFree(s *service, i int) bool {
+	limit := s.state.ConnectionLimit
+	if limit == 0 {
+		limit = s.state.Info.Limits.ConnectionsPerTarget
 	}
-	return t.inFlight[s] < s.state.Info.Limits.ConnectionsPerTarget
+	return s.view.Load(i) < float64(limit)
 }
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -40,6 +40,8 @@
 	Info     *bundle.ServiceInfo
 	Table    *placement.Table
 	Strategy placement.Strategy
+	// ConnectionLimit is this balancer's part of the limit of connections per target; 0 means the whole limit.
+	ConnectionLimit int
 	Targets  []TargetState // by position in Table.Targets
 }
 
--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -71,18 +71,19 @@
 }
 
 func (l *Loop) receiveBatch(from membership.HostID, m *peer.ExceptionBatch) {
-	ack, err := l.store.Apply(from, &ownership.Batch{Epoch: m.Epoch, Sequence: m.Sequence, Data: m.Data})
+	err := l.store.Apply(from, &ownership.Batch{Epoch: m.Epoch, Sequence: m.Sequence, Data: m.Data})
 	if err != nil {
 		l.cfg.Log.WithField("member", l.memberName(from)).WithError(err).Warn("exception batch refused")
-		return
 	}
-	l.send(from, &peer.ExceptionAck{Epoch: ack.Epoch, Sequence: ack.Sequence})
 }
 
 func (l *Loop) sendBatches() {
 	for _, s := range l.replicator.Tick(l.now) {
 		l.send(s.To, &peer.ExceptionBatch{Epoch: s.Batch.Epoch, Sequence: s.Batch.Sequence, Data: s.Batch.Data})
 	}
+	for _, s := range l.store.Acks() {
+		l.send(s.To, &peer.ExceptionAck{Epoch: s.Ack.Epoch, Sequence: s.Ack.Sequence})
+	}
 }
 
 func (l *Loop) drainExceptions() {
--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -79,7 +79,7 @@
 // when it comes into force.
 func (l *Loop) bundleStaged(b *bundle.Bundle) {
 	if l.rollout.InForce() != nil {
-		l.cfg.Engine.Rebase(l.snapshot(b))
+		l.cfg.Engine.Rebase(l.cfg.Engine.Snapshot(), l.snapshot(b))
 	}
 }
 
@@ -88,8 +88,8 @@
 	l.retireTargets(e.Previous, e.Bundle)
 	l.applyHealth(l.health.Handle(l.now, health.Bundle{DataCentre: l.cfg.Self.DataCentre, Services: e.Bundle.ServiceInfos()}))
 	l.setLedgers()
+	l.rebase = true
 	l.publish()
-	l.cfg.Engine.Rebase(l.cfg.Engine.Snapshot())
 }
 
 func (l *Loop) bundleRefused(e rollout.BundleRefused) {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		for _, t := range l.table(b, s).Targets {
-			l.setLedger(limits.SlotsOf(l.cfg.Self.DataCentre, t.Addr), slotSettings(s))
+			l.setLedger(limits.SlotsOf(l.cfg.Self.DataCentre, t.Addr), uint64(s.ID), slotSettings(s))
 		}
 	}
 	for r := range l.leases.ledgers {
@@ -65,12 +65,12 @@
 	}
 }
 
-func (l *Loop) setLedger(r limits.ResourceID, settings limits.LedgerSettings) {
+func (l *Loop) setLedger(r limits.ResourceID, group uint64, settings limits.LedgerSettings) {
 	l.leases.settings[r] = settings
 	owner := ledgerOwner(l.owners.Members(), r)
 	previous := l.leases.owners[r]
 	l.leases.owners[r] = owner
-	l.cfg.Holder.SetLedger(r, owner)
+	l.cfg.Holder.SetLedger(r, group, owner)
 	if owner != l.cfg.Self.ID {
 		delete(l.leases.ledgers, r)
 		return
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -99,6 +99,7 @@
 	state       lifecycle
 	refreshing  bool
 	dirty       bool // the snapshot is out of date
+	rebase      bool // defaults or eligible targets changed, so that other flows need copies
 	inForceAt   time.Time
 	platform    platformCalls
 	tables      tableCache
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -12,8 +12,13 @@
 
 // publish hands the current control state to the traffic goroutines.
 func (l *Loop) publish() {
+	previous := l.cfg.Engine.Snapshot()
 	l.dirty = false
 	l.cfg.Engine.Publish(l.snapshot(l.rollout.InForce()))
+	if l.rebase {
+		l.rebase = false
+		l.cfg.Engine.Rebase(previous, l.cfg.Engine.Snapshot())
+	}
 }
 
 // snapshot returns the control state with the given bundle, which may be nil.
@@ -48,6 +53,7 @@
 		table := l.table(s.Bundle, info)
 		s.Services[info.ID] = &forward.ServiceState{
 			Info: info, Table: table, Strategy: l.strategy(info), Targets: l.health.States(l.now, info.ID, nil),
+			ConnectionLimit: l.connectionLimit(info),
 		}
 		if len(s.Services[info.ID].Targets) != len(table.Targets) {
 			s.Services[info.ID].Targets = unknownStates(len(table.Targets)) // a staged bundle, which health does not know yet
@@ -58,6 +64,12 @@
 	}
 }
 
+// connectionLimit returns this balancer's part of the connection limit of a service's targets, 0 for none.
+func (l *Loop) connectionLimit(info *bundle.ServiceInfo) int {
+	n := max(len(l.owners.Members()), 1)
+	return (info.Limits.ConnectionsPerTarget + n - 1) / n
+}
+
 func unknownStates(n int) []forward.TargetState {
 	states := make([]forward.TargetState, n)
 	for i := range states {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -54,7 +54,7 @@
 }
 
 func (l *Loop) targetChanged(e health.StateChanged) {
-	l.dirty = true
+	l.dirty, l.rebase = true, true
 	service, address := l.describe(e.Target)
 	l.record(timeline.Event{
 		Kind: "target-state", Service: service, Target: address,
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/marigoldwood/marigoldwood/admission"
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/internal/buildinfo"
@@ -149,7 +150,4 @@
 	return operator.NewServer(loop, ring, metrics)
 }
 
-// provideAdmission admits by placement alone.
-func provideAdmission() forward.Admission { return forward.StrategyAdmission{} }
-
-func provideTraffic() control.Traffic { return nil }
+func provideAdmission(holder *limits.Holder) *admission.Controller { return admission.New(holder) }
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -27,12 +27,11 @@
 	clock := provideClock()
 	ring := provideRing(s, clock)
 	exceptionQueue := provideExceptions()
-	admission := provideAdmission()
-	engine := provideEngine(s, exceptionQueue, admission)
+	holder := provideHolder(member)
+	controller := provideAdmission(holder)
+	engine := provideEngine(s, exceptionQueue, controller)
 	client := providePlatform(s)
 	prober := provideProber()
-	holder := provideHolder(member)
-	traffic := provideTraffic()
 	daemonParts := parts{
 		Keys:       keyring,
 		Clock:      daemonMonotonic,
@@ -44,7 +43,7 @@
 		Platform:   client,
 		Prober:     prober,
 		Holder:     holder,
-		Traffic:    traffic,
+		Traffic:    controller,
 		Exceptions: exceptionQueue,
 	}
 	daemonTransport, err := newTransport(s, member, entry, daemonMonotonic)
--- a/internal/peer/frame_fuzz_test.go
+++ b/internal/peer/frame_fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 
+	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/ownership"
 )
 
@@ -11,8 +13,8 @@
 func FuzzFrame(f *testing.F) {
 	id := NewIdentity("host", "regina", 1)
 	for _, m := range []Message{
-		&Hello{Host: "host"}, &BucketClaim{Buckets: Buckets{1, 5}}, &HealthReport{Targets: []TargetReport{{}}},
-		&BucketGrant{Exceptions: Exceptions{Flows: []ownership.Exception{{Target: 4}}}}, &LeaseGrant{Leases: []Lease{{}}},
+		&Hello{Host: "host"}, &BucketClaim{Buckets: Buckets{1, 5}}, &HealthReport{Reports: []health.Report{{}}},
+		&BucketGrant{Exceptions: Exceptions{Flows: []ownership.Exception{{Target: 4}}}}, &LeaseGrant{Grants: []limits.Grant{{}}},
 	} {
 		frame, err := id.frame(m)
 		if err != nil {
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -272,7 +272,7 @@
 func (h *Handover) waiting() bool {
 	for b := range h.buckets {
 		k := &h.buckets[b]
-		if k.phase == phaseAcquiring || k.phase == phaseReleasing || k.merging || k.since > 0 {
+		if k.phase >= phaseAcquiring || k.since > 0 {
 			return true
 		}
 	}
