--- a/admission/controller.go
+++ b/admission/controller.go
@@ -21,7 +21,7 @@
 	Free(now time.Duration, r limits.ResourceID, c limits.Class) int
 	Acquire(now time.Duration, r limits.ResourceID, c limits.Class) bool
 	Release(now time.Duration, r limits.ResourceID, c limits.Class)
-	Wait(now time.Duration, r limits.ResourceID, c limits.Class, waiting int)
+	Wait(now time.Duration, g limits.GroupID, c limits.Class, waiting int)
 }
 
 var _ Leases = (*limits.Holder)(nil)
@@ -33,7 +33,7 @@
 	parts    parts
 	services map[flow.ServiceID]*service
 	targets  map[netip.Addr]*target
-	pools    map[netip.Addr]*pool
+	pools    map[limits.GroupID]*pool
 	order    []*pool // in the order of creation, so that a seeded run repeats
 	released []forward.Released
 	held     map[flow.Key]hold // admitted from a queue, not yet polled
@@ -58,7 +58,7 @@
 func New(leases Leases) *Controller {
 	return &Controller{
 		leases: leases, services: make(map[flow.ServiceID]*service), targets: make(map[netip.Addr]*target),
-		pools: make(map[netip.Addr]*pool), held: make(map[flow.Key]hold),
+		pools: make(map[limits.GroupID]*pool), held: make(map[flow.Key]hold),
 	}
 }
 
@@ -242,9 +242,9 @@
 	}
 }
 
-// tellDemand spreads the waiting flows of a pool over its targets for the leases.
+// tellDemand tells the leases how many flows of a pool wait.
 func (c *Controller) tellDemand(now time.Duration, p *pool) {
-	if c.leases == nil || len(p.targets) == 0 {
+	if c.leases == nil {
 		return
 	}
 	var waiting [2]int
@@ -252,19 +252,11 @@
 		waiting[s.class] += s.queue.waiting
 	}
 	for class, n := range waiting {
-		for i, t := range p.targets {
-			// The remainder starts at a position that moves, so that a single waiting flow asks every target in turn.
-			share := n / len(p.targets)
-			if (i+p.turn)%len(p.targets) < n%len(p.targets) {
-				share++
-			}
-			c.leases.Wait(now, t.slots, limits.Class(class), share)
+		if n != p.told[class] {
+			p.told[class] = n
+			c.leases.Wait(now, p.group, limits.Class(class), n)
 		}
 	}
-	if now-p.turned >= turnInterval {
-		p.turn++
-		p.turned = now
-	}
 }
 
 func refuse(code resultcode.Code) forward.Verdict {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -20,8 +21,7 @@
 	// queue.
 	burstWait = standingAfter
 	// maxWaiting bounds the flows that wait in one queue, and with it the memory that callers can make the balancer use.
-	maxWaiting   = 4096
-	turnInterval = 25 * time.Millisecond
+	maxWaiting = 4096
 	// fairQuantum is how many pieces of work callers may differ by before the one with less goes first. Without it the
 	// order among callers with equal demand is arbitrary, and some of their flows wait past the goal.
 	fairQuantum = 4
@@ -39,10 +39,9 @@
 // pool is the set of services that share targets.
 type pool struct {
 	services []*service
-	targets  []*target
+	group    limits.GroupID
+	told     [2]int // waiting flows by class, as the leases know them
 	byKey    map[flow.Key]*waiting
-	turn     int
-	turned   time.Duration
 }
 
 // queue holds the waiting flows of one service: one list for each caller prefix.
@@ -61,7 +60,7 @@
 	served float64 // virtual time: work given to the prefix
 }
 
-func newPool() *pool { return &pool{byKey: make(map[flow.Key]*waiting)} }
+func newPool(g limits.GroupID) *pool { return &pool{group: g, byKey: make(map[flow.Key]*waiting)} }
 
 // oldest returns how long the flow that waits longest has waited.
 func (q *queue) oldest(now time.Duration) time.Duration {
--- a/admission/service.go
+++ b/admission/service.go
@@ -80,7 +80,6 @@
 
 func (c *Controller) setTargets(s *service) {
 	s.targets, s.byID = nil, make(map[flow.TargetID]*target)
-	var lowest netip.Addr
 	for i := range s.state.Table.Targets {
 		info := &s.state.Table.Targets[i]
 		t := c.targets[info.Addr]
@@ -93,22 +92,31 @@
 		}
 		s.targets = append(s.targets, t)
 		s.byID[info.ID] = t
-		if i == 0 || info.Addr.Less(lowest) {
-			lowest = info.Addr
-		}
 	}
 	s.view.service = s
-	p := c.pools[lowest]
+	group := SlotGroup(s.state.Table)
+	p := c.pools[group]
 	if p == nil {
-		p = newPool()
-		c.pools[lowest] = p
+		p = newPool(group)
+		c.pools[group] = p
 		c.order = append(c.order, p)
 	}
-	s.pool = p
-	if !slices.Contains(p.services, s) {
+	if s.pool != p {
+		s.pool = p
 		p.services = append(p.services, s)
 	}
-	p.targets = s.targets
+}
+
+// SlotGroup returns the group of the slots of a table's targets. Services whose tables start at the same address share
+// their targets, and so the group.
+func SlotGroup(t *placement.Table) limits.GroupID {
+	lowest := t.Targets[0].Addr
+	for i := range t.Targets {
+		if t.Targets[i].Addr.Less(lowest) {
+			lowest = t.Targets[i].Addr
+		}
+	}
+	return limits.GroupID(limits.SlotsOf(t.Targets[0].DataCentre, lowest))
 }
 
 func (s *service) slots() int { return s.state.Info.Limits.SlotsPerTarget }
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,11 @@
 	idleAfter = 2 * time.Second
 	// askGap is the least time between two requests for one resource, except for slots that are given up.
 	askGap = 10 * time.Millisecond
+	// contendedFor is how long a holder takes a resource to be contended after its ledger said so. It does not ask there
+	// while it can ask elsewhere, and keeps nothing idle.
+	contendedFor = 100 * time.Millisecond
+	// turnAfter is how long waiting work asks the same resources: long enough for a recalled slot to arrive.
+	turnAfter = 25 * time.Millisecond
 )
 
 // Holder keeps the leases of one balancer. It is safe for use by several goroutines.
@@ -23,13 +29,31 @@
 	incarnation uint64
 	sequence    uint64
 	leases      map[ResourceID]*lease
-	order       []*lease // in the order of creation, so that a seeded run repeats
+	groups      map[GroupID]*group
+	order       []*group // in the order of creation, so that a seeded run repeats
+}
+
+// GroupID names resources that can stand in for each other, such as the slots of all targets of a service.
+type GroupID uint64
+
+// group holds the leases that waiting work can use.
+type group struct {
+	leases  []*lease
+	waiting [classCount]int
+	turn    int
+	turned  time.Duration
+}
+
+// Resource describes to a Holder what it may lease.
+type Resource struct {
+	ID     ResourceID
+	Group  GroupID
+	Limit  uint32
+	Ledger membership.HostID // member that keeps the ledger; 0 when none is known
 }
 
 type lease struct {
-	resource  ResourceID
-	group     uint64
-	ledger    membership.HostID
+	Resource
 	slots     slots // usable until validTil
 	validTil  time.Duration
 	inUse     [classCount]uint32
@@ -42,8 +66,8 @@
 	sentAt    time.Duration
 	accepted  Grant
 	pending   []pending
-	contended bool
-	fresh     bool // nothing has been sent to this ledger yet
+	contended time.Duration // when the ledger last said that others wait; 0 when they do not
+	fresh     bool          // nothing has been sent to this ledger yet
 }
 
 // pending is a request whose grant may still arrive.
@@ -55,24 +79,45 @@
 
 // NewHolder returns a holder without leases.
 func NewHolder(host membership.HostID, incarnation uint64) *Holder {
-	return &Holder{host: host, incarnation: incarnation, leases: make(map[ResourceID]*lease)}
+	return &Holder{host: host, incarnation: incarnation, leases: make(map[ResourceID]*lease), groups: make(map[GroupID]*group)}
 }
 
-// SetLedger tells which member keeps the ledger of a resource, and the group of resources that can stand in for each
-// other, such as the slots of all targets of a service. Leases of the former ledger end with their term.
-func (h *Holder) SetLedger(r ResourceID, group uint64, owner membership.HostID) {
+// Set adds a resource or changes its limit or ledger. Leases of a former ledger end with their term. The group of a
+// resource does not change.
+func (h *Holder) Set(r Resource) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.leases[r]
+	l := h.leases[r.ID]
 	if l == nil {
-		l = &lease{resource: r}
-		h.leases[r] = l
-		h.order = append(h.order, l)
+		l = &lease{}
+		h.leases[r.ID] = l
+		g := h.groups[r.Group]
+		if g == nil {
+			// Holders start to ask at different resources, so that they do not all ask the same one.
+			g = &group{turn: int(uint64(h.host) % (1 << 30))}
+			h.groups[r.Group] = g
+			h.order = append(h.order, g)
+		}
+		g.leases = append(g.leases, l)
 	}
-	l.group = group
-	if l.ledger != owner {
-		l.ledger, l.pending, l.fresh = owner, nil, true
+	if l.Ledger != r.Ledger {
+		l.pending, l.fresh = nil, true
 	}
+	l.Resource = r
+}
+
+// Remove forgets a resource that is no longer in the bundle, once nothing uses it. It reports whether it did.
+func (h *Holder) Remove(id ResourceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.leases[id]
+	if l == nil || l.used().all > 0 {
+		return l == nil
+	}
+	delete(h.leases, id)
+	g := h.groups[l.Group]
+	g.leases = slices.DeleteFunc(g.leases, func(x *lease) bool { return x == l })
+	return true
 }
 
 // used returns the slots in use.
@@ -127,28 +172,73 @@
 	}
 }
 
-// Wait tells how many pieces of work wait for a slot of the resource.
-func (h *Holder) Wait(_ time.Duration, r ResourceID, c Class, waiting int) {
+// Wait tells how many pieces of work wait for a slot of the group.
+func (h *Holder) Wait(_ time.Duration, id GroupID, c Class, waiting int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.leases[r]; l != nil {
-		l.waiting[c] = uint32(max(0, waiting))
+	if g := h.groups[id]; g != nil {
+		g.waiting[c] = max(0, waiting)
+	}
+}
+
+// spread divides the waiting work over the resources to ask: first those where nobody else waits, then the others, and
+// urgent work before bulk work.
+func (g *group) spread(now time.Duration) {
+	for _, l := range g.leases {
+		l.waiting = [classCount]uint32{}
+	}
+	if len(g.leases) == 0 || g.waiting == [classCount]int{} {
+		return
+	}
+	if now-g.turned >= turnAfter {
+		g.turn, g.turned = g.turn+1, now
+	}
+	left := g.waiting
+	for _, contended := range []bool{false, true} {
+		for given := true; given; {
+			given = false
+			for i := range g.leases {
+				l := g.leases[(i+g.turn)%len(g.leases)]
+				if l.isContended(now) == contended && l.need() < l.Limit {
+					given = l.take(&left) || given
+				}
+			}
+		}
 	}
 }
 
+// take adds one piece of the remaining work and reports whether there was any.
+func (l *lease) take(left *[classCount]int) bool {
+	for c := range left {
+		if left[c] > 0 {
+			left[c]--
+			l.waiting[c]++
+			return true
+		}
+	}
+	return false
+}
+
+func (l *lease) isContended(now time.Duration) bool {
+	return l.contended > 0 && now-l.contended < contendedFor
+}
+
 // Granted takes a grant from the ledger at host from.
 func (h *Holder) Granted(now time.Duration, from membership.HostID, g Grant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.leases[g.Resource]
-	if l == nil || from != l.ledger || g.To != h.host || g.Incarnation != h.incarnation || !l.isNews(g) {
+	if l == nil || from != l.Ledger || g.To != h.host || g.Incarnation != h.incarnation || !l.isNews(g) {
 		return
 	}
 	for _, p := range l.pending {
 		if p.sequence != g.Sequence || now >= p.sentAt+Term {
 			continue
 		}
-		l.accepted, l.contended = g, g.Contended
+		l.accepted, l.contended = g, 0
+		if g.Contended {
+			l.contended = now
+		}
 		l.slots, l.validTil = p.most.min(slots{g.Slots, g.BulkSlots}), p.sentAt+Term
 	}
 }
@@ -164,9 +254,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []Send
-	for _, l := range h.order {
-		if l.ledger != 0 && l.due(now) {
-			out = append(out, Send{To: l.ledger, Request: h.request(now, l)})
+	for _, g := range h.order {
+		g.spread(now)
+		for _, l := range g.leases {
+			if l.Ledger != 0 && l.due(now) {
+				out = append(out, Send{To: l.Ledger, Request: h.request(now, g, l)})
+			}
 		}
 	}
 	return out
@@ -180,7 +273,7 @@
 // needed lately. Nothing idle is kept while others wait.
 func (l *lease) keep(now time.Duration) slots {
 	need := l.need()
-	if need >= l.peak || now-l.peakAt >= idleAfter || l.contended {
+	if need >= l.peak || now-l.peakAt >= idleAfter || l.isContended(now) {
 		l.peak, l.peakAt = need, now
 	}
 	return l.used().max(l.usable(now).min(slots{l.peak, l.peak}))
@@ -192,7 +285,7 @@
 	switch {
 	case l.fresh:
 		return need > 0 || usable.all > 0
-	case givesUp && (l.contended || usable.all < l.promised.all || usable.bulk < l.promised.bulk):
+	case givesUp && (l.isContended(now) || usable.all < l.promised.all || usable.bulk < l.promised.bulk):
 		return true
 	case now-l.sentAt < askGap:
 		return false
@@ -204,7 +297,7 @@
 	return now-l.sentAt >= renewAfter && (need > 0 || l.promised.all > 0 || l.asked > 0)
 }
 
-func (h *Holder) request(now time.Duration, l *lease) Request {
+func (h *Holder) request(now time.Duration, g *group, l *lease) Request {
 	h.sequence++
 	keep := l.keep(now)
 	l.slots = l.slots.min(keep)
@@ -218,18 +311,16 @@
 	}
 	l.pending = append(live, pending{sequence: h.sequence, sentAt: now, most: slots{^uint32(0), ^uint32(0)}})
 	return Request{
-		Resource: l.resource, From: h.host, Incarnation: h.incarnation, Sequence: h.sequence,
-		Keep: keep.all, KeepBulk: keep.bulk, Need: l.asked, NeedUrgent: l.askedUrg, Held: h.held(now, l.group),
+		Resource: l.ID, From: h.host, Incarnation: h.incarnation, Sequence: h.sequence,
+		Keep: keep.all, KeepBulk: keep.bulk, Need: l.asked, NeedUrgent: l.askedUrg, Held: g.held(now),
 	}
 }
 
-// held returns the slots of all leases of a group.
-func (h *Holder) held(now time.Duration, group uint64) uint32 {
+// held returns the slots of all leases of the group.
+func (g *group) held(now time.Duration) uint32 {
 	var sum uint32
-	for _, l := range h.order {
-		if l.group == group {
-			sum += l.usable(now).all
-		}
+	for _, l := range g.leases {
+		sum += l.usable(now).all
 	}
 	return sum
 }
--- a/limits/ledger.go
+++ b/limits/ledger.go
@@ -55,6 +55,7 @@
 	waitsSince  time.Duration // since when need is above what is granted
 	former      bool          // a higher incarnation of the holder exists
 	changed     bool          // the holder must be told
+	told        bool          // that others wait
 }
 
 // slots is a number of slots, and how many of them may be used for bulk work.
@@ -345,10 +346,12 @@
 	contended := l.unmet(true) != nil
 	var out []Grant
 	for _, e := range l.entries {
-		if !e.changed || e.former || now >= e.expires {
+		// A holder that does not know that others wait may keep an idle slot that it has not reported.
+		mustTell := e.changed || (contended && !e.told && e.granted.all > 0)
+		if !mustTell || e.former || now >= e.expires {
 			continue
 		}
-		e.changed = false
+		e.changed, e.told = false, contended
 		e.round++
 		out = append(out, Grant{
 			Resource: l.resource, To: e.from, Incarnation: e.incarnation, Sequence: e.sequence, Round: e.round,
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -70,7 +70,11 @@
 func (c *cluster) restart(i int) {
 	c.lives[i]++
 	c.holders[i] = NewHolder(membership.HostID(i+1), c.lives[i])
-	c.holders[i].SetLedger(resource, 1, c.side(i))
+	c.holders[i].Set(c.resource(i))
+}
+
+func (c *cluster) resource(holder int) Resource {
+	return Resource{ID: resource, Group: 1, Limit: c.limit.Limit, Ledger: c.side(holder)}
 }
 
 func (c *cluster) chance(percent int) bool {
@@ -150,7 +154,7 @@
 func (c *cluster) work(i int, h *Holder) {
 	class := Class(rapid.IntRange(0, 1).Draw(c.t, "class"))
 	if rapid.IntRange(0, 3).Draw(c.t, "demand") == 0 {
-		h.Wait(c.now, resource, class, rapid.IntRange(0, 3).Draw(c.t, "waiting"))
+		h.Wait(c.now, 1, class, rapid.IntRange(0, 3).Draw(c.t, "waiting"))
 	}
 	if h.Acquire(c.now, resource, class) {
 		c.started++
@@ -227,7 +231,7 @@
 		move := func(side func(int) membership.HostID) {
 			c.side = side
 			for i, h := range c.holders {
-				h.SetLedger(resource, 1, side(i))
+				h.Set(c.resource(i))
 			}
 		}
 		run(100)
