--- /dev/null
+++ b/forward/change_test.go
@@ -0,0 +1,232 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+// fleet is three engines that pass packets to each other, with one owner of all buckets.
+type fleet struct {
+	t       *rapid.T
+	now     time.Duration
+	hosts   [3]*fleetHost
+	owner   int
+	bundles []*Snapshot // by version - 1, for the targets of each
+	model   map[uint16]netip.AddrPort
+}
+
+type fleetHost struct {
+	*Engine
+	*recorder
+	version int // index in bundles
+	bucket  BucketState
+}
+
+func hostAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 0, byte(1 + i)}), 6081)
+}
+
+// publish gives a host a snapshot of its view.
+func (f *fleet) publish(i int) {
+	h := f.hosts[i]
+	f.t.Logf("host %d: version %d, %+v", i, h.version, h.bucket)
+	s := testSnapshot(f.bundles[h.version].Bundle)
+	retire(s, f.bundles[:h.version])
+	for id, ss := range f.bundles[h.version].Services {
+		s.Services[id] = ss
+	}
+	s.Self = membership.HostID(i + 1)
+	s.Map = ownership.Build([]membership.HostID{1, 2, 3})
+	for j := range f.hosts {
+		s.Peers[membership.HostID(j+1)] = hostAddr(j)
+		s.PeerAddrs[hostAddr(j).Addr()] = membership.HostID(j + 1)
+	}
+	setRole(s, h.bucket)
+	h.Publish(s)
+}
+
+// carry brings a packet to a host and follows it between hosts to the last decision.
+func (f *fleet) carry(at int, p *Packet, source netip.Addr, vni uint32) Decision {
+	var d Decision
+	if source.IsValid() {
+		d = f.hosts[at].FromTarget(f.now, p, source, vni)
+	} else {
+		d = f.hosts[at].FromCaller(f.now, p)
+	}
+	for d.Action == ForwardPeer {
+		from := hostAddr(at).Addr()
+		at = int(d.Addr().Addr().As4()[3]) - 1
+		d = f.hosts[at].FromPeer(f.now, p, from, d.Peer())
+	}
+	return d
+}
+
+// exchange sends a segment of a session and its answer. Any of them may be dropped; none may go astray.
+func (f *fleet) exchange(port uint16) {
+	at, back := rapid.IntRange(0, 2).Draw(f.t, "entry"), rapid.IntRange(0, 2).Draw(f.t, "return")
+	to, open := f.model[port]
+	p := tcp(ACK, 2, 2, 1)
+	if !open {
+		p = tcp(SYN, 1, 0, 0)
+	}
+	p.Source = netip.AddrPortFrom(caller.Addr(), port)
+	d := f.carry(at, p, netip.Addr{}, 0)
+	f.t.Logf("flow %d enters at %d: %v to %v, %v", port, at, d.Action, d.Addr(), d.Code)
+	switch {
+	case d.Action == Drop:
+		return
+	case d.Action != ForwardTarget, open && d.Addr() != to:
+		f.t.Fatalf("flow %d (open: %v, on %v): %v to %v, %v", port, open, to, d.Action, d.Addr(), d.Code)
+	}
+	a := answer(p, ACK)
+	if !open {
+		a.Flags |= SYN
+	}
+	reply := f.carry(back, a, d.Addr().Addr(), 20)
+	f.t.Logf("answer of flow %d enters at %d: %v, %v", port, back, reply.Action, reply.Code)
+	switch reply.Action {
+	case SendCaller:
+		f.model[port] = d.Addr() // from now on the caller takes the connection as open
+	case Drop:
+	default:
+		f.t.Fatalf("answer of flow %d: %v, %v", port, reply.Action, reply.Code)
+	}
+}
+
+func (f *fleet) some() {
+	for range rapid.IntRange(0, 6).Draw(f.t, "packets") {
+		f.now += 10 * time.Millisecond
+		f.exchange(uint16(rapid.IntRange(1, 8).Draw(f.t, "flow")))
+	}
+}
+
+// handOver moves all buckets as control does, with packets between the steps.
+func (f *fleet) handOver(to int) {
+	from := f.owner
+	if to == from || f.hosts[to].version < f.hosts[from].version {
+		return
+	}
+	f.upgrade(from, f.hosts[to].version) // a granting host catches up first
+	f.setRole(to, BucketState{Role: RoleAcquiring, Peer: membership.HostID(from + 1)})
+	f.some()
+	f.setRole(from, BucketState{Role: RoleForward, Peer: membership.HostID(to + 1)})
+	f.some()
+	granted := f.hosts[from].Collect(f.now, allBuckets()...)
+	f.some()
+	f.take(to, granted, 0)
+}
+
+// fail moves all buckets to a backup that holds the copies. The old owner comes back empty.
+func (f *fleet) fail(to int) {
+	from := f.owner
+	if to == from || f.hosts[to].version != f.hosts[from].version {
+		return
+	}
+	var copies []Exception
+	for k, target := range f.hosts[from].copies {
+		copies = append(copies, Exception{Key: k, Target: target})
+	}
+	version := f.hosts[from].version
+	f.addHost(from, version)
+	f.setRole(from, BucketState{Role: RoleForward, Peer: membership.HostID(to + 1)})
+	f.take(to, copies, f.now)
+}
+
+func (f *fleet) take(to int, exceptions []Exception, takenOver time.Duration) {
+	for _, x := range exceptions {
+		f.hosts[to].Install(f.now, bucketOf(&x.Key), []Exception{x})
+		f.hosts[to].copies[x.Key] = x.Target
+	}
+	f.owner = to
+	f.setRole(to, BucketState{Role: RoleOwner, InSync: true, TakenOverAt: takenOver})
+	for i := range f.hosts {
+		f.some()
+		if i != to {
+			f.setRole(i, BucketState{Role: RoleForward, Peer: membership.HostID(to + 1)})
+		}
+	}
+}
+
+func allBuckets() (out []ownership.Bucket) {
+	for b := range ownership.Bucket(ownership.BucketCount) {
+		out = append(out, b)
+	}
+	return out
+}
+
+func (f *fleet) setRole(i int, b BucketState) {
+	f.hosts[i].bucket = b
+	f.publish(i)
+}
+
+func (f *fleet) addHost(i, version int) {
+	r := &recorder{copies: make(map[flow.Key]flow.TargetID)}
+	f.hosts[i] = &fleetHost{Engine: NewEngine(Config{Flows: 1 << 10, Admission: r, Sink: r}), recorder: r, version: version}
+}
+
+// stage lets the owner report flows that a new bundle with other targets will move.
+func (f *fleet) stage() {
+	s := tcpSession
+	s.targets = nil
+	for i := 1; i <= 5; i++ {
+		if rapid.Bool().Draw(f.t, "target") || i == 1 {
+			s.targets = append(s.targets, fmt.Sprintf("127.1.0.%d", i))
+		}
+	}
+	next := testSnapshot(testBundle(f.t, len(f.bundles)+1, s))
+	for _, ss := range next.Services {
+		for i := range ss.Targets {
+			ss.Targets[i].Eligible = rapid.IntRange(0, 3).Draw(f.t, "eligible") > 0
+		}
+	}
+	f.bundles = append(f.bundles, next)
+	f.t.Logf("staged version %d with %v", len(f.bundles)-1, s.targets)
+	f.hosts[f.owner].Rebase(f.hosts[f.owner].Snapshot(), next)
+}
+
+// upgrade puts a version in force at a host.
+func (f *fleet) upgrade(i, version int) {
+	h := f.hosts[i]
+	for h.version < version {
+		old := h.Snapshot()
+		h.version++
+		f.publish(i)
+		h.Rebase(old, h.Snapshot())
+	}
+}
+
+// Guards against a session that a planned change breaks: handovers, bundles that come into force unevenly, targets that
+// leave, and the failure of an owner whose copies are complete.
+func TestSessionsSurviveChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, model: make(map[uint16]netip.AddrPort), now: time.Second}
+		f.bundles = []*Snapshot{testSnapshot(testBundle(t, 1, tcpSession))}
+		for i := range f.hosts {
+			f.addHost(i, 0)
+			f.setRole(i, BucketState{Role: RoleForward, Peer: 1})
+		}
+		f.setRole(0, BucketState{Role: RoleOwner, InSync: true})
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			host := rapid.IntRange(0, 2).Draw(t, "host")
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0:
+				f.handOver(host)
+			case 1:
+				f.stage()
+			case 2:
+				f.upgrade(host, len(f.bundles)-1)
+			case 3:
+				f.fail(host)
+			}
+			f.some()
+		}
+	})
+}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -30,7 +30,7 @@
 	sink      ExceptionSink
 	state     atomic.Pointer[state]
 	counters  counters
-	newest    atomic.Uint64 // highest bundle version seen at a peer
+	ahead     atomic.Pointer[ahead]
 	gains     gains
 
 	mu       sync.Mutex // guards Publish and open
@@ -80,8 +80,30 @@
 	return nil
 }
 
-// NewestVersion returns the highest bundle version that a packet has shown to be in force at a peer.
-func (e *Engine) NewestVersion() uint64 { return e.newest.Load() }
+// ahead is the highest bundle version that a packet has shown to be in force, and the peer that sent it.
+type ahead struct {
+	version uint64
+	peer    membership.HostID
+}
+
+// NewestVersion returns the highest bundle version that a packet has shown to be in force at a peer, 0 when there was
+// none.
+func (e *Engine) NewestVersion() uint64 {
+	if a := e.ahead.Load(); a != nil {
+		return a.version
+	}
+	return 0
+}
+
+// noteVersion remembers a peer with a newer bundle than any seen before.
+func (e *Engine) noteVersion(version uint64, peer membership.HostID) {
+	for {
+		old := e.ahead.Load()
+		if old != nil && old.version >= version || e.ahead.CompareAndSwap(old, &ahead{version, peer}) {
+			return
+		}
+	}
+}
 
 // Flows returns the number of flows in the table.
 func (e *Engine) Flows() int { return e.table.Len() }
@@ -215,8 +237,8 @@
 	if q.info.Hops == 0 || q.info.Hops > HopLimit || q.info.Direction != ToTarget && q.info.Direction != ToCaller {
 		return resultcode.PacketMalformed
 	}
-	for seen := e.newest.Load(); q.info.Version > seen; seen = e.newest.Load() {
-		e.newest.CompareAndSwap(seen, q.info.Version)
+	if q.info.Version > q.st.version {
+		e.noteVersion(q.info.Version, q.sender)
 	}
 	return resultcode.OK
 }
@@ -274,8 +296,10 @@
 
 // lost decides about a packet whose flow cannot be found. A newer bundle may know its endpoint.
 func (e *Engine) lost(q *query, code resultcode.Code) Decision {
-	if code == resultcode.PacketUnknownEndpoint && q.direction == ToTarget && q.behind() {
-		return q.toPeer(q.currentPeer(), code)
+	if code == resultcode.PacketUnknownEndpoint && q.direction == ToTarget {
+		if behind, current := e.behind(q); behind {
+			return q.toPeer(current, code)
+		}
 	}
 	return drop(code)
 }
@@ -290,7 +314,7 @@
 	}
 	b := &q.st.Buckets[q.bucket]
 	if q.sender != 0 && q.sender == b.Peer && q.info.Version < q.st.version {
-		return e.byDefault(q) // the owner is behind and has passed on a flow that it does not know
+		return e.byDefault(q, true) // the owner is behind and has passed on a flow that it does not know
 	}
 	if q.info.Hops >= HopLimit {
 		return e.atHopLimit(q, b)
@@ -305,7 +329,10 @@
 	if b.Role == RoleAcquiring || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
 		return drop(resultcode.PacketHopLimit)
 	}
-	return e.byDefault(q)
+	if behind, _ := e.behind(q); behind {
+		return drop(resultcode.PacketHopLimit)
+	}
+	return e.byDefault(q, false)
 }
 
 // toPeer passes the packet to a balancer, or drops it with the code when that has no address.
@@ -326,13 +353,15 @@
 	return d
 }
 
-// behind reports whether a newer bundle is known to be in force elsewhere.
-func (q *query) behind() bool { return q.st.Behind || q.info.Version > q.st.version }
-
-// currentPeer returns a member that has the newer bundle, or 0.
-func (q *query) currentPeer() membership.HostID {
+// behind reports whether a newer bundle is known to be in force elsewhere, and a member that has it, or 0. Packets show it
+// before control does. From the first on every unknown flow goes to a current member, so that the packets of one flow
+// are not decided by two bundles.
+func (e *Engine) behind(q *query) (behind bool, current membership.HostID) {
 	if q.info.Version > q.st.version {
-		return q.sender
+		return true, q.sender
+	}
+	if a := e.ahead.Load(); a != nil && a.version > q.st.version {
+		return true, a.peer
 	}
-	return q.st.CurrentPeer
+	return q.st.Behind, q.st.CurrentPeer
 }
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -8,8 +8,8 @@
 // unknownFromCaller decides about a packet of a flow that has no entry. It fills in the entry when the flow is to have
 // one.
 func (e *Engine) unknownFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	if q.behind() {
-		return q.toPeer(q.currentPeer(), resultcode.PacketNoOwner), false
+	if behind, current := e.behind(q); behind {
+		return q.toPeer(current, resultcode.PacketNoOwner), false
 	}
 	if q.p.Protocol == flow.TCP && (!q.p.Has(SYN) || q.p.Has(ACK)) {
 		return e.adoptFromCaller(q, en, room)
@@ -158,8 +158,8 @@
 
 // unknownFromTarget decides about a packet of a target for a flow without an entry.
 func (e *Engine) unknownFromTarget(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	if q.behind() {
-		return q.toPeer(q.currentPeer(), resultcode.PacketNoOwner), false
+	if behind, current := e.behind(q); behind {
+		return q.toPeer(current, resultcode.PacketNoOwner), false
 	}
 	sv := q.ep.service
 	d := sv.defaultTarget(q.hash)
@@ -213,8 +213,9 @@
 }
 
 // byDefault decides without an entry about a flow that another balancer owns: its owner is behind, or no balancer
-// agrees who owns it. It relies only on the default target, which the owner will compute as well.
-func (e *Engine) byDefault(q *query) Decision {
+// agrees who owns it. It relies only on the default target, which the owner will compute as well. asked tells that the
+// owner has passed the packet on because it has no entry.
+func (e *Engine) byDefault(q *query, asked bool) Decision {
 	sv := q.ep.service
 	t := sv.defaultTarget(q.hash)
 	if t == nil {
@@ -227,7 +228,6 @@
 		return Decision{Action: SendCaller, Direction: ToCaller}
 	}
 	opens := q.p.Protocol == flow.UDP || q.p.Has(SYN)
-	asked := q.sender != 0 && q.sender == q.st.Buckets[q.bucket].Peer // by the owner, which has no entry
 	switch {
 	case opens && !sv.eligible(t), opens && q.p.Protocol == flow.UDP && !sv.Info.Idempotent && !asked:
 		return drop(resultcode.PacketNoOwner)
