--- a/flow/state.go
+++ b/flow/state.go
@@ -17,6 +17,7 @@
 const (
 	New           State = iota // not in the table
 	Waiting                    // the first packet waits for admission
+	Deferred                   // TCP: placed by another balancer with a newer bundle
 	Opening                    // TCP: a SYN was forwarded
 	Answered                   // TCP: the target answered the SYN
 	Adopted                    // TCP: taken up in mid-flow, not yet answered by the target
@@ -30,7 +31,7 @@
 )
 
 var stateNames = []string{
-	"new", "waiting", "opening", "answered", "adopted", "established", "caller-closing", "target-closing", "closed",
+	"new", "waiting", "deferred", "opening", "answered", "adopted", "established", "caller-closing", "target-closing", "closed",
 	"unconfirmed", "confirmed",
 }
 
@@ -48,6 +49,7 @@
 // Events of a flow, in the order of eventNames.
 const (
 	EventWait Event = iota
+	EventDefer
 	CallerSYN
 	CallerPacket
 	CallerFIN
@@ -62,7 +64,7 @@
 )
 
 var eventNames = []string{
-	"wait", "caller-syn", "caller-packet", "caller-fin", "caller-rst", "caller-datagram",
+	"wait", "defer", "caller-syn", "caller-packet", "caller-fin", "caller-rst", "caller-datagram",
 	"target-syn-ack", "target-packet", "target-fin", "target-rst", "target-datagram",
 }
 
@@ -88,9 +90,9 @@
 func (s State) Pending() bool { return pending[s] }
 
 // Open reports whether the flow counts as open at its target.
-func (s State) Open() bool { return s != New && s != Waiting && s != Closed }
+func (s State) Open() bool { return s != New && s != Waiting && s != Deferred && s != Closed }
 
-var pending = [16]bool{Waiting: true, Opening: true, Answered: true, Adopted: true, Unconfirmed: true}
+var pending = [16]bool{Waiting: true, Deferred: true, Opening: true, Answered: true, Adopted: true, Unconfirmed: true}
 
 // Idle times after which an entry expires.
 const (
@@ -109,6 +111,7 @@
 
 var timeoutMS = [16]int32{
 	Waiting:       int32(ClosingTimeout.Milliseconds()), // admission ends the wait; this only bounds a lost verdict
+	Deferred:      int32(HalfOpenTimeout.Milliseconds()),
 	Opening:       int32(HalfOpenTimeout.Milliseconds()),
 	Answered:      int32(HalfOpenTimeout.Milliseconds()),
 	Adopted:       int32(HalfOpenTimeout.Milliseconds()),
--- a/forward/change_test.go
+++ b/forward/change_test.go
@@ -119,7 +119,7 @@
 	f.some()
 	f.setRole(from, BucketState{Role: RoleForward, Peer: membership.HostID(to + 1)})
 	f.some()
-	granted := f.hosts[from].Collect(f.now, allBuckets()...)
+	granted := f.hosts[from].CollectAll(f.now, allBuckets()...)
 	f.some()
 	f.take(to, granted, 0)
 }
--- a/forward/copies.go
+++ b/forward/copies.go
@@ -9,8 +9,8 @@
 
 func bucketOf(k *flow.Key) ownership.Bucket { return ownership.BucketOf(k.Hash()) }
 
-// Install enters exceptions of a bucket that this balancer is about to own, from a grant or from the copies that it
-// held as backup. It returns the number that found no room.
+// Install enters flows of a bucket that this balancer is about to own, from a grant or from the copies that it held as
+// backup. It returns the number that found no room.
 func (e *Engine) Install(now time.Duration, b ownership.Bucket, exceptions []Exception) (lost int) {
 	st := e.state.Load()
 	if st == nil {
@@ -26,11 +26,16 @@
 
 func (e *Engine) install(st *state, now time.Duration, b ownership.Bucket, x *Exception) (stored bool) {
 	nowMS := uint32(now.Milliseconds())
-	state := flow.Established
-	if ep := st.byID[x.Key.Endpoint]; ep != nil && ep.service.Info.Proto == flow.UDP {
-		state = flow.Confirmed
+	state, flags, hash := flow.Established, flow.FlagException, x.Key.Hash()
+	if ep := st.byID[x.Key.Endpoint]; ep != nil {
+		if ep.service.Info.Proto == flow.UDP {
+			state = flow.Confirmed
+		}
+		if !ep.service.needsCopy(hash, x.Target) {
+			flags = 0
+		}
 	}
-	e.table.Visit(&x.Key, x.Key.Hash(), nowMS, func(en *flow.Entry, room flow.Room) bool {
+	e.table.Visit(&x.Key, hash, nowMS, func(en *flow.Entry, room flow.Room) bool {
 		if room == flow.NoRoom {
 			return false
 		}
@@ -43,7 +48,7 @@
 			e.finish(st, now, &x.Key, en)
 			en.Renew(nowMS)
 		}
-		en.Target, en.Epoch, en.Flags = x.Target, st.epochs[b], flow.FlagException
+		en.Target, en.Epoch, en.Flags = x.Target, st.epochs[b], flags
 		en.SetState(state)
 		e.countOpen(st, en)
 		return true
@@ -54,6 +59,22 @@
 // Collect removes the entries of buckets that this balancer no longer owns and returns their exceptions. It is called
 // after Quiesce, when no traffic goroutine decides about the buckets any more.
 func (e *Engine) Collect(now time.Duration, buckets ...ownership.Bucket) []Exception {
+	return e.collect(now, buckets, e.isException)
+}
+
+// CollectAll is Collect for all open flows but those that can be placed again. A new owner that has all of them can
+// keep them on their targets when a bundle changes later; without an entry it cannot tell such a flow from one that
+// was opened after the change.
+func (e *Engine) CollectAll(now time.Duration, buckets ...ownership.Bucket) []Exception {
+	return e.collect(now, buckets, func(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
+		ep := st.byID[k.Endpoint]
+		return e.isException(st, k, hash, en) || en.State().Open() && ep != nil && ep.service.copied
+	})
+}
+
+func (e *Engine) collect(now time.Duration, buckets []ownership.Bucket,
+	want func(*state, *flow.Key, uint64, *flow.Entry) bool,
+) []Exception {
 	st := e.state.Load()
 	if st == nil {
 		return nil
@@ -70,7 +91,7 @@
 		if !wanted[b] || st.owns(b) {
 			return true
 		}
-		if en.Epoch+1 == st.epochs[b] && en.State() != flow.Waiting && e.isException(st, &k, hash, en) {
+		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && want(st, &k, hash, en) {
 			out = append(out, Exception{Key: k, Target: en.Target})
 		}
 		en.Flags &^= flow.FlagException // the grant carries the copy on; it is not removed
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -42,8 +42,11 @@
 
 func (e *Engine) knownFromCaller(q *query, en *flow.Entry) (Decision, bool) {
 	en.Touch(q.nowMS)
-	if en.State() == flow.Waiting {
+	switch en.State() {
+	case flow.Waiting:
 		return q.whileWaiting(), true
+	case flow.Deferred:
+		return e.deferred(q, en)
 	}
 	t := q.st.target(en.Target)
 	if t == nil || t.service != q.ep.service {
@@ -127,6 +130,11 @@
 			d, keep = e.unknownFromTarget(q, en, room)
 			return keep
 		}
+		if en.State() == flow.Deferred {
+			en.Touch(q.nowMS)
+			d, keep = e.deferred(q, en)
+			return keep
+		}
 		d = e.knownFromTarget(q, en)
 		return true
 	})
--- a/forward/state.go
+++ b/forward/state.go
@@ -8,6 +8,7 @@
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/placement"
 )
 
 // state is a snapshot with the lookup tables that decisions use. It is immutable.
@@ -20,6 +21,8 @@
 	byAddr    map[netip.Addr]*target
 	services  map[flow.ServiceID]*service
 	peers     map[membership.HostID]*netip.AddrPort
+	// bases holds for each bucket the targets in force when this balancer received it.
+	bases [ownership.BucketCount]*base
 	// owned repeats which buckets this balancer owns, in a form that fits the first-level cache.
 	owned [ownership.BucketCount]bool
 	// epochs counts for each bucket how often this balancer ceased to own it. Entries of an earlier epoch are not
@@ -160,10 +163,14 @@
 
 // inherit carries the epochs over from the state before and notes the buckets that are gained.
 func (st *state) inherit(old *state, g *gains) {
+	now := newBase(st)
 	if old == nil {
+		for b := range st.bases {
+			st.bases[b] = now
+		}
 		return
 	}
-	st.epochs = old.epochs
+	st.epochs, st.bases = old.epochs, old.bases
 	for b := range st.epochs {
 		was, is := old.owns(ownership.Bucket(b)), st.owns(ownership.Bucket(b))
 		switch {
@@ -171,10 +178,39 @@
 			st.epochs[b]++
 		case is && !was:
 			g.add(ownership.Bucket(b))
+			st.bases[b] = now
+		}
+		if st.bases[b] == nil {
+			st.bases[b] = now
 		}
 	}
 }
 
+// base is the targets of each service at some time.
+type base struct {
+	tables map[flow.ServiceID]*placement.Table
+}
+
+// newBase returns the targets in force, or nil without a bundle.
+func newBase(st *state) *base {
+	if st.Bundle == nil {
+		return nil
+	}
+	b := &base{tables: make(map[flow.ServiceID]*placement.Table)}
+	for id, sv := range st.services {
+		b.tables[id] = sv.Table
+	}
+	return b
+}
+
+// table returns the targets that the service had, or nil when it did not exist.
+func (b *base) table(sv *service) *placement.Table {
+	if b == nil {
+		return nil
+	}
+	return b.tables[sv.id]
+}
+
 func (st *state) owns(b ownership.Bucket) bool { return st.owned[b%ownership.BucketCount] }
 
 // defaultTarget returns the default target of a flow, or nil.
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -2,24 +2,82 @@
 
 import (
 	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 // unknownFromCaller decides about a packet of a flow that has no entry. It fills in the entry when the flow is to have
 // one.
 func (e *Engine) unknownFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	if behind, current := e.behind(q); behind {
-		return q.toPeer(current, resultcode.PacketNoOwner), false
-	}
 	if q.p.Protocol == flow.TCP && (!q.p.Has(SYN) || q.p.Has(ACK)) {
-		return e.adoptFromCaller(q, en, room)
+		return e.adoptFromCaller(q, en, room, q.earlierTarget())
+	}
+	if behind, current := e.behind(q); behind {
+		return e.deferTo(q, en, room, current)
 	}
-	if q.unknownOutcome() {
+	if e.unknownOutcome(q) {
 		return drop(resultcode.OutcomeUnknown), false
 	}
 	return e.place(q, en, room)
 }
 
+// deferTo passes a new flow to a member that has a newer bundle in force. That member sends it to its default target. The
+// entry of a connection notes that the later segments belong there too.
+func (e *Engine) deferTo(q *query, en *flow.Entry, room flow.Room, current membership.HostID) (Decision, bool) {
+	d := q.toPeer(current, resultcode.PacketNoOwner)
+	if q.p.Protocol == flow.UDP || d.Action != ForwardPeer {
+		return d, false
+	}
+	if room != flow.Free {
+		return drop(resultcode.PacketTableFull), false
+	}
+	en.Epoch = q.st.epochs[q.bucket]
+	en.Step(flow.EventDefer)
+	return d, true
+}
+
+// deferred decides about a packet of a flow that was passed to a member with a newer bundle. When that bundle is in
+// force here as well, the flow is on its default target.
+func (e *Engine) deferred(q *query, en *flow.Entry) (Decision, bool) {
+	if behind, current := e.behind(q); behind {
+		return q.toPeer(current, resultcode.PacketNoOwner), true
+	}
+	en.Renew(q.nowMS)
+	if q.direction == ToCaller {
+		return e.unknownFromTarget(q, en, flow.Free)
+	}
+	t := q.ep.service.defaultTarget(q.hash)
+	if q.p.Has(SYN) && !q.ep.service.eligible(t) {
+		return e.place(q, en, flow.Free)
+	}
+	if t == nil {
+		return q.reset(resultcode.PacketNoTarget), false
+	}
+	e.enter(q, en, t)
+	en.FromCaller(q.p.segment(), q.nowMS)
+	return q.deliver(t), true
+}
+
+// earlierTarget returns the target that a running connection without an entry is on, or nil. Every flow that was opened
+// since the bucket was received has an entry, and the exceptions of then were received with it. The flow was therefore
+// on its default target by the bundle that was in force then, whatever bundles have followed.
+func (q *query) earlierTarget() *target {
+	sv := q.ep.service
+	table := q.st.bases[q.bucket].table(sv)
+	if table == nil || table == sv.Table {
+		return sv.defaultTarget(q.hash)
+	}
+	i := table.Default(q.hash)
+	if i < 0 {
+		return nil
+	}
+	t := q.st.target(table.Targets[i].ID)
+	if t == nil || t.service != sv {
+		return nil
+	}
+	return t
+}
+
 // recentTakeover reports whether the bucket was taken over by failure so recently that its earlier owner may have
 // forwarded packets of flows that are not known here.
 func (q *query) recentTakeover() bool {
@@ -27,11 +85,15 @@
 	return at != 0 && q.now-at < takeoverWindow
 }
 
-// unknownOutcome reports whether a datagram may repeat a request that the earlier owner sent to a target other than
-// the default.
-func (q *query) unknownOutcome() bool {
+// unknownOutcome reports whether a datagram may repeat a request that the earlier owner sent to a target other than the
+// default: the default was not eligible, or another bundle was in force.
+func (e *Engine) unknownOutcome(q *query) bool {
 	sv := q.ep.service
-	return q.p.Protocol == flow.UDP && !sv.Info.Idempotent && q.recentTakeover() && !sv.eligible(sv.defaultTarget(q.hash))
+	if q.p.Protocol != flow.UDP || sv.Info.Idempotent {
+		return false
+	}
+	d := sv.defaultTarget(q.hash)
+	return q.recentTakeover() && !sv.eligible(d) || e.gains.recent(q.bucket, q.now) && q.earlierTarget() != d
 }
 
 // adoptable reports whether a connection without an entry can be taken to be on its default target.
@@ -39,16 +101,15 @@
 	return q.st.Buckets[q.bucket].InSync || q.ep.service.Info.Idempotent
 }
 
-// adoptFromCaller takes up a running connection on its default target, or resets it. A flow that finds no room is
-// delivered all the same: its target is a pure function of the flow.
-func (e *Engine) adoptFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
+// adoptFromCaller takes up a running connection on the target t, or resets it. A flow that finds no room is delivered all
+// the same: its target is a pure function of the flow.
+func (e *Engine) adoptFromCaller(q *query, en *flow.Entry, room flow.Room, t *target) (Decision, bool) {
 	if q.p.Has(SYN) {
 		return drop(resultcode.PacketMalformed), false // only targets answer a SYN
 	}
 	if !q.adoptable() {
 		return q.reset(resultcode.PacketUnknownFlow), false
 	}
-	t := q.ep.service.defaultTarget(q.hash)
 	if t == nil {
 		return q.reset(resultcode.PacketNoTarget), false
 	}
@@ -56,10 +117,19 @@
 		return q.deliver(t), false
 	}
 	e.enter(q, en, t)
+	e.report(q, en)
 	en.FromCaller(q.p.segment(), q.nowMS)
 	return q.deliver(t), true
 }
 
+// report reports the flow of a new entry as an exception if it is one.
+func (e *Engine) report(q *query, en *flow.Entry) {
+	if q.ep.service.needsCopy(q.hash, en.Target) {
+		en.Flags |= flow.FlagException
+		e.sink.ExceptionAdded(q.bucket, Exception{Key: q.key, Target: en.Target})
+	}
+}
+
 // enter makes an entry for a flow on a target.
 func (e *Engine) enter(q *query, en *flow.Entry, t *target) {
 	en.Target, en.Epoch = t.id, q.st.epochs[q.bucket]
@@ -114,10 +184,7 @@
 	if q.p.Protocol == flow.TCP {
 		en.FromCaller(q.p.segment(), q.nowMS)
 	}
-	if q.ep.service.needsCopy(q.hash, t.id) {
-		en.Flags |= flow.FlagException
-		e.sink.ExceptionAdded(q.bucket, Exception{Key: q.key, Target: t.id})
-	}
+	e.report(q, en)
 	return q.deliver(t), true
 }
 
@@ -137,7 +204,7 @@
 // target. Short work is dropped, because its slots could not be counted.
 func (e *Engine) placeWithoutRoom(q *query) Decision {
 	sv := q.ep.service
-	if t := sv.defaultTarget(q.hash); !sv.short && sv.eligible(t) {
+	if t := sv.defaultTarget(q.hash); !sv.short && sv.eligible(t) && t == q.earlierTarget() {
 		return q.deliver(t)
 	}
 	return drop(resultcode.PacketTableFull)
@@ -158,18 +225,19 @@
 
 // unknownFromTarget decides about a packet of a target for a flow without an entry.
 func (e *Engine) unknownFromTarget(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	if behind, current := e.behind(q); behind {
-		return q.toPeer(current, resultcode.PacketNoOwner), false
-	}
-	sv := q.ep.service
-	d := sv.defaultTarget(q.hash)
-	onDefault := d != nil && uint16(d.id) == q.source
 	answer := Decision{Action: SendCaller, Direction: ToCaller}
 	if q.p.Protocol == flow.UDP {
-		return e.unknownDatagram(q, en, room, onDefault)
+		if behind, current := e.behind(q); behind {
+			return q.toPeer(current, resultcode.PacketNoOwner), false
+		}
+		return e.unknownDatagram(q, en, room)
+	}
+	t := q.earlierTarget()
+	if d := q.ep.service.defaultTarget(q.hash); d != nil && uint16(d.id) == q.source {
+		t = d // the target that answers is the one that has the flow
 	}
 	switch {
-	case !onDefault:
+	case t == nil || uint16(t.id) != q.source:
 		return drop(resultcode.PacketUnknownFlow), false
 	case q.p.Flags&(SYN|RST) != 0:
 		return answer, false // for a flow that was placed without room
@@ -178,14 +246,15 @@
 	case room == flow.NoRoom:
 		return answer, false
 	}
-	e.enter(q, en, d)
+	e.enter(q, en, t)
+	e.report(q, en)
 	en.FromTarget(q.p.segment(), q.nowMS)
 	return answer, true
 }
 
 // unknownDatagram passes a late answer on. The target that answers is the one that has the flow, so the flow is put
 // there.
-func (e *Engine) unknownDatagram(q *query, en *flow.Entry, room flow.Room, onDefault bool) (Decision, bool) {
+func (e *Engine) unknownDatagram(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
 	answer := Decision{Action: SendCaller, Direction: ToCaller}
 	t := q.ep.service.bySource(q.source)
 	if t == nil {
@@ -195,10 +264,7 @@
 		return answer, false
 	}
 	e.enter(q, en, t)
-	if !onDefault && q.ep.service.needsCopy(q.hash, t.id) {
-		en.Flags |= flow.FlagException
-		e.sink.ExceptionAdded(q.bucket, Exception{Key: q.key, Target: t.id})
-	}
+	e.report(q, en)
 	return answer, true
 }
 
