--- a/internal/experiment/address.go
+++ b/internal/experiment/address.go
@@ -19,6 +19,9 @@
 	portControl
 	portHealth
 	portLock
+	portProxyData
+	portProxyProbe
+	portProxyPeer
 	portCount
 )
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -45,6 +45,7 @@
 	"kill":       killOne,
 	"limits":     limits,
 	"mislead":    mislead,
+	"partition":  partition,
 	"pause":      pause,
 	"replace":    replaceAll,
 }
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -39,7 +39,9 @@
 
 // Faults of one direction. The zero value injects none.
 type Faults struct {
-	Loss       float64 `json:"loss"`      // UDP: part of the packets that are dropped
+	// Loss is the part of the UDP packets that are dropped, and of the pieces of a TCP stream that are held back for the
+	// time of a retransmission.
+	Loss       float64 `json:"loss"`
 	Duplicate  float64 `json:"duplicate"` // UDP: part of the packets that are sent twice
 	Reorder    float64 `json:"reorder"`   // UDP: part of the packets that are delayed by ReorderMS more
 	ReorderMS  int     `json:"reorder_ms"`
--- /dev/null
+++ b/internal/standin/proxy/proxy_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+)
+
+var (
+	listenUDP = netip.MustParseAddrPort("127.61.0.1:23456")
+	listenTCP = netip.MustParseAddrPort("127.61.0.1:23457")
+	source    = netip.MustParseAddr("127.61.0.2")
+)
+
+// start runs a proxy in front of echo servers for UDP and TCP, and returns connections through it from source.
+func start(t *testing.T) (p *Proxy, udp, tcp net.Conn) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	packets, err := net.ListenPacket("udp", "127.61.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	streams, err := net.Listen("tcp", "127.61.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = packets.Close(); _ = streams.Close() })
+	go func() {
+		b := make([]byte, 2000)
+		for {
+			n, from, err := packets.ReadFrom(b)
+			if err != nil {
+				return
+			}
+			if from.(*net.UDPAddr).AddrPort().Addr() == source { // answers only when the source was kept
+				_, _ = packets.WriteTo(b[:n], from)
+			}
+		}
+	}()
+	go func() {
+		conn, err := streams.Accept()
+		if err == nil {
+			_, _ = io.Copy(conn, conn)
+		}
+	}()
+	p, err = Start(ctx, []Link{
+		{Name: "u", Protocol: "udp", Listen: listenUDP, Forward: packets.LocalAddr().(*net.UDPAddr).AddrPort(), KeepSource: true},
+		{Name: "t", Protocol: "tcp", Listen: listenTCP, Forward: streams.Addr().(*net.TCPAddr).AddrPort(), KeepSource: true},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if udp, err = net.DialUDP("udp", &net.UDPAddr{IP: source.AsSlice()}, net.UDPAddrFromAddrPort(listenUDP)); err != nil {
+		t.Fatal(err)
+	}
+	if tcp, err = net.DialTCP("tcp", &net.TCPAddr{IP: source.AsSlice()}, net.TCPAddrFromAddrPort(listenTCP)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = udp.Close(); _ = tcp.Close() })
+	return p, udp, tcp
+}
+
+// echoes sends n messages and returns how many come back within the wait after the last.
+func echoes(t *testing.T, conn net.Conn, n int, wait time.Duration) (got int) {
+	t.Helper()
+	for range n {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := make([]byte, 2000)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(wait))
+		m, err := conn.Read(b)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return got
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got += m
+	}
+}
+
+// Guards against a partition that lets packets through, or a healed one that does not, which would make tests of
+// failures say nothing.
+func TestFaults(t *testing.T) {
+	const n, wait = 20, 300 * time.Millisecond
+	p, udp, tcp := start(t)
+	expect := func(step string, conn net.Conn, want int) {
+		t.Helper()
+		if got := echoes(t, conn, n, wait); got != want {
+			t.Errorf("%s: %d of %d came back, want %d", step, got, n, want)
+		}
+	}
+	cut := Faults{Cut: true}
+	expect("no faults, UDP", udp, n)
+	expect("no faults, TCP", tcp, n)
+	p.Set("", source, Both{Forward: cut})
+	expect("cut forward, UDP", udp, 0)
+	expect("cut forward, TCP", tcp, 0)
+	p.Set("", source, Both{Back: cut})
+	expect("cut back, UDP", udp, 0)
+	p.Set("", netip.Addr{}, Both{})
+	expect("healed, TCP delivers what waited", tcp, 2*n)
+	p.Set("", netip.MustParseAddr("127.61.0.9"), Both{Forward: cut, Back: cut})
+	expect("another source is cut", udp, n)
+	p.Set("u", source, Both{Forward: Faults{Duplicate: 1}})
+	expect("doubled", udp, 2*n)
+	p.Set("u", source, Both{Forward: Faults{Loss: 1}})
+	expect("lost", udp, 0)
+	p.Set("u", source, Both{Forward: Faults{DelayMS: 100, JitterMS: 50}})
+	expect("delayed", udp, n)
+}
--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -15,6 +15,8 @@
 	cutPoll = 20 * time.Millisecond
 	// readPoll bounds how long a blocked read takes to notice ResetConns.
 	readPoll = 200 * time.Millisecond
+	// retransmission is the shortest time after which common kernels send a lost segment again.
+	retransmission = 200 * time.Millisecond
 	// queuedChunks bounds the bytes that are delayed on one connection.
 	queuedChunks = 256
 )
@@ -103,6 +105,9 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			wait := l.proxy.delay(d.faults.Load())
+			if l.proxy.chance(d.faults.Load().Loss) {
+				wait += retransmission
+			}
 			if limiter := d.limiter.Load(); limiter != nil {
 				wait += limiter.ReserveN(time.Now(), n).Delay()
 			}
--- a/internal/standin/target/registry.go
+++ b/internal/standin/target/registry.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // FlowID identifies a flow in the registry.
@@ -21,7 +22,7 @@
 	flows     map[FlowID]flowRecord
 	runs      map[uint64]uint8
 	twice     []uint64
-	moved     []FlowID
+	moved     []Move
 	forgotten uint64
 }
 
@@ -36,6 +37,14 @@
 	return &Registry{flows: make(map[FlowID]flowRecord), runs: make(map[uint64]uint8)}
 }
 
+// Move is the arrival of a flow at a second target.
+type Move struct {
+	FlowID
+	From netip.Addr `json:"from"`
+	To   netip.Addr `json:"to"`
+	At   time.Time  `json:"at"`
+}
+
 // Reached records that a packet of a flow came to a target that did not know the flow. The target refused it or not.
 func (r *Registry) Reached(id FlowID, target netip.Addr, refused bool) {
 	r.mu.Lock()
@@ -68,7 +77,7 @@
 	}
 	record.moved = true
 	r.flows[id] = record
-	r.moved = append(r.moved, id)
+	r.moved = append(r.moved, Move{FlowID: id, From: record.target, To: target, At: time.Now()})
 }
 
 // Run records that a request starts to run.
@@ -93,7 +102,7 @@
 	Flows     int      `json:"flows"`
 	Requests  int      `json:"requests"`  // requests that were run
 	Twice     []uint64 `json:"twice"`     // requests that were run more than once
-	Moved     []FlowID `json:"moved"`     // flows that came to a second target
+	Moved     []Move   `json:"moved"`     // flows that came to a second target
 	Forgotten uint64   `json:"forgotten"` // flows and requests beyond the limit of the registry
 }
 
@@ -103,7 +112,7 @@
 	defer r.mu.Unlock()
 	return Summary{
 		Flows: len(r.flows), Requests: len(r.runs), Forgotten: r.forgotten,
-		Twice: append([]uint64{}, r.twice...), Moved: append([]FlowID{}, r.moved...),
+		Twice: append([]uint64{}, r.twice...), Moved: append([]Move{}, r.moved...),
 	}
 }
 
