--- a/internal/experiment/partition.go
+++ b/internal/experiment/partition.go
@@ -32,17 +32,26 @@
 	return d.Split(ctx, a, b, false)
 }
 
-// partition splits the balancers for 30 s, without the platform, under open sessions.
+// partition splits the balancers for 30 s, without the platform, under open sessions: once with a fabric that hands both
+// directions of a flow to one balancer, and once with one that hands any packet to any balancer.
 func partition(ctx context.Context, r *Run) error {
 	if !r.proxied(ctx) {
 		return errNotProxied
 	}
+	for _, mode := range []string{fabric.PerFlow, fabric.PerPacket} {
+		if err := r.partitionWith(ctx, mode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Run) partitionWith(ctx context.Context, mode string) error {
 	d, err := r.startFull(ctx, Options{Balancers: fullBalancers, Proxied: true}, fullSessions/4)
 	if err != nil {
 		return err
 	}
-	// The fabric of a split data centre keeps handing the packets of a flow to the balancer that it chose.
-	if err := d.SetFabric(ctx, fabric.Config{Mode: fabric.PerFlow}); err != nil {
+	if err := d.SetFabric(ctx, fabric.Config{Mode: mode}); err != nil {
 		return err
 	}
 	if err := r.background(ctx); err != nil {
@@ -64,8 +73,9 @@
 	if err != nil {
 		return err
 	}
-	r.Report.AtMost("flows delivered to a second target", float64(len(o.Runs.Moved)), 0, "")
-	r.Report.Show("broken sessions", float64(o.brokenSessions()), fmt.Sprintf("of %d", o.openSessions()))
+	r.Progress.Step("results of spraying per %s", mode)
+	r.Report.AtMost("spraying per "+mode+": flows delivered to a second target", float64(len(o.Runs.Moved)), 0, "")
+	r.Report.Show("spraying per "+mode+": broken sessions", float64(o.brokenSessions()), fmt.Sprintf("of %d", o.openSessions()))
 	r.Report.Show("requests without a whole answer", float64(o.brokenRequests()), fmt.Sprintf("of %d", o.requests()))
 	r.safety(&o)
 	return nil
--- a/internal/experiment/replace.go
+++ b/internal/experiment/replace.go
@@ -43,9 +43,9 @@
 	for _, further := range []caller.Sessions{other, renewed} {
 		if further.Count > 0 {
 			p.Sessions = append(p.Sessions, further)
-			n += further.Count
 		}
 	}
+	n += renewed.Count
 	r.Progress.Step("opening %d sessions", n)
 	if err := d.Call(ctx, p); err != nil {
 		return nil, err
--- a/internal/standin/fabric/spray.go
+++ b/internal/standin/fabric/spray.go
@@ -10,7 +10,7 @@
 // Modes of spraying packets to balancers.
 const (
 	PerPacket = "packet" // a random balancer for every packet
-	PerFlow   = "flow"   // the balancer depends on addresses, ports, the salt and the list of balancers
+	PerFlow   = "flow"   // one balancer for both directions of a flow, by addresses, ports, salt and list of balancers
 )
 
 // Config is what the control port can change.
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 )
@@ -92,25 +93,30 @@
 	return src, dst, false
 }
 
-// FlowHash returns a hash of the addresses and, for TCP and UDP without IP options, the ports of an inner packet.
+// FlowHash returns a hash of the addresses and, for TCP and UDP without IP options, the ports of an inner packet. It is
+// the same for both directions of a flow.
 func FlowHash(inner []byte) uint64 {
-	const (
-		offset = 14695981039346656037
-		prime  = 1099511628211
-	)
-	h := uint64(offset)
-	mix := func(b []byte) {
-		for _, c := range b {
-			h = (h ^ uint64(c)) * prime
-		}
-	}
+	var src, dst []byte
+	var ports int
 	switch {
 	case len(inner) >= 24 && inner[0]>>4 == 4:
-		mix(inner[12:24])
+		src, dst, ports = inner[12:16], inner[16:20], 20
 	case len(inner) >= 44 && inner[0]>>4 == 6:
-		mix(inner[8:44])
+		src, dst, ports = inner[8:24], inner[24:40], 40
+	default:
+		return 0
 	}
-	return h ^ h>>32
+	h := endHash(src, inner[ports:ports+2]) + endHash(dst, inner[ports+2:ports+4])
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd // the finalizer of MurmurHash3 spreads the sum over all bits
+	return h ^ h>>33
+}
+
+func endHash(address, port []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.Write(address)
+	_, _ = d.Write(port)
+	return d.Sum64()
 }
 
 // Decoder decodes inner packets. It is not safe for use by several goroutines.
