Hand over every open flow, and keep copies for two bundles during an activation

Cause: a new owner had no entry for a session that sent nothing between its handover and the next bundle, and took it up on the default target of the new bundle; copies that only the earlier bundle needed were dropped while a backup still had that bundle in force. Ruled out: losses by claims or grants (no packet at a foreign target, all resets on targets whose default changed).

--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -35,14 +35,12 @@
 	groups := make(map[ownership.Bucket][]forward.Exception)
 	for _, e := range x.Flows {
 		groups[e.Bucket()] = append(groups[e.Bucket()], e)
+		l.installed[e.Bucket()] = true
 	}
 	lost := 0
 	for b, exceptions := range groups {
 		lost += l.cfg.Engine.Install(l.now, b, exceptions)
 	}
-	for _, e := range x.Flows {
-		l.replicator.Add(l.now, e)
-	}
 	if lost > 0 {
 		l.record(timeline.Event{Kind: "exceptions-lost", Detail: fmt.Sprintf("%d found no room in the flow table", lost)})
 	}
@@ -51,6 +49,7 @@
 func (l *Loop) publishBuckets(e ownership.Publish) {
 	l.publish()
 	l.replicator.SetOwnership(l.now, l.owners, l.handover.States())
+	l.copyInstalled()
 	if !e.Quiesce {
 		return
 	}
@@ -61,12 +60,25 @@
 	}()
 }
 
-// collect takes the exceptions of released buckets out of the flow table and hands them to the new owner.
+// copyInstalled starts to copy the exceptions among installed flows to the backups.
+func (l *Loop) copyInstalled() {
+	if len(l.installed) == 0 {
+		return
+	}
+	for _, e := range l.cfg.Engine.Exceptions(func(b ownership.Bucket) bool { return l.installed[b] }) {
+		l.replicator.Add(l.now, e)
+	}
+	clear(l.installed)
+}
+
+// collect takes the flows of released buckets out of the flow table and hands them to the new owner. The grant holds
+// every flow and not only the exceptions: a session that sends nothing until the next bundle is in force would
+// otherwise be taken up on its new default target.
 func (l *Loop) collect(e ownership.Collect) {
 	l.drainExceptions()
-	x := ownership.Exceptions{Flows: l.cfg.Engine.Collect(l.now, e.Buckets...)}
+	x := ownership.Exceptions{Flows: l.cfg.Engine.CollectAll(l.now, e.Buckets...)}
 	x.Retired = l.retiredOf(x.Flows)
-	l.record(timeline.Event{Kind: "buckets-released", Member: l.memberName(e.To), Detail: fmt.Sprintf("%d buckets, %d exceptions", len(e.Buckets), len(x.Flows))})
+	l.record(timeline.Event{Kind: "buckets-released", Member: l.memberName(e.To), Detail: fmt.Sprintf("%d buckets, %d flows", len(e.Buckets), len(x.Flows))})
 	l.applyBuckets(l.handover.Handle(l.now, ownership.Collected{To: e.To, Buckets: e.Buckets, Exceptions: x}))
 }
 
--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -15,6 +15,10 @@
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
+// copyOverlap is how long copies for the bundle before are kept. Every balancer that can be reached has the new bundle
+// in force within 6 s.
+const copyOverlap = 10 * time.Second
+
 // platformCalls tells how this balancer uses the platform.
 type platformCalls struct {
 	count  uint64
@@ -88,10 +92,21 @@
 	l.retireTargets(e.Previous, e.Bundle)
 	l.applyHealth(l.health.Handle(l.now, health.Bundle{DataCentre: l.cfg.Self.DataCentre, Services: e.Bundle.ServiceInfos()}))
 	l.setLedgers()
-	l.rebase = true
+	l.cfg.Engine.Rebase(l.cfg.Engine.Snapshot(), l.snapshot(e.Bundle))
+	l.dropCopies = l.now + copyOverlap
 	l.publish()
 }
 
+// dropOldCopies drops the copies that only the bundle before needed. Until then a backup may still have that bundle in
+// force, and would take over the flows on its defaults.
+func (l *Loop) dropOldCopies() {
+	if l.dropCopies == 0 || l.now < l.dropCopies {
+		return
+	}
+	l.dropCopies = 0
+	l.cfg.Engine.Rebase(nil, l.cfg.Engine.Snapshot())
+}
+
 func (l *Loop) bundleRefused(e rollout.BundleRefused) {
 	detail := e.Code.String()
 	if e.Err != nil {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/marigoldwood/marigoldwood/admission"
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/health"
@@ -47,13 +48,15 @@
 		if s.Limits.SlotsPerTarget == 0 {
 			continue
 		}
-		for _, t := range l.table(b, s).Targets {
-			l.setLedger(limits.SlotsOf(l.cfg.Self.DataCentre, t.Addr), uint64(s.ID), slotSettings(s))
+		table := l.table(b, s)
+		for _, t := range table.Targets {
+			l.setLedger(limits.SlotsOf(l.cfg.Self.DataCentre, t.Addr), admission.SlotGroup(table), slotSettings(s))
 		}
 	}
-	for r := range l.leases.ledgers {
-		if _, found := l.leases.settings[r]; !found {
+	for r := range l.leases.owners {
+		if _, found := l.leases.settings[r]; !found && l.cfg.Holder.Remove(r) {
 			delete(l.leases.ledgers, r)
+			delete(l.leases.owners, r)
 		}
 	}
 }
@@ -65,12 +68,12 @@
 	}
 }
 
-func (l *Loop) setLedger(r limits.ResourceID, group uint64, settings limits.LedgerSettings) {
+func (l *Loop) setLedger(r limits.ResourceID, group limits.GroupID, settings limits.LedgerSettings) {
 	l.leases.settings[r] = settings
 	owner := ledgerOwner(l.owners.Members(), r)
 	previous := l.leases.owners[r]
 	l.leases.owners[r] = owner
-	l.cfg.Holder.SetLedger(r, group, owner)
+	l.cfg.Holder.Set(limits.Resource{ID: r, Group: group, Limit: settings.Limit, Ledger: owner})
 	if owner != l.cfg.Self.ID {
 		delete(l.leases.ledgers, r)
 		return
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -94,6 +94,7 @@
 	leases     leases
 
 	owners      *ownership.Map
+	installed   map[ownership.Bucket]bool // buckets with installed flows that are not yet looked at for copies
 	retired     map[flow.TargetID]forward.RetiredTarget
 	hosts       hostList
 	state       lifecycle
@@ -104,19 +105,21 @@
 	platform    platformCalls
 	tables      tableCache
 	nextObserve time.Duration
+	dropCopies  time.Duration // when copies that the bundle in force made unnecessary are dropped; 0 for never
 }
 
 // New returns a loop that has not started.
 func New(cfg Config) *Loop {
 	l := &Loop{
-		cfg:     cfg,
-		inbox:   make(chan event, inboxSize),
-		now:     cfg.Monotonic(),
-		store:   ownership.NewStore(),
-		health:  health.NewTracker(cfg.Self.ID, cfg.Self.Incarnation, health.DefaultSettings()),
-		leases:  newLeases(),
-		owners:  ownership.Build(nil),
-		retired: make(map[flow.TargetID]forward.RetiredTarget),
+		cfg:       cfg,
+		inbox:     make(chan event, inboxSize),
+		now:       cfg.Monotonic(),
+		store:     ownership.NewStore(),
+		health:    health.NewTracker(cfg.Self.ID, cfg.Self.Incarnation, health.DefaultSettings()),
+		leases:    newLeases(),
+		owners:    ownership.Build(nil),
+		installed: make(map[ownership.Bucket]bool),
+		retired:   make(map[flow.TargetID]forward.RetiredTarget),
 	}
 	l.members = membership.New(membership.Config{Self: cfg.Self, Seeds: cfg.Seeds, Clock: cfg.Clock}, l.now, cfg.Random)
 	l.handover = ownership.NewHandover(cfg.Self.ID, l.store, cfg.Random)
@@ -210,6 +213,7 @@
 	l.applyMembers(l.members.Handle(l.now, membership.Tick{}))
 	l.applyRollout(l.rollout.Handle(l.now, rollout.Tick{Wall: time.Now()}))
 	l.noticeNewerVersion()
+	l.dropOldCopies()
 	l.applyBuckets(l.handover.Handle(l.now, ownership.Tick{}))
 	l.observeTraffic()
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
