--- a/forward/change_test.go
+++ b/forward/change_test.go
@@ -84,6 +84,9 @@
 	case d.Action == Drop:
 		return
 	case d.Action != ForwardTarget, open && d.Addr() != to:
+		for i, h := range f.hosts {
+			f.t.Logf("host %d: %+v", i, h.Explain(f.now, keyOf(f.bundles[0], p)))
+		}
 		f.t.Fatalf("flow %d (open: %v, on %v): %v to %v, %v", port, open, to, d.Action, d.Addr(), d.Code)
 	}
 	a := answer(p, ACK)
@@ -134,6 +137,14 @@
 	for k, target := range f.hosts[from].copies {
 		copies = append(copies, Exception{Key: k, Target: target})
 	}
+	for port := range f.model {
+		p := tcp(ACK, 0, 0, 0)
+		p.Source = netip.AddrPortFrom(caller.Addr(), port)
+		// The failure of a balancer may break a connection that was opened while its bundle was out of date.
+		if f.hosts[from].Explain(f.now, keyOf(f.bundles[0], p)).State == flow.Deferred {
+			delete(f.model, port)
+		}
+	}
 	version := f.hosts[from].version
 	f.addHost(from, version)
 	f.setRole(from, BucketState{Role: RoleForward, Peer: membership.HostID(to + 1)})
--- a/forward/copies.go
+++ b/forward/copies.go
@@ -91,7 +91,8 @@
 		if !wanted[b] || st.owns(b) {
 			return true
 		}
-		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && want(st, &k, hash, en) {
+		e.resolve(st, &k, hash, en)
+		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && en.State() != flow.Deferred && want(st, &k, hash, en) {
 			out = append(out, Exception{Key: k, Target: en.Target})
 		}
 		en.Flags &^= flow.FlagException // the grant carries the copy on; it is not removed
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -31,7 +31,7 @@
 	state     atomic.Pointer[state]
 	counters  counters
 	ahead     atomic.Pointer[ahead]
-	gains     gains
+	moves     moves
 
 	mu       sync.Mutex // guards Publish and open
 	open     map[flow.TargetID]*atomic.Int64
@@ -63,7 +63,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
-	st.inherit(e.state.Load(), &e.gains)
+	st.inherit(e.state.Load(), &e.moves)
 	e.state.Store(st)
 	for id, c := range e.open {
 		if st.target(id) == nil && c.Load() == 0 {
@@ -322,11 +322,11 @@
 	return q.toPeer(b.Peer, resultcode.PacketNoOwner)
 }
 
-// atHopLimit decides when the views of the balancers conflict. During a handover the previous owner may still decide
-// about the flow, so an acquiring balancer drops the packet; a retransmission finds the new owner.
+// atHopLimit decides when the views of the balancers conflict. During a handover packets also pass to and fro, but then
+// neither balancer may decide, since no entry would tell the new owner; a retransmission finds that.
 func (e *Engine) atHopLimit(q *query, b *BucketState) Decision {
 	m, self := q.st.Map, q.st.Self
-	if b.Role == RoleAcquiring || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
+	if b.Role == RoleAcquiring || e.moves.recent(q.bucket, q.now) || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
 		return drop(resultcode.PacketHopLimit)
 	}
 	if behind, _ := e.behind(q); behind {
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -46,7 +46,7 @@
 	case flow.Waiting:
 		return q.whileWaiting(), true
 	case flow.Deferred:
-		return e.deferred(q, en)
+		return e.deferredFromCaller(q, en)
 	}
 	t := q.st.target(en.Target)
 	if t == nil || t.service != q.ep.service {
@@ -132,8 +132,8 @@
 		}
 		if en.State() == flow.Deferred {
 			en.Touch(q.nowMS)
-			d, keep = e.deferred(q, en)
-			return keep
+			d = e.deferredFromTarget(q, en)
+			return true
 		}
 		d = e.knownFromTarget(q, en)
 		return true
--- a/forward/packet.go
+++ b/forward/packet.go
@@ -89,8 +89,9 @@
 	Hops        uint8  // times that the packet was passed between balancers, including this one
 	Direction   Direction
 	VNI         uint32 // of the service
-	// Target is the low 16 bits of the ID of the target that the packet came from, 0 towards the target. The owner
-	// uses it to drop late answers of a target that the flow no longer uses.
+	// Target is the low 16 bits of the ID of the target that the packet came from. The owner uses it to drop late
+	// answers of a target that the flow no longer uses. Towards the target it is that of the target that the owner
+	// wants, or 0 for the default.
 	Target uint16
 }
 
--- a/forward/rebase.go
+++ b/forward/rebase.go
@@ -24,9 +24,6 @@
 		return 0
 	}
 	e.table.Range(func(en *flow.Entry) bool {
-		if !en.State().Open() {
-			return true
-		}
 		k := en.Key()
 		ep := next.Bundle.EndpointByID(k.Endpoint)
 		if ep == nil || services[ep.Service.ID] == nil {
@@ -37,6 +34,10 @@
 		if !st.owns(b) || en.Epoch != st.epochs[b] {
 			return true
 		}
+		e.resolve(st, &k, hash, en)
+		if !en.State().Open() {
+			return true
+		}
 		needs := services[ep.Service.ID].needsCopy(hash, en.Target)
 		switch {
 		case needs && !en.Has(flow.FlagException):
--- a/forward/state.go
+++ b/forward/state.go
@@ -40,6 +40,7 @@
 	*ServiceState
 	id      flow.ServiceID
 	targets []*target // by position in Table.Targets; nil where the isolation check failed
+	retired []*target
 	view    serviceView
 	// copied reports that flows off their default target are exceptions. Flows of short idempotent services are not:
 	// they can be placed again.
@@ -150,6 +151,7 @@
 	ref := &target{id: id, addr: netip.AddrPortFrom(r.Addr, r.DataPort), vni: r.VNI, service: sv, position: -1, open: counter(id)}
 	st.targets.put(uint64(id), id, ref)
 	st.byAddr[r.Addr] = ref
+	sv.retired = append(sv.retired, ref)
 }
 
 // target returns a target of the bundle or a retired one, or nil.
@@ -161,8 +163,8 @@
 	return st.endpoints.get(k.hash(), k)
 }
 
-// inherit carries the epochs over from the state before and notes the buckets that are gained.
-func (st *state) inherit(old *state, g *gains) {
+// inherit carries the epochs over from the state before and notes the buckets that move.
+func (st *state) inherit(old *state, m *moves) {
 	now := newBase(st)
 	if old == nil {
 		for b := range st.bases {
@@ -176,8 +178,9 @@
 		switch {
 		case was && !is:
 			st.epochs[b]++
+			m.add(ownership.Bucket(b))
 		case is && !was:
-			g.add(ownership.Bucket(b))
+			m.add(ownership.Bucket(b))
 			st.bases[b] = now
 		}
 		if st.bases[b] == nil {
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -31,7 +31,7 @@
 // silent connections, which end. It is meant to be called every 100 ms.
 func (e *Engine) Sweep(now time.Duration, dst []Ending) []Ending {
 	st := e.state.Load()
-	e.gains.stamp(now)
+	e.moves.stamp(now)
 	if st == nil {
 		return dst
 	}
@@ -39,8 +39,12 @@
 	e.table.Sweep(sweepParts, func(en *flow.Entry) bool {
 		en.HoldAge(nowMS)
 		k := en.Key()
-		b := bucketOf(&k)
+		hash := k.Hash()
+		b := ownership.BucketOf(hash)
 		owned := st.owns(b)
+		if owned && en.Epoch == st.epochs[b] {
+			e.resolve(st, &k, hash, en)
+		}
 		switch {
 		case en.Expired(nowMS),
 			owned && en.Epoch != st.epochs[b],
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/marigoldwood/marigoldwood/flow"
-	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -21,43 +20,6 @@
 	return e.place(q, en, room)
 }
 
-// deferTo passes a new flow to a member that has a newer bundle in force. That member sends it to its default target. The
-// entry of a connection notes that the later segments belong there too.
-func (e *Engine) deferTo(q *query, en *flow.Entry, room flow.Room, current membership.HostID) (Decision, bool) {
-	d := q.toPeer(current, resultcode.PacketNoOwner)
-	if q.p.Protocol == flow.UDP || d.Action != ForwardPeer {
-		return d, false
-	}
-	if room != flow.Free {
-		return drop(resultcode.PacketTableFull), false
-	}
-	en.Epoch = q.st.epochs[q.bucket]
-	en.Step(flow.EventDefer)
-	return d, true
-}
-
-// deferred decides about a packet of a flow that was passed to a member with a newer bundle. When that bundle is in
-// force here as well, the flow is on its default target.
-func (e *Engine) deferred(q *query, en *flow.Entry) (Decision, bool) {
-	if behind, current := e.behind(q); behind {
-		return q.toPeer(current, resultcode.PacketNoOwner), true
-	}
-	en.Renew(q.nowMS)
-	if q.direction == ToCaller {
-		return e.unknownFromTarget(q, en, flow.Free)
-	}
-	t := q.ep.service.defaultTarget(q.hash)
-	if q.p.Has(SYN) && !q.ep.service.eligible(t) {
-		return e.place(q, en, flow.Free)
-	}
-	if t == nil {
-		return q.reset(resultcode.PacketNoTarget), false
-	}
-	e.enter(q, en, t)
-	en.FromCaller(q.p.segment(), q.nowMS)
-	return q.deliver(t), true
-}
-
 // earlierTarget returns the target that a running connection without an entry is on, or nil. Every flow that was opened
 // since the bucket was received has an entry, and the exceptions of then were received with it. The flow was therefore
 // on its default target by the bundle that was in force then, whatever bundles have followed.
@@ -93,7 +55,7 @@
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
-	return q.recentTakeover() && !sv.eligible(d) || e.gains.recent(q.bucket, q.now) && q.earlierTarget() != d
+	return q.recentTakeover() && !sv.eligible(d) || e.moves.recent(q.bucket, q.now) && q.earlierTarget() != d
 }
 
 // adoptable reports whether a connection without an entry can be taken to be on its default target.
@@ -213,7 +175,7 @@
 // refuse answers that nothing was run, when this is certain. Otherwise the packet is dropped, and the caller finds out
 // by itself.
 func (e *Engine) refuse(q *query, code resultcode.Code) Decision {
-	if !q.st.owns(q.bucket) || q.recentTakeover() || e.gains.recent(q.bucket, q.now) {
+	if !q.st.owns(q.bucket) || q.recentTakeover() || e.moves.recent(q.bucket, q.now) {
 		return drop(code)
 	}
 	d := Decision{Action: Refuse, Reply: ReplyRefused, Direction: ToTarget, Code: code}
@@ -227,9 +189,6 @@
 func (e *Engine) unknownFromTarget(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
 	answer := Decision{Action: SendCaller, Direction: ToCaller}
 	if q.p.Protocol == flow.UDP {
-		if behind, current := e.behind(q); behind {
-			return q.toPeer(current, resultcode.PacketNoOwner), false
-		}
 		return e.unknownDatagram(q, en, room)
 	}
 	t := q.earlierTarget()
@@ -257,48 +216,25 @@
 func (e *Engine) unknownDatagram(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
 	answer := Decision{Action: SendCaller, Direction: ToCaller}
 	t := q.ep.service.bySource(q.source)
+	if behind, _ := e.behind(q); behind || room == flow.NoRoom {
+		return answer, false
+	}
 	if t == nil {
 		return drop(resultcode.PacketUnknownFlow), false
 	}
-	if room == flow.NoRoom {
-		return answer, false
-	}
 	e.enter(q, en, t)
 	e.report(q, en)
 	return answer, true
 }
 
-// bySource returns the target of the service whose ID ends in the given bits, or nil.
+// bySource returns the target of the service whose ID ends in the given bits, or nil. Retired targets count.
 func (sv *service) bySource(low uint16) *target {
-	for _, t := range sv.targets {
-		if t != nil && uint16(t.id) == low {
-			return t
+	for _, list := range [...][]*target{sv.targets, sv.retired} {
+		for _, t := range list {
+			if t != nil && uint16(t.id) == low {
+				return t
+			}
 		}
 	}
 	return nil
 }
-
-// byDefault decides without an entry about a flow that another balancer owns: its owner is behind, or no balancer
-// agrees who owns it. It relies only on the default target, which the owner will compute as well. asked tells that the
-// owner has passed the packet on because it has no entry.
-func (e *Engine) byDefault(q *query, asked bool) Decision {
-	sv := q.ep.service
-	t := sv.defaultTarget(q.hash)
-	if t == nil {
-		return drop(resultcode.PacketNoTarget)
-	}
-	if q.direction == ToCaller {
-		if uint16(t.id) != q.source {
-			return drop(resultcode.PacketUnknownFlow)
-		}
-		return Decision{Action: SendCaller, Direction: ToCaller}
-	}
-	opens := q.p.Protocol == flow.UDP || q.p.Has(SYN)
-	switch {
-	case opens && !sv.eligible(t), opens && q.p.Protocol == flow.UDP && !sv.Info.Idempotent && !asked:
-		return drop(resultcode.PacketNoOwner)
-	case !opens && !asked && !q.adoptable():
-		return drop(resultcode.PacketUnknownFlow)
-	}
-	return q.deliver(t)
-}
