--- /dev/null
+++ b/forward/base.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"slices"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/placement"
+)
+
+// Base holds the targets that flows of a bucket had as defaults when the bucket was first received without entries for
+// them. Flows that have been quiet since are on these defaults, whatever bundles have followed. A balancer that hands
+// the bucket over passes the base on, unless the bundle in force gives the same defaults.
+type Base struct {
+	Services []BaseService
+	tables   map[flow.ServiceID]*placement.Table
+}
+
+// BaseService holds the targets of a service in the order of its bundle.
+type BaseService struct {
+	Service flow.ServiceID
+	Targets []BaseTarget
+}
+
+// BaseTarget is what the default target of a flow depends on.
+type BaseTarget struct {
+	ID     flow.TargetID
+	Weight uint32
+	Drain  bool
+}
+
+// newBase returns the targets in force, or nil without a bundle.
+func newBase(st *state) *Base {
+	if st.Bundle == nil {
+		return nil
+	}
+	b := &Base{tables: make(map[flow.ServiceID]*placement.Table)}
+	for id, sv := range st.services {
+		b.tables[id] = sv.Table
+	}
+	return b
+}
+
+// table returns the targets that the service had, or nil when it did not exist.
+func (b *Base) table(sv *service) *placement.Table {
+	if b == nil {
+		return nil
+	}
+	return b.tables[sv.id]
+}
+
+// Base returns the base of a bucket for the balancer that it is handed over to, or nil when it gives every flow the same
+// default as the bundle in force.
+func (e *Engine) Base(b ownership.Bucket) *Base {
+	st := e.state.Load()
+	if st == nil || st.bases[b] == nil {
+		return nil
+	}
+	out := &Base{}
+	for id, sv := range st.services {
+		table := st.bases[b].tables[id]
+		if table == nil || sameDefaults(table, sv.Table) {
+			continue
+		}
+		s := BaseService{Service: id}
+		for i := range table.Targets {
+			t := &table.Targets[i]
+			s.Targets = append(s.Targets, BaseTarget{ID: t.ID, Weight: t.Weight, Drain: t.Drain})
+		}
+		out.Services = append(out.Services, s)
+	}
+	if len(out.Services) == 0 {
+		return nil
+	}
+	return out
+}
+
+// InstallBase takes the base of a bucket that this balancer is about to own, from a grant. Without it the targets in
+// force when the bucket is received are the base.
+func (e *Engine) InstallBase(b ownership.Bucket, base *Base) {
+	if base == nil {
+		return
+	}
+	received := &Base{tables: make(map[flow.ServiceID]*placement.Table)}
+	for _, s := range base.Services {
+		table := &placement.Table{}
+		for _, t := range s.Targets {
+			table.Targets = append(table.Targets, bundle.TargetInfo{ID: t.ID, Weight: t.Weight, Drain: t.Drain})
+		}
+		received.tables[s.Service] = table
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received[b] = received
+}
+
+func sameDefaults(a, b *placement.Table) bool {
+	return a == b || slices.EqualFunc(a.Targets, b.Targets, func(x, y bundle.TargetInfo) bool {
+		return x.ID == y.ID && x.Weight == y.Weight && x.Drain == y.Drain
+	})
+}
+
+// earlierTarget returns the target that a running connection without an entry is on, or nil. Every flow that was opened
+// since the bucket was received has an entry, and flows off the defaults of then were received with it. The flow was
+// therefore on its default target by the base of the bucket.
+func (q *query) earlierTarget() *target {
+	t, _ := q.st.earlierTarget(q.ep.service, q.bucket, q.hash)
+	return t
+}
+
+// earlierTarget also reports whether the base decides, and not the bundle in force.
+func (st *state) earlierTarget(sv *service, b ownership.Bucket, hash uint64) (t *target, earlier bool) {
+	table := st.bases[b].table(sv)
+	if table == nil || table == sv.Table {
+		return sv.defaultTarget(hash), false
+	}
+	i := table.Default(hash)
+	if i < 0 {
+		return nil, true
+	}
+	t = st.target(table.Targets[i].ID)
+	if t == nil || t.service != sv {
+		return nil, true
+	}
+	return t, true
+}
--- a/forward/copies.go
+++ b/forward/copies.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -49,6 +50,11 @@
 			en.Renew(nowMS)
 		}
 		en.Target, en.Epoch, en.Flags = x.Target, st.epochs[b], flags
+		if x.Target <= math.MaxUint16 {
+			en.Flags = 0
+			en.SetState(flow.Deferred)
+			return true
+		}
 		en.SetState(state)
 		e.countOpen(st, en)
 		return true
@@ -56,25 +62,11 @@
 	return stored
 }
 
-// Collect removes the entries of buckets that this balancer no longer owns and returns their exceptions. It is called
-// after Quiesce, when no traffic goroutine decides about the buckets any more.
+// Collect removes the entries of buckets that this balancer no longer owns and returns the flows that their new owner
+// needs: those off the defaults of the bundle in force or of the base of their bucket. It is called after Quiesce, when
+// no traffic goroutine decides about the buckets any more. Of a flow that another balancer has placed by a newer bundle,
+// only the low 16 bits of the target's ID may be known; Install recognizes them.
 func (e *Engine) Collect(now time.Duration, buckets ...ownership.Bucket) []Exception {
-	return e.collect(now, buckets, e.isException)
-}
-
-// CollectAll is Collect for all open flows but those that can be placed again. A new owner that has all of them can
-// keep them on their targets when a bundle changes later; without an entry it cannot tell such a flow from one that
-// was opened after the change.
-func (e *Engine) CollectAll(now time.Duration, buckets ...ownership.Bucket) []Exception {
-	return e.collect(now, buckets, func(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
-		ep := st.byID[k.Endpoint]
-		return e.isException(st, k, hash, en) || en.State().Open() && ep != nil && ep.service.copied
-	})
-}
-
-func (e *Engine) collect(now time.Duration, buckets []ownership.Bucket,
-	want func(*state, *flow.Key, uint64, *flow.Entry) bool,
-) []Exception {
 	st := e.state.Load()
 	if st == nil {
 		return nil
@@ -92,7 +84,7 @@
 			return true
 		}
 		e.resolve(st, &k, hash, en)
-		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && en.State() != flow.Deferred && want(st, &k, hash, en) {
+		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && (en.State() == flow.Deferred || e.isNeeded(st, &k, hash, en)) {
 			out = append(out, Exception{Key: k, Target: en.Target})
 		}
 		en.Flags &^= flow.FlagException // the grant carries the copy on; it is not removed
@@ -102,13 +94,15 @@
 	return out
 }
 
-// isException reports whether a flow needs a copy now or will need one under a staged bundle.
-func (e *Engine) isException(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
-	if en.Has(flow.FlagException) {
-		return true
-	}
+// isNeeded reports whether a new owner without an entry would look for the flow elsewhere: by the bundle in force, by a
+// staged one, or by the base of the bucket.
+func (e *Engine) isNeeded(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
 	ep := st.byID[k.Endpoint]
-	return ep != nil && ep.service.needsCopy(hash, en.Target)
+	if en.Has(flow.FlagException) || ep == nil {
+		return en.Has(flow.FlagException)
+	}
+	t, earlier := st.earlierTarget(ep.service, ownership.BucketOf(hash), hash)
+	return ep.service.needsCopy(hash, en.Target) || earlier && ep.service.copied && (t == nil || t.id != en.Target)
 }
 
 // Exceptions returns the exceptions of the owned buckets for which want returns true, for a new backup.
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -33,15 +33,17 @@
 	ahead     atomic.Pointer[ahead]
 	moves     moves
 
-	mu       sync.Mutex // guards Publish and open
+	mu       sync.Mutex // guards Publish, open and received
 	open     map[flow.TargetID]*atomic.Int64
-	released []Released // scratch space of Poll
+	received map[ownership.Bucket]*Base // bases of buckets that are about to be owned
+	released []Released                 // scratch space of Poll
 }
 
 // NewEngine returns an engine that drops every packet until a snapshot is published.
 func NewEngine(c Config) *Engine {
 	e := &Engine{
 		table: flow.NewTable(c.Flows), admission: c.Admission, sink: c.Sink, open: make(map[flow.TargetID]*atomic.Int64),
+		received: make(map[ownership.Bucket]*Base),
 	}
 	if e.admission == nil {
 		e.admission = StrategyAdmission{}
@@ -63,7 +65,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
-	st.inherit(e.state.Load(), &e.moves)
+	st.inherit(e.state.Load(), &e.moves, e.received)
 	e.state.Store(st)
 	for id, c := range e.open {
 		if st.target(id) == nil && c.Load() == 0 {
--- a/forward/rebase.go
+++ b/forward/rebase.go
@@ -84,7 +84,6 @@
 // sameAnswers reports whether every flow has the same default target in both states, and the same targets are eligible.
 func sameAnswers(a, b *ServiceState) bool {
 	return a != nil && a.Info.Kind == b.Info.Kind && a.Info.Idempotent == b.Info.Idempotent && a.Info.Proto == b.Info.Proto &&
-		slices.EqualFunc(a.Table.Targets, b.Table.Targets, func(x, y bundle.TargetInfo) bool {
-			return x.ID == y.ID && x.Weight == y.Weight && x.Drain == y.Drain
-		}) && slices.EqualFunc(a.Targets, b.Targets, func(x, y TargetState) bool { return x.Eligible == y.Eligible })
+		sameDefaults(a.Table, b.Table) &&
+		slices.EqualFunc(a.Targets, b.Targets, func(x, y TargetState) bool { return x.Eligible == y.Eligible })
 }
--- a/forward/state.go
+++ b/forward/state.go
@@ -8,7 +8,6 @@
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
-	"github.com/marigoldwood/marigoldwood/placement"
 )
 
 // state is a snapshot with the lookup tables that decisions use. It is immutable.
@@ -22,7 +21,7 @@
 	services  map[flow.ServiceID]*service
 	peers     map[membership.HostID]*netip.AddrPort
 	// bases holds for each bucket the targets in force when this balancer received it.
-	bases [ownership.BucketCount]*base
+	bases [ownership.BucketCount]*Base
 	// owned repeats which buckets this balancer owns, in a form that fits the first-level cache.
 	owned [ownership.BucketCount]bool
 	// epochs counts for each bucket how often this balancer ceased to own it. Entries of an earlier epoch are not
@@ -164,7 +163,7 @@
 }
 
 // inherit carries the epochs over from the state before and notes the buckets that move.
-func (st *state) inherit(old *state, m *moves) {
+func (st *state) inherit(old *state, m *moves, received map[ownership.Bucket]*Base) {
 	now := newBase(st)
 	if old == nil {
 		for b := range st.bases {
@@ -182,6 +181,10 @@
 		case is && !was:
 			m.add(ownership.Bucket(b))
 			st.bases[b] = now
+			if earlier := received[ownership.Bucket(b)]; earlier != nil {
+				st.bases[b] = earlier
+				delete(received, ownership.Bucket(b))
+			}
 		}
 		if st.bases[b] == nil {
 			st.bases[b] = now
@@ -189,31 +192,6 @@
 	}
 }
 
-// base is the targets of each service at some time.
-type base struct {
-	tables map[flow.ServiceID]*placement.Table
-}
-
-// newBase returns the targets in force, or nil without a bundle.
-func newBase(st *state) *base {
-	if st.Bundle == nil {
-		return nil
-	}
-	b := &base{tables: make(map[flow.ServiceID]*placement.Table)}
-	for id, sv := range st.services {
-		b.tables[id] = sv.Table
-	}
-	return b
-}
-
-// table returns the targets that the service had, or nil when it did not exist.
-func (b *base) table(sv *service) *placement.Table {
-	if b == nil {
-		return nil
-	}
-	return b.tables[sv.id]
-}
-
 func (st *state) owns(b ownership.Bucket) bool { return st.owned[b%ownership.BucketCount] }
 
 // defaultTarget returns the default target of a flow, or nil.
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -20,26 +20,6 @@
 	return e.place(q, en, room)
 }
 
-// earlierTarget returns the target that a running connection without an entry is on, or nil. Every flow that was opened
-// since the bucket was received has an entry, and the exceptions of then were received with it. The flow was therefore
-// on its default target by the bundle that was in force then, whatever bundles have followed.
-func (q *query) earlierTarget() *target {
-	sv := q.ep.service
-	table := q.st.bases[q.bucket].table(sv)
-	if table == nil || table == sv.Table {
-		return sv.defaultTarget(q.hash)
-	}
-	i := table.Default(q.hash)
-	if i < 0 {
-		return nil
-	}
-	t := q.st.target(table.Targets[i].ID)
-	if t == nil || t.service != sv {
-		return nil
-	}
-	return t
-}
-
 // recentTakeover reports whether the bucket was taken over by failure so recently that its earlier owner may have
 // forwarded packets of flows that are not known here.
 func (q *query) recentTakeover() bool {
