--- a/forward/behind.go
+++ b/forward/behind.go
@@ -32,10 +32,12 @@
 	}
 	if behind, current := e.behind(q); behind {
 		q.source = low
+		en.Touch(q.nowMS)
 		return q.toPeer(current, resultcode.PacketNoOwner), true
 	}
 	if low != 0 || !q.p.Has(SYN) {
-		return q.reset(resultcode.PacketNoTarget), false
+		// The newer bundle is not known here yet. The caller sends again; without news the entry expires.
+		return drop(resultcode.PacketNoTarget), true
 	}
 	en.Renew(q.nowMS)
 	return e.place(q, en, flow.Free)
--- a/forward/change_test.go
+++ b/forward/change_test.go
@@ -69,8 +69,8 @@
 	return d
 }
 
-// exchange sends a segment of a session and its answer. Any of them may be dropped; none may go astray.
-func (f *fleet) exchange(port uint16) {
+// exchange sends a segment of a session and its answer. None may go astray; unless settled, any may be dropped.
+func (f *fleet) exchange(port uint16, settled bool) {
 	at, back := rapid.IntRange(0, 2).Draw(f.t, "entry"), rapid.IntRange(0, 2).Draw(f.t, "return")
 	to, open := f.model[port]
 	p := tcp(ACK, 2, 2, 1)
@@ -81,7 +81,7 @@
 	d := f.carry(at, p, netip.Addr{}, 0)
 	f.t.Logf("flow %d enters at %d: %v to %v, %v", port, at, d.Action, d.Addr(), d.Code)
 	switch {
-	case d.Action == Drop:
+	case d.Action == Drop && !settled:
 		return
 	case d.Action != ForwardTarget, open && d.Addr() != to:
 		for i, h := range f.hosts {
@@ -95,10 +95,10 @@
 	}
 	reply := f.carry(back, a, d.Addr().Addr(), 20)
 	f.t.Logf("answer of flow %d enters at %d: %v, %v", port, back, reply.Action, reply.Code)
-	switch reply.Action {
-	case SendCaller:
+	switch {
+	case reply.Action == SendCaller:
 		f.model[port] = d.Addr() // from now on the caller takes the connection as open
-	case Drop:
+	case reply.Action == Drop && !settled:
 	default:
 		f.t.Fatalf("answer of flow %d: %v, %v", port, reply.Action, reply.Code)
 	}
@@ -107,7 +107,7 @@
 func (f *fleet) some() {
 	for range rapid.IntRange(0, 6).Draw(f.t, "packets") {
 		f.now += 10 * time.Millisecond
-		f.exchange(uint16(rapid.IntRange(1, 8).Draw(f.t, "flow")))
+		f.exchange(uint16(rapid.IntRange(1, 8).Draw(f.t, "flow")), false)
 	}
 }
 
@@ -245,5 +245,14 @@
 			}
 			f.some()
 		}
+		f.now += takeoverWindow + time.Second // half-open entries last longer
+		for i := range f.hosts {
+			f.upgrade(i, len(f.bundles)-1)
+		}
+		for port := range uint16(9) {
+			if _, open := f.model[port]; open {
+				f.exchange(port, true)
+			}
+		}
 	})
 }
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -41,12 +41,12 @@
 }
 
 func (e *Engine) knownFromCaller(q *query, en *flow.Entry) (Decision, bool) {
+	if en.State() == flow.Deferred {
+		return e.deferredFromCaller(q, en)
+	}
 	en.Touch(q.nowMS)
-	switch en.State() {
-	case flow.Waiting:
+	if en.State() == flow.Waiting {
 		return q.whileWaiting(), true
-	case flow.Deferred:
-		return e.deferredFromCaller(q, en)
 	}
 	t := q.st.target(en.Target)
 	if t == nil || t.service != q.ep.service {
