--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -49,7 +49,6 @@
 type Dataplane struct {
 	config  Config
 	conns   []*udpbatch.Conn
-	paths   *peerPaths
 	workers []*worker
 	sweeper *sweeper
 	held    *held
@@ -72,11 +71,9 @@
 			d.config.Listen = c.Listen
 		}
 	}
-	paths, err := newPeerPaths(c.Listen.Addr())
-	if err != nil {
+	if err := d.spread(); err != nil {
 		return nil, Error.Wrap(errs.Combine(err, d.close()))
 	}
-	d.paths = paths
 	for _, conn := range d.conns {
 		d.workers = append(d.workers, newWorker(d, conn))
 	}
@@ -84,6 +81,18 @@
 	return d, nil
 }
 
+// spread keeps each flow on one worker.
+func (d *Dataplane) spread() error {
+	if len(d.conns) < 2 {
+		return nil
+	}
+	filter, err := spreadProgram(len(d.conns))
+	if err != nil {
+		return err
+	}
+	return d.conns[0].Spread(filter)
+}
+
 // Addr returns the data address.
 func (d *Dataplane) Addr() netip.AddrPort { return d.config.Listen }
 
@@ -110,9 +119,6 @@
 	for _, c := range d.conns {
 		all.Add(c.Close())
 	}
-	if d.paths != nil {
-		all.Add(d.paths.close())
-	}
 	return all.Err()
 }
 
--- a/internal/dataplane/sweeper.go
+++ b/internal/dataplane/sweeper.go
@@ -83,7 +83,7 @@
 	case forward.ForwardTarget, forward.ForwardPeer:
 		b := make([]byte, geneve.MaxHeaderBytes+len(inner))
 		copy(b[geneve.MaxHeaderBytes:], inner)
-		s.out.forward(d, b, geneve.MaxHeaderBytes, len(b), p)
+		s.out.forward(d, b, geneve.MaxHeaderBytes, len(b))
 	case forward.Refuse, forward.Reset:
 		s.out.reply(d, inner, p)
 	}
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -108,7 +108,7 @@
 	w.tally[d.Action]++
 	switch d.Action {
 	case forward.ForwardTarget, forward.ForwardPeer, forward.SendCaller:
-		w.out.forward(d, b, at, end, &w.packet)
+		w.out.forward(d, b, at, end)
 	case forward.Refuse, forward.Reset:
 		w.out.reply(d, b[at:end], &w.packet)
 	case forward.Hold:
--- a/internal/udpbatch/conn.go
+++ b/internal/udpbatch/conn.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"unsafe"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
 )
 
@@ -56,6 +58,21 @@
 	return errs.Combine(err, failed)
 }
 
+// Spread lets a filter select which of the sockets that share an address gets a datagram. It returns the number of a
+// socket, in the order in which they were opened, from the payload of the datagram. One of the sockets is enough.
+func (c *Conn) Spread(filter []bpf.RawInstruction) error {
+	code := make([]unix.SockFilter, len(filter))
+	for i, f := range filter {
+		code[i] = unix.SockFilter{Code: f.Op, Jt: f.Jt, Jf: f.Jf, K: f.K}
+	}
+	program := &unix.SockFprog{Len: uint16(len(code)), Filter: unsafe.SliceData(code)}
+	var failed error
+	err := c.raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, program)
+	})
+	return Error.Wrap(errs.Combine(err, failed))
+}
+
 // LocalAddr returns the address of the socket.
 func (c *Conn) LocalAddr() netip.AddrPort { return c.udp.LocalAddr().(*net.UDPAddr).AddrPort() }
 
--- a/internal/udpbatch/udpbatch_test.go
+++ b/internal/udpbatch/udpbatch_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"net/netip"
 	"testing"
+	"time"
+
+	"golang.org/x/net/bpf"
 )
 
 func pair(t testing.TB, address string) (a, b *Conn) {
@@ -92,3 +95,37 @@
 		t.Error("no error")
 	}
 }
+
+// Guards against a filter that sees another part of the datagram than its payload, or selects another socket.
+func TestSpread(t *testing.T) {
+	first, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := []*Conn{first}
+	for range 2 {
+		c, err := Listen(first.LocalAddr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	filter, _ := bpf.Assemble([]bpf.Instruction{bpf.LoadAbsolute{Off: 0, Size: 1}, bpf.RetA{}})
+	if err := first.Spread(filter); err != nil {
+		t.Fatal(err)
+	}
+	from, _ := pair(t, "127.0.0.1:0")
+	w := NewWriter(from, 3)
+	for i := range byte(3) {
+		w.Add([]byte{2 - i}, first.LocalAddr())
+	}
+	w.Flush()
+	for i, c := range conns {
+		_ = c.udp.SetReadDeadline(time.Now().Add(5 * time.Second))
+		r := NewReader(c, 3, 16, 0)
+		if n, err := r.Read(); n != 1 || err != nil || r.buffers[0][0] != byte(i) {
+			t.Errorf("socket %d got %d datagrams, the first with %d: %v", i, n, r.buffers[0][0], err)
+		}
+		_ = c.Close()
+	}
+}
