--- a/forward/engine.go
+++ b/forward/engine.go
@@ -31,17 +31,19 @@
 	state     atomic.Pointer[state]
 	counters  counters
 	ahead     atomic.Pointer[ahead]
-	gains     gains
+	moves     moves
 
-	mu       sync.Mutex // guards Publish and open
+	mu       sync.Mutex // guards Publish, open and received
 	open     map[flow.TargetID]*atomic.Int64
-	released []Released // scratch space of Poll
+	received map[ownership.Bucket]*Base // bases of buckets that are about to be owned
+	released []Released                 // scratch space of Poll
 }
 
 // NewEngine returns an engine that drops every packet until a snapshot is published.
 func NewEngine(c Config) *Engine {
 	e := &Engine{
 		table: flow.NewTable(c.Flows), admission: c.Admission, sink: c.Sink, open: make(map[flow.TargetID]*atomic.Int64),
+		received: make(map[ownership.Bucket]*Base),
 	}
 	if e.admission == nil {
 		e.admission = StrategyAdmission{}
@@ -63,7 +65,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
-	st.inherit(e.state.Load(), &e.gains)
+	st.inherit(e.state.Load(), &e.moves, e.received)
 	e.state.Store(st)
 	for id, c := range e.open {
 		if st.target(id) == nil && c.Load() == 0 {
@@ -322,11 +324,11 @@
 	return q.toPeer(b.Peer, resultcode.PacketNoOwner)
 }
 
-// atHopLimit decides when the views of the balancers conflict. During a handover the previous owner may still decide
-// about the flow, so an acquiring balancer drops the packet; a retransmission finds the new owner.
+// atHopLimit decides when the views of the balancers conflict. During a handover packets also pass to and fro, but then
+// neither balancer may decide, since no entry would tell the new owner; a retransmission finds that.
 func (e *Engine) atHopLimit(q *query, b *BucketState) Decision {
 	m, self := q.st.Map, q.st.Self
-	if b.Role == RoleAcquiring || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
+	if b.Role == RoleAcquiring || e.moves.recent(q.bucket, q.now) || m == nil || m.Owner(q.bucket) != self && m.Backup(q.bucket) != self {
 		return drop(resultcode.PacketHopLimit)
 	}
 	if behind, _ := e.behind(q); behind {
--- a/forward/rebase.go
+++ b/forward/rebase.go
@@ -24,9 +24,6 @@
 		return 0
 	}
 	e.table.Range(func(en *flow.Entry) bool {
-		if !en.State().Open() {
-			return true
-		}
 		k := en.Key()
 		ep := next.Bundle.EndpointByID(k.Endpoint)
 		if ep == nil || services[ep.Service.ID] == nil {
@@ -37,6 +34,10 @@
 		if !st.owns(b) || en.Epoch != st.epochs[b] {
 			return true
 		}
+		e.resolve(st, &k, hash, en)
+		if !en.State().Open() {
+			return true
+		}
 		needs := services[ep.Service.ID].needsCopy(hash, en.Target)
 		switch {
 		case needs && !en.Has(flow.FlagException):
@@ -83,7 +84,6 @@
 // sameAnswers reports whether every flow has the same default target in both states, and the same targets are eligible.
 func sameAnswers(a, b *ServiceState) bool {
 	return a != nil && a.Info.Kind == b.Info.Kind && a.Info.Idempotent == b.Info.Idempotent && a.Info.Proto == b.Info.Proto &&
-		slices.EqualFunc(a.Table.Targets, b.Table.Targets, func(x, y bundle.TargetInfo) bool {
-			return x.ID == y.ID && x.Weight == y.Weight && x.Drain == y.Drain
-		}) && slices.EqualFunc(a.Targets, b.Targets, func(x, y TargetState) bool { return x.Eligible == y.Eligible })
+		sameDefaults(a.Table, b.Table) &&
+		slices.EqualFunc(a.Targets, b.Targets, func(x, y TargetState) bool { return x.Eligible == y.Eligible })
 }
