Pass the defaults of quiet flows on with their buckets and at takeovers

Cause: a paused balancer does not stage a new bundle; its bucket is taken over after the deadline activation, and its quiet sessions were looked up on the defaults of the new bundle. Change: a takeover uses the defaults of the bundle that the lost member last had in force, and a grant carries the defaults of flows that its sender has no entry for.

--- a/forward/base.go
+++ b/forward/base.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
@@ -73,6 +74,7 @@
 	if len(out.Services) == 0 {
 		return nil
 	}
+	slices.SortFunc(out.Services, func(x, y BaseService) int { return cmp.Compare(x.Service, y.Service) })
 	return out
 }
 
@@ -125,3 +127,10 @@
 	}
 	return t, true
 }
+
+// Equal reports whether both bases list the same targets.
+func (b *Base) Equal(o *Base) bool {
+	return slices.EqualFunc(b.Services, o.Services, func(x, y BaseService) bool {
+		return x.Service == y.Service && slices.Equal(x.Targets, y.Targets)
+	})
+}
--- a/forward/copies.go
+++ b/forward/copies.go
@@ -62,10 +62,11 @@
 	return stored
 }
 
-// Collect removes the entries of buckets that this balancer no longer owns and returns the flows that their new owner
-// needs: those off the defaults of the bundle in force or of the base of their bucket. It is called after Quiesce, when
-// no traffic goroutine decides about the buckets any more. Of a flow that another balancer has placed by a newer bundle,
-// only the low 16 bits of the target's ID may be known; Install recognizes them.
+// Collect removes the entries of buckets that this balancer no longer owns and returns their open flows, but those that
+// can be placed again. All are returned, and not only those off the defaults: the new owner may have another bundle in
+// force, or put one in force before a quiet flow sends again. Collect is called after Quiesce, when no traffic goroutine
+// decides about the buckets any more. Of a flow that another balancer has placed by a newer bundle, only the low 16 bits
+// of the target's ID may be known; Install recognizes them.
 func (e *Engine) Collect(now time.Duration, buckets ...ownership.Bucket) []Exception {
 	st := e.state.Load()
 	if st == nil {
@@ -84,7 +85,7 @@
 			return true
 		}
 		e.resolve(st, &k, hash, en)
-		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && (en.State() == flow.Deferred || e.isNeeded(st, &k, hash, en)) {
+		if en.Epoch+1 == st.epochs[b] && en.Target != 0 && (en.State() == flow.Deferred || e.isGranted(st, &k, hash, en)) {
 			out = append(out, Exception{Key: k, Target: en.Target})
 		}
 		en.Flags &^= flow.FlagException // the grant carries the copy on; it is not removed
@@ -94,6 +95,11 @@
 	return out
 }
 
+func (e *Engine) isGranted(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
+	ep := st.byID[k.Endpoint]
+	return e.isNeeded(st, k, hash, en) || en.State().Open() && ep != nil && ep.service.copied
+}
+
 // isNeeded reports whether a new owner without an entry would look for the flow elsewhere: by the bundle in force, by a
 // staged one, or by the base of the bucket.
 func (e *Engine) isNeeded(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -42,7 +42,7 @@
 	Strategy placement.Strategy
 	// ConnectionLimit is this balancer's part of the limit of connections per target; 0 means the whole limit.
 	ConnectionLimit int
-	Targets  []TargetState // by position in Table.Targets
+	Targets         []TargetState // by position in Table.Targets
 }
 
 // Snapshot is the control state at one moment. It is immutable after it has been published.
--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -76,7 +76,8 @@
 // otherwise be taken up on its new default target.
 func (l *Loop) collect(e ownership.Collect) {
 	l.drainExceptions()
-	x := ownership.Exceptions{Flows: l.cfg.Engine.CollectAll(l.now, e.Buckets...)}
+	l.sendBases(e.To, e.Buckets)
+	x := ownership.Exceptions{Flows: l.cfg.Engine.Collect(l.now, e.Buckets...)}
 	x.Retired = l.retiredOf(x.Flows)
 	l.record(timeline.Event{Kind: "buckets-released", Member: l.memberName(e.To), Detail: fmt.Sprintf("%d buckets, %d flows", len(e.Buckets), len(x.Flows))})
 	l.applyBuckets(l.handover.Handle(l.now, ownership.Collected{To: e.To, Buckets: e.Buckets, Exceptions: x}))
--- a/internal/control/bundles.go
+++ b/internal/control/bundles.go
@@ -89,6 +89,7 @@
 
 func (l *Loop) bundleInForce(e rollout.BundleInForce) {
 	l.inForceAt = time.Now()
+	l.bases.remember(e.Bundle)
 	l.retireTargets(e.Previous, e.Bundle)
 	l.applyHealth(l.health.Handle(l.now, health.Bundle{DataCentre: l.cfg.Self.DataCentre, Services: e.Bundle.ServiceInfos()}))
 	l.setLedgers()
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/health"
 	"github.com/marigoldwood/marigoldwood/internal/peer"
 	"github.com/marigoldwood/marigoldwood/internal/platform"
@@ -71,6 +72,8 @@
 		l.applyBuckets(l.handover.Handle(l.now, ownership.ClaimReceived{From: e.from, Buckets: m.Buckets}))
 	case *peer.BucketGrant:
 		l.applyBuckets(l.handover.Handle(l.now, ownership.GrantReceived{From: e.from, Grant: m.Grant()}))
+	case *peer.BucketBase:
+		l.installBase(m.Buckets, &forward.Base{Services: m.Services})
 	case *peer.ExceptionBatch:
 		l.receiveBatch(e.from, m)
 	case *peer.ExceptionAck:
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -95,6 +95,7 @@
 
 	owners      *ownership.Map
 	installed   map[ownership.Bucket]bool // buckets with installed flows that are not yet looked at for copies
+	bases       bases
 	retired     map[flow.TargetID]forward.RetiredTarget
 	hosts       hostList
 	state       lifecycle
@@ -118,6 +119,7 @@
 		health:    health.NewTracker(cfg.Self.ID, cfg.Self.Incarnation, health.DefaultSettings()),
 		leases:    newLeases(),
 		owners:    ownership.Build(nil),
+		bases:     newBases(),
 		installed: make(map[ownership.Bucket]bool),
 		retired:   make(map[flow.TargetID]forward.RetiredTarget),
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -85,7 +85,9 @@
 }
 
 func (l *Loop) setOwners(owners []membership.HostID) {
+	previous := l.owners
 	l.owners = ownership.Build(owners)
+	l.installLostBases(previous)
 	l.applyHealth(l.health.Handle(l.now, health.Members{Members: owners}))
 	l.setLedgers()
 	l.updateMap()
@@ -118,6 +120,9 @@
 	if e.Status.PlatformAge >= 0 {
 		a.SinceReadMS = e.Status.PlatformAge.Milliseconds()
 	}
+	if m.DataCentre == l.cfg.Self.DataCentre {
+		l.bases.seen[e.Member] = a.InForce
+	}
 	l.applyRollout(l.rollout.Handle(l.now, rollout.PeerAnnounced{Announcement: a}))
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/health"
 	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/membership"
@@ -29,11 +30,12 @@
 	TypeLeaseGrant
 	TypeHealthReport
 	TypeHostNotices
+	TypeBucketBase
 )
 
 var typeNames = [...]string{
 	"", "hello", "bucket-claim", "bucket-grant", "exception-batch", "exception-ack", "announcement",
-	"bundle-request", "bundle-data", "bundle-activate", "lease-request", "lease-grant", "health-report", "host-notices",
+	"bundle-request", "bundle-data", "bundle-activate", "lease-request", "lease-grant", "health-report", "host-notices", "bucket-base",
 }
 
 // String returns the name of the type.
@@ -144,6 +146,12 @@
 	Live    []string // addresses of hosts that were leaving before and are live again
 }
 
+// BucketBase tells the new owner of buckets, before their grant, on which defaults their quiet flows are.
+type BucketBase struct {
+	Buckets  Buckets
+	Services []forward.BaseService
+}
+
 // Type returns TypeHello.
 func (*Hello) Type() Type { return TypeHello }
 
@@ -183,6 +191,9 @@
 // Type returns TypeHostNotices.
 func (*HostNotices) Type() Type { return TypeHostNotices }
 
+// Type returns TypeBucketBase.
+func (*BucketBase) Type() Type { return TypeBucketBase }
+
 var newMessage = map[Type]func() Message{
 	TypeHello:          func() Message { return new(Hello) },
 	TypeBucketClaim:    func() Message { return new(BucketClaim) },
@@ -197,6 +208,7 @@
 	TypeLeaseGrant:     func() Message { return new(LeaseGrant) },
 	TypeHealthReport:   func() Message { return new(HealthReport) },
 	TypeHostNotices:    func() Message { return new(HostNotices) },
+	TypeBucketBase:     func() Message { return new(BucketBase) },
 }
 
 // Decode decodes the body of a frame.
