--- a/flow/key.go
+++ b/flow/key.go
@@ -71,7 +71,11 @@
 
 // NewKey returns the key of the flow from caller to endpoint.
 func NewKey(caller netip.AddrPort, endpoint EndpointID) Key {
-	return Key{Caller: caller.Addr().As16(), CallerPort: caller.Port(), Endpoint: endpoint}
+	k := Key{CallerPort: caller.Port(), Endpoint: endpoint}
+	a := caller.Addr().As16()
+	binary.NativeEndian.PutUint64(k.Caller[0:], binary.NativeEndian.Uint64(a[0:]))
+	binary.NativeEndian.PutUint64(k.Caller[8:], binary.NativeEndian.Uint64(a[8:]))
+	return k
 }
 
 // AppendTo appends the encoded key, KeyLength bytes in network byte order, to b.
@@ -95,8 +99,10 @@
 
 // Hash returns a 64-bit hash of the key that is the same on every host.
 func (k *Key) Hash() uint64 {
+	// The words are as wide as those that NewKey writes; wider loads would wait for its stores.
 	var b [KeyLength]byte
-	*(*[16]byte)(b[:]) = k.Caller
+	binary.NativeEndian.PutUint64(b[0:], binary.NativeEndian.Uint64(k.Caller[0:]))
+	binary.NativeEndian.PutUint64(b[8:], binary.NativeEndian.Uint64(k.Caller[8:]))
 	binary.BigEndian.PutUint64(b[16:], uint64(k.Endpoint))
 	binary.BigEndian.PutUint16(b[24:], k.CallerPort)
 	return xxhash.Sum64(b[:])
--- a/forward/behind.go
+++ b/forward/behind.go
@@ -52,7 +52,7 @@
 	if uint16(en.Target) != q.source {
 		return drop(resultcode.PacketForeignSource)
 	}
-	return Decision{Action: SendCaller, Direction: ToCaller}
+	return decide(SendCaller, ToCaller)
 }
 
 // resolve makes the entry of a deferred flow an ordinary one when the target that has answered is known here.
@@ -90,7 +90,7 @@
 		if uint16(t.id) != q.source {
 			return drop(resultcode.PacketUnknownFlow)
 		}
-		return Decision{Action: SendCaller, Direction: ToCaller}
+		return decide(SendCaller, ToCaller)
 	}
 	opens := q.p.Protocol == flow.UDP || q.p.Has(SYN)
 	switch {
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -294,7 +294,7 @@
 	return resultcode.PacketForeignSource
 }
 
-func drop(code resultcode.Code) Decision { return Decision{Action: Drop, Code: code} }
+func drop(code resultcode.Code) Decision { return Decision{Leg: Leg{Code: code}} }
 
 // lost decides about a packet whose flow cannot be found. A newer bundle may know its endpoint.
 func (e *Engine) lost(q *query, code resultcode.Code) Decision {
@@ -346,9 +346,8 @@
 	if q.info.Hops >= HopLimit {
 		return drop(resultcode.PacketHopLimit)
 	}
-	d := Decision{
-		Action: ForwardPeer, Direction: q.direction, hops: q.info.Hops + 1, source: q.source, to: addr, snapshot: q.st.Snapshot,
-	}
+	d := decide(ForwardPeer, q.direction)
+	d.hops, d.source, d.to, d.snapshot = q.info.Hops+1, q.source, addr, q.st.Snapshot
 	if q.ep != nil {
 		d.VNI = q.ep.service.Info.VNI
 	}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -80,7 +80,7 @@
 // together; a repeated SYN adds nothing.
 func (q *query) whileWaiting() Decision {
 	if q.p.Protocol == flow.UDP {
-		return Decision{Action: Hold, Direction: ToTarget}
+		return decide(Hold, ToTarget)
 	}
 	return drop(resultcode.OK)
 }
@@ -101,7 +101,7 @@
 	if t == nil || t.service != q.ep.service {
 		return drop(resultcode.PacketNoTarget)
 	}
-	return Decision{Action: ForwardTarget, Direction: ToTarget, VNI: t.vni, to: &t.addr}
+	return Decision{Verb: Verb{Action: ForwardTarget, Direction: ToTarget}, Leg: Leg{VNI: t.vni}, to: &t.addr}
 }
 
 // reset answers a TCP segment with a RST, unless it is a RST itself.
@@ -109,7 +109,8 @@
 	if q.p.Protocol != flow.TCP || q.p.Has(RST) {
 		return drop(code)
 	}
-	d := Decision{Action: Reset, Reply: ReplyRST, Direction: q.direction, Code: code}
+	d := decide(Reset, q.direction)
+	d.Reply, d.Code = ReplyRST, code
 	if q.direction == ToCaller {
 		t := q.ep.service.bySource(q.source)
 		if t == nil {
@@ -146,7 +147,7 @@
 		return drop(resultcode.PacketForeignSource) // a late answer of a target that the flow no longer uses
 	}
 	en.Touch(q.nowMS)
-	d := Decision{Action: SendCaller, Direction: ToCaller}
+	d := decide(SendCaller, ToCaller)
 	if q.p.Protocol == flow.UDP {
 		if en.State() == flow.Unconfirmed {
 			e.step(q, en)
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -94,7 +94,7 @@
 	case Waiting:
 		en.Epoch = q.st.epochs[q.bucket]
 		en.Step(flow.EventWait)
-		return Decision{Action: Hold, Direction: ToTarget}, true
+		return decide(Hold, ToTarget), true
 	}
 	return e.refuse(q, verdict.Code), false
 }
@@ -158,7 +158,8 @@
 	if !q.st.owns(q.bucket) || q.recentTakeover() || e.moves.recent(q.bucket, q.now) {
 		return drop(code)
 	}
-	d := Decision{Action: Refuse, Reply: ReplyRefused, Direction: ToTarget, Code: code}
+	d := decide(Refuse, ToTarget)
+	d.Reply, d.Code = ReplyRefused, code
 	if q.p.Protocol == flow.TCP {
 		d.Reply = ReplyRST
 	}
@@ -167,7 +168,7 @@
 
 // unknownFromTarget decides about a packet of a target for a flow without an entry.
 func (e *Engine) unknownFromTarget(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	answer := Decision{Action: SendCaller, Direction: ToCaller}
+	answer := decide(SendCaller, ToCaller)
 	if q.p.Protocol == flow.UDP {
 		return e.unknownDatagram(q, en, room)
 	}
@@ -194,7 +195,7 @@
 // unknownDatagram passes a late answer on. The target that answers is the one that has the flow, so the flow is put
 // there.
 func (e *Engine) unknownDatagram(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
-	answer := Decision{Action: SendCaller, Direction: ToCaller}
+	answer := decide(SendCaller, ToCaller)
 	t := q.ep.service.bySource(q.source)
 	if behind, _ := e.behind(q); behind || room == flow.NoRoom {
 		return answer, false
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -137,7 +137,7 @@
 	h := newHeld(2)
 	var p forward.Packet
 	a, b, c := flow.Key{CallerPort: 1}, flow.Key{CallerPort: 2}, flow.Key{CallerPort: 3}
-	if len(h.take(a, forward.Decision{VNI: 9})) != 0 {
+	if len(h.take(a, forward.Decision{Leg: forward.Leg{VNI: 9}})) != 0 {
 		t.Fatal("a packet that was never put")
 	}
 	if d, result := h.put(a, nil, &p); result != heldDecided || d.VNI != 9 {
