--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -61,11 +61,13 @@
 // BucketClaim asks the previous owner for buckets.
 type BucketClaim struct {
 	Buckets Buckets
+	Denied  membership.HostID // as in ownership.ClaimReceived
 }
 
 // BucketGrant answers a claim or offers buckets; the fields are those of ownership.Grant.
 type BucketGrant struct {
 	Result     uint8
+	Release    uint64
 	Buckets    Buckets
 	InSync     bool
 	Holder     membership.HostID
--- a/ownership/change.go
+++ b/ownership/change.go
@@ -45,13 +45,19 @@
 	case k.phase == phaseOwner:
 		h.awaitClaim(k)
 	case k.phase == phaseAcquiring && owner == h.self:
+		k.asked, k.redirects, k.abandoned = 0, 0, false
 		if !h.reachable[k.peer] {
 			h.lose(b, k.alternative, takenOver)
 		}
 	case owner == h.self:
 		h.gain(b, previous, takenOver)
-	case k.peer != owner:
-		*k = bucket{peer: owner, holder: k.peer}
+	case k.phase == phaseAcquiring && (!k.lost || k.abandoned):
+		if !k.abandoned {
+			k.abandoned, k.since = true, h.now
+		}
+		k.alternative = owner
+	default:
+		*k = bucket{peer: owner}
 	}
 }
 
--- a/ownership/events.go
+++ b/ownership/events.go
@@ -62,6 +62,7 @@
 type ClaimReceived struct {
 	From    membership.HostID
 	Buckets []Bucket
+	Denied  membership.HostID // member that this one named as holder and that does not hold the buckets; 0 for none
 }
 
 // GrantReceived is an answer to a claim, or an offer.
@@ -105,6 +106,7 @@
 // Grant is the message of a previous owner to the new one.
 type Grant struct {
 	Result     Result
+	Release    uint64 // Granted: random number of the release, the same when the grant is sent again
 	Buckets    []Bucket
 	InSync     bool              // Granted, HeldCopies: the exceptions are complete
 	Holder     membership.HostID // Redirect: member to ask instead, 0 when the sender knows of none
@@ -118,6 +120,7 @@
 type SendClaim struct {
 	To      membership.HostID
 	Buckets []Bucket
+	Denied  membership.HostID // as in ClaimReceived
 }
 
 // SendGrant sends a grant.
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -1,15 +1,20 @@
 package ownership
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/marigoldwood/marigoldwood/membership"
 )
 
 // claimed answers a claim. Buckets that the map does not give to the claimer get no answer: the claimer repeats the
 // claim until both have the same view.
-func (h *Handover) claimed(from membership.HostID, buckets []Bucket) {
+func (h *Handover) claimed(from membership.HostID, buckets []Bucket, denied membership.HostID) {
 	redirects := make(map[membership.HostID][]Bucket)
-	copies, again := Grant{Result: HeldCopies, InSync: true}, Grant{Result: Granted, InSync: true}
-	incomplete := Grant{Result: HeldCopies}
+	again := make(map[uint64]*Grant)
+	copies, incomplete := Grant{Result: HeldCopies, InSync: true}, Grant{Result: HeldCopies}
 	for _, b := range buckets {
 		k := &h.buckets[b%BucketCount]
 		if h.current == nil || h.current.Owner(b) != from {
@@ -24,27 +29,31 @@
 		case phaseReleasing, phaseMerging:
 		case phaseAcquiring:
 			redirects[k.peer] = append(redirects[k.peer], b)
-			*k = bucket{peer: from, holder: k.peer}
-			h.dirty = true
 		case phaseOther:
-			if g, found := h.granted[b]; found && (g.to == from || !h.reachable[g.to]) {
-				again.append(b, g.exceptions, g.inSync)
-				h.granted[b] = granted{to: from, exceptions: g.exceptions, inSync: g.inSync, until: h.now + retainGranted}
+			if g, found := h.granted[b]; found && (g.to == from || g.to == denied || !h.reachable[g.to]) {
+				if again[g.release] == nil {
+					again[g.release] = &Grant{Result: Granted, Release: g.release, InSync: true}
+				}
+				again[g.release].append(b, g.exceptions, g.inSync)
+				g.to, g.until = from, h.now+retainGranted
+				h.granted[b] = g
 				continue
 			}
 			h.answerOther(from, b, &copies, &incomplete, redirects)
 		}
 	}
-	for _, g := range []Grant{again, copies, incomplete} {
-		h.sendParts(from, g)
+	for _, number := range slices.Sorted(maps.Keys(again)) {
+		h.sendParts(from, *again[number])
 	}
+	h.sendParts(from, copies)
+	h.sendParts(from, incomplete)
 	for _, holder := range sortedIDs(redirects) {
 		h.emit(SendGrant{To: from, Grant: Grant{Result: Redirect, Buckets: redirects[holder], Holder: holder}})
 	}
 }
 
 // answerOther answers for a bucket that this member does not own: with the copies of an owner that is gone or has
-// restarted, or with the member that it takes for the owner.
+// restarted, or with the member that it granted the bucket to.
 func (h *Handover) answerOther(from membership.HostID, b Bucket, copies, incomplete *Grant, redirects map[membership.HostID][]Bucket) {
 	if source := h.copies.Source(b); source != 0 && (source == from || !h.reachable[source]) {
 		held, complete := h.copies.Take(b)
@@ -58,8 +67,6 @@
 	holder := membership.HostID(0)
 	if g, found := h.granted[b]; found {
 		holder = g.to
-	} else if k := &h.buckets[b]; k.holder != from && k.holder != h.self {
-		holder = k.holder
 	}
 	redirects[holder] = append(redirects[holder], b)
 }
@@ -115,7 +122,7 @@
 		}
 		byBucket[b].Flows = append(byBucket[b].Flows, x)
 	}
-	grants := [2]Grant{{Result: Granted}, {Result: Granted, InSync: true}}
+	grants := [2]Grant{{Result: Granted, Release: h.rng.Uint64()}, {Result: Granted, Release: h.rng.Uint64(), InSync: true}}
 	for _, b := range e.Buckets {
 		k := &h.buckets[b%BucketCount]
 		if k.phase != phaseReleasing || !k.collecting || k.peer != e.To {
@@ -130,8 +137,13 @@
 			g = &grants[1]
 		}
 		g.append(b, held, k.inSync)
-		h.granted[b] = granted{to: e.To, exceptions: held, inSync: k.inSync, until: h.now + retainGranted}
+		h.granted[b] = granted{
+			to: e.To, exceptions: held, inSync: k.inSync, until: h.now + retainGranted, release: g.Release,
+		}
 		*k = bucket{peer: e.To}
+		if owner := h.current.Owner(b); owner != h.self {
+			k.peer = owner // the map has changed meanwhile; the owner that it names gets the bucket from e.To
+		}
 		h.dirty = true
 	}
 	for _, g := range grants {
@@ -145,8 +157,8 @@
 	var back Exceptions
 	for _, b := range buckets {
 		if h.current.Owner(b) == h.self && h.buckets[b].phase == phaseOther {
-			if h.reachable[h.buckets[b].peer] {
-				h.acquire(&h.buckets[b], h.buckets[b].peer, 0, false)
+			if to := h.buckets[b].peer; h.reachable[to] {
+				h.acquire(&h.buckets[b], to, 0, false)
 			} else {
 				h.lose(b, 0, &back)
 			}
@@ -166,11 +178,9 @@
 		k := &h.buckets[b%BucketCount]
 		switch g.Result {
 		case Granted:
-			h.takeGranted(b, k, g)
+			h.takeGranted(b, k, from, g)
 		case HeldCopies:
-			if k.phase == phaseAcquiring && k.peer == from {
-				h.own(k, g.InSync, h.now)
-			}
+			h.takeCopies(b, k, from, g.InSync)
 		case Redirect:
 			h.redirected(b, k, from, g.Holder)
 		case Offer:
@@ -179,7 +189,14 @@
 	}
 }
 
-func (h *Handover) takeGranted(b Bucket, k *bucket, g *Grant) {
+func (h *Handover) takeGranted(b Bucket, k *bucket, from membership.HostID, g *Grant) {
+	id := release{number: g.Release, bucket: b}
+	if _, found := h.taken[id]; found {
+		// The sender has nothing newer, so whoever this member passed the bucket on to must be asked.
+		h.redirected(b, k, from, 0)
+		return
+	}
+	h.taken[id] = h.now + 2*retainGranted
 	delete(h.granted, b)
 	switch k.phase {
 	case phaseReleasing:
@@ -202,26 +219,79 @@
 	if k.phase != phaseAcquiring || k.peer != from {
 		return
 	}
+	h.dirty = true
 	k.redirects++
+	if g, found := h.granted[b]; found && g.to == from && (holder == 0 || holder == h.self) {
+		// The grant was lost, and the map gives the bucket back.
+		delete(h.granted, b)
+		h.install(g.exceptions)
+		h.own(k, g.inSync, 0)
+		return
+	}
 	switch {
-	case holder != 0 && holder != h.self && h.reachable[holder] && k.redirects < maxRedirects && !k.lost:
-		k.peer = holder
-		if k.redirects > 2 {
-			return // two members may point at each other while views differ; the retry wait applies
-		}
-		k.next = h.now
-	case k.lost && holder != 0:
-		// The holder of the copies does not know yet that the owner is gone. The claim is repeated until copiesLimit.
-	case k.lost:
+	case holder == 0 && k.lost:
 		h.own(k, false, h.now)
-	case k.alternative != 0 && k.alternative != h.self && h.reachable[k.alternative]:
-		k.peer, k.alternative, k.next = k.alternative, 0, h.now
-	case holder == 0 || k.redirects >= maxRedirects:
-		h.own(k, holder == 0, 0)
+	case h.reachable[k.via] && k.redirects < 2*maxRedirects && (holder == 0 || holder == k.via && k.redirects > maxRedirects/2):
+		// A grant that was lost on its way to a member that no longer asks for it; its sender has kept it.
+		k.peer, k.denied, k.via, k.next = k.via, from, 0, h.now
+	case holder == 0, holder == h.self, k.redirects >= maxRedirects:
+		h.search(b, k)
+	case h.reachable[holder]:
+		k.via, k.denied = from, 0
+		// The bucket may be on its way between two members that name each other, so only the first steps go at once.
+		k.peer, k.lost, k.wait = holder, false, 0
+		if k.redirects <= 2 {
+			k.next = h.now
+		}
+	default:
+		// The other member does not know yet that the holder is gone. The claim is repeated.
 	}
+}
+
+// takeCopies follows the copies of a backup. Unless the owner is known to be gone, another member may still hold the
+// bucket itself, so the search goes on.
+func (h *Handover) takeCopies(b Bucket, k *bucket, from membership.HostID, complete bool) {
+	if k.phase != phaseAcquiring || k.peer != from {
+		return
+	}
+	if k.lost {
+		h.own(k, complete, h.now)
+		return
+	}
+	if complete {
+		k.copies = copiesComplete
+	} else if k.copies == copiesNone {
+		k.copies = copiesIncomplete
+	}
+	h.search(b, k)
+}
+
+// search asks the next member in the ranking of the bucket. A member that joins together with others cannot know which
+// of them owned the bucket; the owner under any recent map is high in the ranking. When nobody holds the bucket, it is
+// new, or its owner has restarted.
+func (h *Handover) search(b Bucket, k *bucket) {
+	ranking := h.ranking(b)
+	if k.asked >= len(ranking) {
+		takenOver := time.Duration(0)
+		if k.copies != copiesNone {
+			takenOver = h.now
+		}
+		h.own(k, k.copies != copiesIncomplete, takenOver)
+		return
+	}
+	k.peer, k.via, k.denied, k.next, k.wait = ranking[k.asked], 0, 0, h.now, 0
+	k.asked++
 	h.dirty = true
 }
 
+// ranking returns the other reachable members in the order in which they would own the bucket.
+func (h *Handover) ranking(b Bucket) []membership.HostID {
+	ids := sortedIDs(h.reachable)
+	ids = without(ids, h.self)
+	slices.SortStableFunc(ids, func(x, y membership.HostID) int { return cmp.Compare(score(y, b), score(x, b)) })
+	return ids
+}
+
 func (h *Handover) offered(b Bucket, k *bucket, from membership.HostID) {
 	if h.current == nil || h.current.Owner(b) != h.self {
 		return
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,7 +15,8 @@
 	claimRetry     = 200 * time.Millisecond // first wait for an answer; doubles up to claimRetryMax
 	claimRetryMax  = 2 * time.Second
 	copiesLimit    = time.Second            // longest wait for the copies of an owner that is gone
-	maxRedirects   = 8                      // redirects after which nobody holds the bucket
+	maxRedirects   = 8                      // redirects after which the next member of the ranking is asked
+	inFlightLimit  = time.Second            // a grant that was sent before the map changed arrives within this time
 	offerDelay     = 500 * time.Millisecond // an owner that the map does not name waits so long for a claim
 	mergeLimit     = 500 * time.Millisecond // longest time without decisions while another owner's exceptions are merged
 	retainGranted  = 30 * time.Second       // granted exceptions are kept so long, in case the grant is lost
@@ -32,11 +34,22 @@
 	phaseMerging                // owner that claims from peer, another owner; decides nothing until the grant arrives
 )
 
+// copyResult tells whether a backup has sent copies of a bucket.
+type copyResult uint8
+
+const (
+	copiesNone copyResult = iota
+	copiesIncomplete
+	copiesComplete
+)
+
 type bucket struct {
 	phase       phase
 	peer        membership.HostID // other: owner; acquiring: member that the claim goes to; releasing: claimer
-	holder      membership.HostID // other: member that may still hold the bucket while its owner acquires it
+	via         membership.HostID // acquiring: member that named peer as the holder
+	denied      membership.HostID // acquiring: member that peer named as the holder, and that is not
 	alternative membership.HostID // acquiring: member that holds copies if peer does not own the bucket
+	abandoned   bool              // acquiring: the map names another owner now, but a grant may be on its way
 	lost        bool              // acquiring: the previous owner is gone and peer is asked for copies
 	inSync      bool
 	takenOverAt time.Duration
@@ -44,7 +57,9 @@
 	next        time.Duration // next claim or offer
 	wait        time.Duration
 	redirects   int
-	publication uint64 // releasing, merging: publication that must be quiesced
+	asked       int        // acquiring: members of the ranking that have been asked for the bucket
+	copies      copyResult // acquiring: what the members asked so far hold as backup
+	publication uint64     // releasing, merging: publication that must be quiesced
 	collecting  bool
 }
 
@@ -62,6 +77,14 @@
 	exceptions Exceptions
 	inSync     bool
 	until      time.Duration
+	release    uint64
+}
+
+// release identifies a grant of one bucket. A grant that arrives twice must not make this member an owner again after
+// it has passed the bucket on.
+type release struct {
+	number uint64
+	bucket Bucket
 }
 
 // Handover moves buckets between this member and others. It is not safe for use by several goroutines.
@@ -75,6 +98,7 @@
 	reachable map[membership.HostID]bool
 	buckets   [BucketCount]bucket
 	granted   map[Bucket]granted
+	taken     map[release]time.Duration // grants that were taken, and when to forget them
 	number    uint64
 	dirty     bool
 	quiesce   bool
@@ -82,7 +106,7 @@
 
 // NewHandover returns a handover that owns nothing.
 func NewHandover(self membership.HostID, copies Copies, rng *rand.Rand) *Handover {
-	return &Handover{self: self, copies: copies, rng: rng, granted: make(map[Bucket]granted)}
+	return &Handover{self: self, copies: copies, rng: rng, granted: make(map[Bucket]granted), taken: make(map[release]time.Duration)}
 }
 
 // Handle applies an event at time now and returns the effects.
@@ -92,7 +116,7 @@
 	case NewMap:
 		h.setMap(e.Map, e.Reachable)
 	case ClaimReceived:
-		h.claimed(e.From, e.Buckets)
+		h.claimed(e.From, e.Buckets, e.Denied)
 	case GrantReceived:
 		h.receiveGrant(e.From, &e.Grant)
 	case Quiesced:
@@ -131,6 +155,9 @@
 	case phaseMerging:
 		return BucketState{Role: RoleAcquiring}
 	case phaseAcquiring:
+		if k.abandoned {
+			return BucketState{Role: RoleForward, Peer: k.alternative}
+		}
 		if k.lost {
 			return BucketState{Role: RoleAcquiring}
 		}
@@ -192,7 +219,8 @@
 
 // send sends the claims and offers that are due, one message for each member.
 func (h *Handover) send() {
-	claims := make(map[membership.HostID][]Bucket)
+	type claim struct{ to, denied membership.HostID }
+	claims := make(map[claim][]Bucket)
 	offers := make(map[membership.HostID][]Bucket)
 	for b := range h.buckets {
 		k := &h.buckets[b]
@@ -200,8 +228,9 @@
 			continue
 		}
 		switch {
-		case k.phase == phaseAcquiring, k.phase == phaseMerging && k.collecting:
-			claims[k.peer] = append(claims[k.peer], Bucket(b))
+		case k.phase == phaseAcquiring && !k.abandoned, k.phase == phaseMerging && k.collecting:
+			c := claim{k.peer, k.denied}
+			claims[c] = append(claims[c], Bucket(b))
 		case k.phase == phaseOwner && k.since > 0:
 			to := h.current.Owner(Bucket(b))
 			if !h.reachable[to] {
@@ -214,8 +243,11 @@
 		k.wait = min(max(2*k.wait, claimRetry), claimRetryMax)
 		k.next = h.now + k.wait/2 + time.Duration(h.rng.Int64N(int64(k.wait)/2))
 	}
-	for _, to := range sortedIDs(claims) {
-		h.emit(SendClaim{To: to, Buckets: claims[to]})
+	ordered := slices.SortedFunc(maps.Keys(claims), func(x, y claim) int {
+		return cmp.Or(cmp.Compare(x.to, y.to), cmp.Compare(x.denied, y.denied))
+	})
+	for _, c := range ordered {
+		h.emit(SendClaim{To: c.to, Buckets: claims[c], Denied: c.denied})
 	}
 	for _, to := range sortedIDs(offers) {
 		h.emit(SendGrant{To: to, Grant: Grant{Result: Offer, Buckets: offers[to]}})
@@ -238,6 +270,9 @@
 		if k.phase == phaseAcquiring && k.lost && h.now-k.since >= copiesLimit {
 			h.own(k, false, h.now)
 		}
+		if k.phase == phaseAcquiring && k.abandoned && h.now-k.since >= inFlightLimit {
+			*k = bucket{peer: k.alternative}
+		}
 		if k.phase == phaseMerging && h.now-k.since >= mergeLimit {
 			h.own(k, k.inSync, k.takenOverAt)
 		}
@@ -247,4 +282,9 @@
 			delete(h.granted, b)
 		}
 	}
+	for r, until := range h.taken {
+		if h.now >= until {
+			delete(h.taken, r)
+		}
+	}
 }
--- a/ownership/map.go
+++ b/ownership/map.go
@@ -43,17 +43,20 @@
 func (m *Map) rank(b int) {
 	var first, second uint64
 	for _, id := range m.members {
-		score := flow.Mix(uint64(id), uint64(b)+1)
+		rank := score(id, Bucket(b))
 		switch {
-		case m.owner[b] == 0 || score > first:
+		case m.owner[b] == 0 || rank > first:
 			m.backup[b], second = m.owner[b], first
-			m.owner[b], first = id, score
-		case m.backup[b] == 0 || score > second:
-			m.backup[b], second = id, score
+			m.owner[b], first = id, rank
+		case m.backup[b] == 0 || rank > second:
+			m.backup[b], second = id, rank
 		}
 	}
 }
 
+// score ranks a member for a bucket; the highest score owns it.
+func score(id membership.HostID, b Bucket) uint64 { return flow.Mix(uint64(id), uint64(b)+1) }
+
 // Owner returns the member that decides for the bucket, or 0 when there are no members.
 func (m *Map) Owner(b Bucket) membership.HostID { return m.owner[b%BucketCount] }
 
