--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -14,7 +14,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case ownership.SendClaim:
-			l.send(e.To, &peer.BucketClaim{Buckets: e.Buckets})
+			l.send(e.To, &peer.BucketClaim{Buckets: e.Buckets, Denied: e.Denied})
 		case ownership.SendGrant:
 			l.send(e.To, peer.NewBucketGrant(e.Grant))
 		case ownership.Install:
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -69,7 +69,7 @@
 	}
 	switch m := e.message.(type) {
 	case *peer.BucketClaim:
-		l.applyBuckets(l.handover.Handle(l.now, ownership.ClaimReceived{From: e.from, Buckets: m.Buckets}))
+		l.applyBuckets(l.handover.Handle(l.now, ownership.ClaimReceived{From: e.from, Buckets: m.Buckets, Denied: m.Denied}))
 	case *peer.BucketGrant:
 		l.applyBuckets(l.handover.Handle(l.now, ownership.GrantReceived{From: e.from, Grant: m.Grant()}))
 	case *peer.BucketBase:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -66,11 +66,13 @@
 // BucketClaim asks the previous owner for buckets.
 type BucketClaim struct {
 	Buckets Buckets
+	Denied  membership.HostID // as in ownership.ClaimReceived
 }
 
 // BucketGrant answers a claim or offers buckets; the fields are those of ownership.Grant.
 type BucketGrant struct {
 	Result     uint8
+	Release    uint64
 	Buckets    Buckets
 	InSync     bool
 	Holder     membership.HostID
@@ -80,14 +82,14 @@
 // NewBucketGrant returns the message form of a grant.
 func NewBucketGrant(g ownership.Grant) *BucketGrant {
 	return &BucketGrant{
-		Result: uint8(g.Result), Buckets: g.Buckets, InSync: g.InSync, Holder: g.Holder, Exceptions: Exceptions(g.Exceptions),
+		Result: uint8(g.Result), Release: g.Release, Buckets: g.Buckets, InSync: g.InSync, Holder: g.Holder, Exceptions: Exceptions(g.Exceptions),
 	}
 }
 
 // Grant returns the grant that the message carries.
 func (m *BucketGrant) Grant() ownership.Grant {
 	return ownership.Grant{
-		Result: ownership.Result(m.Result), Buckets: m.Buckets, InSync: m.InSync, Holder: m.Holder,
+		Result: ownership.Result(m.Result), Release: m.Release, Buckets: m.Buckets, InSync: m.InSync, Holder: m.Holder,
 		Exceptions: ownership.Exceptions(m.Exceptions),
 	}
 }
--- a/ownership/change.go
+++ b/ownership/change.go
@@ -45,13 +45,19 @@
 	case k.phase == phaseOwner:
 		h.awaitClaim(k)
 	case k.phase == phaseAcquiring && owner == h.self:
+		k.asked, k.redirects, k.abandoned = 0, 0, false
 		if !h.reachable[k.peer] {
 			h.lose(b, k.alternative, takenOver)
 		}
 	case owner == h.self:
 		h.gain(b, previous, takenOver)
-	case k.peer != owner:
-		*k = bucket{peer: owner, holder: k.peer}
+	case k.phase == phaseAcquiring && (!k.lost || k.abandoned):
+		if !k.abandoned {
+			k.abandoned, k.since = true, h.now
+		}
+		k.alternative = owner
+	default:
+		*k = bucket{peer: owner}
 	}
 }
 
@@ -83,13 +89,17 @@
 // lose follows the loss of a bucket's owner: this member uses its own copies, or asks the backup for them.
 func (h *Handover) lose(b Bucket, backup membership.HostID, takenOver *Exceptions) {
 	k := &h.buckets[b]
+	copies, complete := h.copies.Take(b)
 	if g, found := h.granted[b]; found && !h.reachable[g.to] {
 		delete(h.granted, b)
-		takenOver.add(g.exceptions)
-		h.own(k, g.inSync, h.now)
-		return
+		// The copies of the member that got the grant are newer than what it was granted, once they are complete.
+		if !complete || h.copies.Source(b) != g.to {
+			takenOver.add(g.exceptions)
+			takenOver.add(copies)
+			h.own(k, g.inSync, h.now)
+			return
+		}
 	}
-	copies, complete := h.copies.Take(b)
 	takenOver.add(copies)
 	if !complete && backup != h.self && h.reachable[backup] {
 		h.acquire(k, backup, 0, true)
