--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -78,21 +78,22 @@
 }
 
 type simulation struct {
-	now      time.Duration
-	events   agenda
-	order    int
-	random   *rand.Rand
-	policy   forward.Admission
-	loads    []load
-	outcomes []outcome
-	busy     [targetCount]int
-	queues   [targetCount][]*job
-	waiting  map[flow.Key]*job
-	speed    func(target int, now time.Duration) float64
-	onDone   func(j *job, latency time.Duration)
-	port     uint32
-	ended    flow.Key // the flow that Done is called for
-	overrun  int      // pieces of work that found every slot of their target taken
+	now       time.Duration
+	events    agenda
+	order     int
+	random    *rand.Rand
+	policy    forward.Admission
+	loads     []load
+	outcomes  []outcome
+	busy      [targetCount]int
+	queues    [targetCount][]*job
+	waiting   map[flow.Key]*job
+	speed     func(target int, now time.Duration) float64
+	onDone    func(j *job, latency time.Duration)
+	onRefused func(j *job)
+	port      uint32
+	ended     flow.Key // the flow that Done is called for
+	overrun   int      // pieces of work that found every slot of their target taken
 }
 
 func newSimulation(seed uint64, policy forward.Admission, loads ...load) *simulation {
@@ -181,6 +182,9 @@
 	if v.Outcome == forward.Refused {
 		o.refused++
 		o.refusedBy[prefixOf(j.key)]++
+		if s.onRefused != nil {
+			s.onRefused(j)
+		}
 		return
 	}
 	j.target, j.started = v.Target, s.now
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -40,7 +40,8 @@
 type pool struct {
 	services []*service
 	group    limits.GroupID
-	told     [2]int // waiting flows by class, as the leases know them
+	told     [2]int        // waiting flows by class, as the leases know them
+	bulkAt   time.Duration // when bulk work last got a slot
 	byKey    map[flow.Key]*waiting
 }
 
@@ -120,7 +121,8 @@
 }
 
 // waitLimit returns how long a flow may wait: never so long that an answer of typical duration would be past the
-// deadline, and in a standing queue no longer than the goal.
+// deadline, and in a standing queue no longer than the goal. While bulk work still gets slots, urgent work with a deadline
+// waits up to it, because bulk work is to be refused first.
 func (s *service) waitLimit(now time.Duration, off parts) time.Duration {
 	limit := burstWait
 	if s.queue.standing(now) {
@@ -129,10 +131,14 @@
 	if off.noWaitLimit {
 		limit = time.Hour
 	}
-	if d := s.state.Info.Deadline; d > 0 {
-		limit = min(limit, d-s.typical)
+	d := s.state.Info.Deadline
+	if d == 0 {
+		return limit
 	}
-	return limit
+	if s.class == limits.Urgent && s.pool.bulkAt > 0 && now-s.pool.bulkAt < standingAfter {
+		return d - s.typical
+	}
+	return min(limit, d-s.typical)
 }
 
 // expire refuses the flows whose wait is over. Within one caller the oldest flow is first.
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -19,8 +19,8 @@
 // The threshold of a pool is longFactor times the shortest typical (median) duration of its services. A piece of work is
 // long when it has run for longer than the threshold, or when its service is: the service's typical duration is above the
 // threshold, or not known yet while that of another service is. A long service gets a slot of a target only if another
-// slot of that target stays free of long work. Work of other services, which may still turn out long, goes to the targets
-// with the fewest long pieces first.
+// slot of that target stays free of long work. Work of other services may turn out long as well; nothing known at its
+// start tells.
 
 func (p *pool) threshold() time.Duration {
 	shortest := time.Duration(math.MaxInt64)
@@ -73,24 +73,20 @@
 func (c *Controller) slotFor(now time.Duration, s *service, hash uint64) int {
 	threshold := s.pool.threshold()
 	predicted := s.isLong(threshold)
-	best, bestLong, bestUsed := -1, 0, 0
+	best, bestUsed := -1, 0
 	def := s.state.Table.Default(hash)
 	for i, t := range s.targets {
 		if !c.free(now, s, i) {
 			continue
 		}
-		long := t.long(now, threshold)
-		if c.parts.noLastSlot {
-			long = 0
-		} else if predicted && long+1 >= s.slots() && s.slots() > 1 {
+		if predicted && !c.parts.noLastSlot && s.slots() > 1 && t.long(now, threshold)+1 >= s.slots() {
 			continue
 		}
-		if i == def && !c.parts.noDefault && long == 0 {
+		if i == def && !c.parts.noDefault {
 			return i
 		}
-		used := len(t.running)
-		if best < 0 || long < bestLong || (long == bestLong && used < bestUsed) {
-			best, bestLong, bestUsed = i, long, used
+		if used := len(t.running); best < 0 || used < bestUsed {
+			best, bestUsed = i, used
 		}
 	}
 	return best
@@ -103,6 +99,9 @@
 		return -1
 	}
 	w.service.start(now, i)
+	if w.service.class == limits.Bulk {
+		w.service.pool.bulkAt = now
+	}
 	return i
 }
 
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -12,12 +12,14 @@
 	// renewAfter leaves room for two lost renewals in one Term.
 	renewAfter = Term / 3
 	// idleAfter is how long a lease is kept without need while nobody else waits for it.
-	idleAfter = 2 * time.Second
-	// askGap is the least time between two requests for one resource, except for slots that are given up.
-	askGap = 10 * time.Millisecond
+	idleAfter = 50 * time.Millisecond
+	// askGap is the least time between two requests for one resource, except for slots that are given up. urgentGap is the
+	// same for urgent work that waits.
+	askGap    = 10 * time.Millisecond
+	urgentGap = 2 * time.Millisecond
 	// contendedFor is how long a holder takes a resource to be contended after its ledger said so. It does not ask there
 	// while it can ask elsewhere, and keeps nothing idle.
-	contendedFor = 100 * time.Millisecond
+	contendedFor = 20 * time.Millisecond
 	// turnAfter is how long waiting work asks the same resources: long enough for a recalled slot to arrive.
 	turnAfter = 25 * time.Millisecond
 )
@@ -46,10 +48,12 @@
 
 // Resource describes to a Holder what it may lease.
 type Resource struct {
-	ID     ResourceID
-	Group  GroupID
-	Limit  uint32
-	Ledger membership.HostID // member that keeps the ledger; 0 when none is known
+	ID    ResourceID
+	Group GroupID
+	Limit uint32
+	// ReservedUrgent is how many slots bulk work never gets.
+	ReservedUrgent uint32
+	Ledger         membership.HostID // member that keeps the ledger; 0 when none is known
 }
 
 type lease struct {
@@ -267,32 +271,45 @@
 
 func (l *lease) needUrgent() uint32 { return l.inUse[Urgent] + l.waiting[Urgent] }
 
-func (l *lease) need() uint32 { return l.needUrgent() + l.inUse[Bulk] + l.waiting[Bulk] }
+func (l *lease) needBulk() uint32 { return l.inUse[Bulk] + l.waiting[Bulk] }
+
+func (l *lease) need() uint32 { return l.needUrgent() + l.needBulk() }
 
 // keep returns the promise of a request that is sent now: what is in use, and as much of the rest of the lease as was
 // needed lately. Nothing idle is kept while others wait.
 func (l *lease) keep(now time.Duration) slots {
-	need := l.need()
-	if need >= l.peak || now-l.peakAt >= idleAfter || l.isContended(now) {
+	need, contended := l.need(), l.isContended(now)
+	if need >= l.peak || now-l.peakAt >= idleAfter || contended {
 		l.peak, l.peakAt = need, now
 	}
-	return l.used().max(l.usable(now).min(slots{l.peak, l.peak}))
+	most := slots{l.peak, l.peak}
+	if contended && l.ReservedUrgent > 0 {
+		most.bulk = l.needBulk()
+	}
+	return l.used().max(l.usable(now).min(most))
 }
 
 func (l *lease) due(now time.Duration) bool {
 	keep, need, usable := l.keep(now), l.need(), l.usable(now)
-	givesUp := keep.all < l.promised.all || keep.bulk < l.promised.bulk
+	counted := l.promised.max(usable) // by the ledger
+	givesUp := keep.all < counted.all
 	switch {
 	case l.fresh:
 		return need > 0 || usable.all > 0
-	case givesUp && (l.isContended(now) || usable.all < l.promised.all || usable.bulk < l.promised.bulk):
+	case givesUp && (l.isContended(now) || usable.all < l.promised.all):
+		return true
+	case now-l.sentAt < urgentGap:
+		return false
+	case need > usable.all && l.needUrgent() > l.askedUrg:
 		return true
 	case now-l.sentAt < askGap:
 		return false
-	case need > usable.all && (need > l.asked || l.needUrgent() > l.askedUrg):
+	case need > usable.all && need > l.asked, l.needBulk() > usable.bulk && l.needBulk() > l.asked-l.askedUrg:
 		return true
-	case l.asked > usable.all && need <= usable.all: // the ledger must not move slots for a need that is gone
+	case keep.bulk < counted.bulk && (l.isContended(now) || usable.bulk < l.promised.bulk):
 		return true
+	case l.asked > usable.all && need <= usable.all, l.needUrgent() < l.askedUrg:
+		return true // the ledger must not move slots for a need that is gone, or leave bulk work a slot that it takes for urgent
 	}
 	return now-l.sentAt >= renewAfter && (need > 0 || l.promised.all > 0 || l.asked > 0)
 }
--- a/limits/ledger.go
+++ b/limits/ledger.go
@@ -50,11 +50,13 @@
 	need        uint32
 	needUrgent  uint32
 	held        uint32
+	coming      uint32 // slots under recall that are meant for this entry; only set within recall
 	expires     time.Duration
 	heldSince   time.Duration // since when the holder has the slots it has
 	waitsSince  time.Duration // since when need is above what is granted
 	former      bool          // a higher incarnation of the holder exists
 	changed     bool          // the holder must be told
+	answered    time.Duration // when a grant was last sent
 	told        bool          // that others wait
 }
 
@@ -103,7 +105,8 @@
 	e.granted = e.counted
 	e.need, e.needUrgent, e.held = r.Need, min(r.NeedUrgent, r.Need), r.Held
 	e.expires = now + Term
-	e.changed = true
+	// A request that changes nothing is answered only when the lease needs to be renewed.
+	e.changed = now-e.answered >= renewAfter/2
 	if e.need <= e.granted.all {
 		e.waitsSince = now
 	}
@@ -122,7 +125,7 @@
 		case r.Incarnation == e.incarnation:
 			return e
 		}
-		e.former, e.granted, e.need = true, slots{}, 0
+		e.former, e.granted, e.need, e.needUrgent = true, slots{}, 0, 0
 	}
 	e := &entry{from: r.From, incarnation: r.Incarnation, heldSince: now, waitsSince: now}
 	l.entries = append(l.entries, e)
@@ -147,7 +150,7 @@
 	})
 	for _, e := range l.entries {
 		if now >= e.expires {
-			e.granted, e.need = slots{}, 0
+			e.granted, e.need, e.needUrgent = slots{}, 0, 0
 		}
 	}
 	if now < l.openAt {
@@ -220,7 +223,7 @@
 		}
 		e.granted.all++
 		e.held++
-		if freeBulk > 0 && e.granted.bulk < e.granted.all {
+		if freeBulk > 0 && e.lacksBulk() {
 			e.granted.bulk++
 		}
 		e.counted = e.counted.max(e.granted)
@@ -232,22 +235,35 @@
 	l.allowBulk()
 }
 
-// allowBulk lets holders use slots that they have for bulk work while the reserve stays untouched.
+// allowBulk lets holders use slots that they have for bulk work while the reserve stays untouched: first those that need
+// it, then, unless somebody waits, the others, so that they need not ask later.
 func (l *Ledger) allowBulk() {
-	for _, e := range l.entries {
-		for e.granted.bulk < min(e.granted.all, minus(e.need, 0)) && l.counted().bulk < l.settings.bulkLimit() {
-			e.granted.bulk++
-			e.counted = e.counted.max(e.granted)
-			e.changed = true
+	for _, needed := range []bool{true, false} {
+		if !needed && l.settings.ReservedUrgent > 0 && l.contended() {
+			return
+		}
+		for _, e := range l.entries {
+			for e.granted.bulk < e.granted.all && (!needed || e.lacksBulk()) && l.counted().bulk < l.settings.bulkLimit() {
+				e.granted.bulk++
+				e.counted = e.counted.max(e.granted)
+				e.changed = true
+			}
 		}
 	}
 }
 
+// contended reports whether a holder needs more than it has.
+func (l *Ledger) contended() bool {
+	return l.unmet(true) != nil || slices.ContainsFunc(l.entries, (*entry).lacksBulk)
+}
+
+func (e *entry) lacksBulk() bool { return e.need-e.needUrgent > e.granted.bulk }
+
 // unmet returns the entry that most needs a slot, or nil. Without free slots for bulk work only urgent needs count.
 func (l *Ledger) unmet(bulk bool) *entry {
 	var best *entry
 	for _, e := range l.entries {
-		if e.need <= e.granted.all || (!bulk && !e.lacksUrgent()) {
+		if e.need <= e.granted.all+e.coming || (!bulk && !e.lacksUrgent()) {
 			continue
 		}
 		if best == nil || needier(e, best) < 0 {
@@ -257,11 +273,11 @@
 	return best
 }
 
-func (e *entry) lacksUrgent() bool { return e.needUrgent > e.granted.all }
+func (e *entry) lacksUrgent() bool { return e.needUrgent > e.granted.all+e.coming }
 
 // needier orders entries that need more: urgent needs first, then by the slots held of the group, then by the time waited.
 func needier(a, b *entry) int {
-	return cmp.Or(compareBool(b.lacksUrgent(), a.lacksUrgent()), cmp.Compare(a.held, b.held),
+	return cmp.Or(compareBool(b.lacksUrgent(), a.lacksUrgent()), cmp.Compare(a.held+a.coming, b.held+b.coming),
 		cmp.Compare(a.waitsSince, b.waitsSince), cmp.Compare(a.from, b.from))
 }
 
@@ -276,28 +292,32 @@
 }
 
 // recall lowers grants of holders that have more than their part while others wait. The slots stay counted until the
-// holders confirm, so that at most as many slots are under recall as are missing.
+// holders confirm. Slots that are already under recall are meant for the entries that need them most, so that no more are
+// recalled than are missing.
 func (l *Ledger) recall(now time.Duration) {
-	var missing, pending uint32
 	for _, e := range l.entries {
-		missing += minus(e.need, e.granted.all)
-		if now < e.expires {
-			pending += minus(e.counted.all, e.granted.all)
+		if now >= e.expires {
+			continue
 		}
-	}
-	for ; missing > pending; pending++ {
-		needy := l.unmet(true)
-		if needy == nil {
-			return
+		for range minus(e.counted.all, e.granted.all) {
+			if needy := l.unmet(true); needy != nil {
+				needy.coming++
+			}
 		}
+	}
+	for needy := l.unmet(true); needy != nil; needy = l.unmet(true) {
 		victim := l.victim(now, needy)
 		if victim == nil {
-			return
+			break
 		}
+		needy.coming++
 		victim.lower()
 		victim.held = minus(victim.held, 1)
 		victim.waitsSince, victim.heldSince = now, now
 	}
+	for _, e := range l.entries {
+		e.coming = 0
+	}
 }
 
 // Reasons to take a slot from a holder, the best one first.
@@ -334,24 +354,24 @@
 		return lessClass
 	case urgentOnly && !needy.lacksUrgent():
 		return noReason
-	case e.held >= needy.held+heldGap:
+	case e.held >= needy.held+needy.coming+heldGap:
 		return overShare
-	case needy.held == 0 && now-e.heldSince >= rotateAfter:
+	case needy.held+needy.coming == 0 && now-e.heldSince >= rotateAfter:
 		return overTime
 	}
 	return noReason
 }
 
 func (l *Ledger) grants(now time.Duration) []Grant {
-	contended := l.unmet(true) != nil
+	contended := l.contended()
 	var out []Grant
 	for _, e := range l.entries {
 		// A holder that does not know that others wait may keep an idle slot that it has not reported.
-		mustTell := e.changed || (contended && !e.told && e.granted.all > 0)
+		mustTell := e.changed || contended != e.told && (e.granted.all > 0 || e.need > 0)
 		if !mustTell || e.former || now >= e.expires {
 			continue
 		}
-		e.changed, e.told = false, contended
+		e.changed, e.told, e.answered = false, contended, now
 		e.round++
 		out = append(out, Grant{
 			Resource: l.resource, To: e.from, Incarnation: e.incarnation, Sequence: e.sequence, Round: e.round,
