--- a/limits/holder.go
+++ b/limits/holder.go
@@ -236,7 +236,7 @@
 		return
 	}
 	for _, p := range l.pending {
-		if p.sequence != g.Sequence || now >= p.sentAt+Term {
+		if p.sequence != g.Sequence {
 			continue
 		}
 		l.accepted, l.contended = g, 0
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -34,7 +34,7 @@
 }
 
 // faults are the probabilities, in percent, that the network and the hosts misbehave in one step.
-type faults struct{ loss, repeat, pause, restart int }
+type faults struct{ loss, repeat, pause, restart, cut int }
 
 type cluster struct {
 	t       *rapid.T
@@ -44,6 +44,7 @@
 	ledgers map[membership.HostID]*Ledger
 	holders []*Holder
 	paused  []time.Duration
+	cut     []time.Duration // until when messages of the holder are lost, both ways
 	lives   []uint64
 	running []work
 	wire    []message
@@ -60,7 +61,7 @@
 	c.side = func(int) membership.HostID { return ledgerHost }
 	for i := range rapid.IntRange(2, 5).Draw(t, "holders") {
 		c.holders = append(c.holders, nil)
-		c.paused = append(c.paused, 0)
+		c.paused, c.cut = append(c.paused, 0), append(c.cut, 0)
 		c.lives = append(c.lives, 0)
 		c.restart(i)
 	}
@@ -82,8 +83,12 @@
 }
 
 func (c *cluster) post(m message) {
+	holder := m.to
+	if m.request != nil {
+		holder = m.from
+	}
 	for range 2 {
-		if !c.chance(c.f.loss) {
+		if !c.chance(c.f.loss) && c.cut[holder-1] < c.now {
 			m.at = c.now + time.Duration(rapid.IntRange(0, 3).Draw(c.t, "delay"))*step
 			if c.chance(c.f.loss) {
 				m.at += time.Duration(rapid.IntRange(1, 15).Draw(c.t, "late")) * 100 * time.Millisecond
@@ -142,6 +147,9 @@
 			c.paused[i] = c.now + time.Duration(rapid.IntRange(1, 300).Draw(c.t, "pause"))*step
 			continue
 		}
+		if c.chance(c.f.cut) {
+			c.cut[i] = c.now + time.Duration(rapid.IntRange(1, 500).Draw(c.t, "cut"))*step
+		}
 		for _, s := range h.Tick(c.now) {
 			c.post(message{request: &s.Request, from: membership.HostID(i + 1), to: s.To})
 		}
@@ -188,15 +196,15 @@
 }
 
 // Guards against a ledger or holder that lets a target get more work than its limit, or bulk work take reserved slots,
-// under message loss, delay, repetition, and pauses and restarts of holders.
+// under message loss, delay, repetition, and pauses, restarts and isolation of holders.
 func TestNoOverrunUnderOneLedger(t *testing.T) {
 	for name, f := range map[string]faults{
 		"calm": {}, "loss": {loss: 30}, "repeat": {loss: 5, repeat: 30}, "pause": {pause: 2}, "restart": {restart: 2},
-		"all": {loss: 20, repeat: 20, pause: 1, restart: 1},
+		"cut": {cut: 2}, "all": {loss: 20, repeat: 20, pause: 1, restart: 1, cut: 1},
 	} {
 		t.Run(name, rapid.MakeCheck(func(t *rapid.T) {
 			c := newCluster(t, f)
-			for range 400 {
+			for range 700 {
 				c.step()
 				if len(c.running) > int(c.limit.Limit) {
 					t.Fatalf("%d pieces of work at a target with %d slots", len(c.running), c.limit.Limit)
@@ -300,4 +308,29 @@
 		got[g.To] = g.Slots
 	}
 	expect("the target is idle", got, map[membership.HostID]uint32{3: 2})
+	// After a partition two holders keep all slots each.
+	ask(now, 3, 2, 2, 2)
+	got = ask(now, 4, 1, 2, 2)
+	if sum := got[3] + got[4]; sum > 2 {
+		t.Fatalf("granted %v of 2 slots", got)
+	}
+}
+
+// Guards against a lease that counts from the arrival of its grant, and against the use of a lease that ended during a
+// pause.
+func TestLeaseCountsFromRequest(t *testing.T) {
+	h := NewHolder(1, 1)
+	h.Set(Resource{ID: resource, Group: 1, Limit: 2, Ledger: ledgerHost})
+	h.Wait(0, 1, Urgent, 2)
+	sent := h.Tick(time.Second)
+	if len(sent) != 1 || sent[0].Request.Need != 2 {
+		t.Fatalf("sent %+v", sent)
+	}
+	h.Granted(time.Second+900*time.Millisecond, ledgerHost, Grant{Resource: resource, To: 1, Incarnation: 1, Sequence: sent[0].Request.Sequence, Round: 1, Slots: 2})
+	if !h.Acquire(time.Second+950*time.Millisecond, resource, Urgent) {
+		t.Fatal("the lease cannot be used")
+	}
+	if h.Acquire(2*time.Second, resource, Urgent) {
+		t.Fatal("the lease is used one term after the request")
+	}
 }
