--- a/admission/controller.go
+++ b/admission/controller.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/limits"
@@ -22,6 +21,7 @@
 	Acquire(now time.Duration, r limits.ResourceID, c limits.Class) bool
 	Release(now time.Duration, r limits.ResourceID, c limits.Class)
 	Wait(now time.Duration, g limits.GroupID, c limits.Class, waiting int)
+	Adopt(r limits.ResourceID, c limits.Class)
 }
 
 var _ Leases = (*limits.Holder)(nil)
@@ -79,7 +79,7 @@
 	}
 	s.budget.request(now)
 	switch {
-	case s.state.Info.Kind == bundle.KindSession:
+	case s.isSession():
 		return c.askSession(now, s, r)
 	case s.slots() == 0:
 		return c.place(now, s, r, resultcode.RefusedNoTarget, nil)
@@ -137,6 +137,21 @@
 	return forward.Verdict{Outcome: forward.Waiting}
 }
 
+// Adopt counts a flow that this balancer took over without asking for it. Done ends it like any other.
+func (c *Controller) Adopt(now time.Duration, id flow.ServiceID, targetID flow.TargetID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[id]
+	if s == nil || s.byID[targetID] == nil {
+		return
+	}
+	t := s.byID[targetID]
+	s.startAt(now, t)
+	if r, limited := s.resource(t); limited && c.leases != nil {
+		c.leases.Adopt(r, s.class)
+	}
+}
+
 // Done implements forward.Admission.
 func (c *Controller) Done(now time.Duration, id flow.ServiceID, targetID flow.TargetID, took time.Duration, refused bool) {
 	c.mu.Lock()
@@ -162,11 +177,8 @@
 	if !t.remove(s, started) || c.leases == nil {
 		return
 	}
-	switch {
-	case s.state.Info.Kind == bundle.KindSession && s.state.Info.Limits.ConnectionsPerTarget > 0:
-		c.leases.Release(now, t.connections, s.class)
-	case s.state.Info.Kind != bundle.KindSession && s.slots() > 0:
-		c.leases.Release(now, t.slots, s.class)
+	if r, limited := s.resource(t); limited {
+		c.leases.Release(now, r, s.class)
 	}
 }
 
@@ -213,11 +225,15 @@
 }
 
 // Observe takes the state of services from a new snapshot. Ask does the same for the service that it is asked for.
-func (c *Controller) Observe(states map[flow.ServiceID]*forward.ServiceState) {
+// Connections are leased ahead from the first Observe on, because a session does not wait for a lease.
+func (c *Controller) Observe(now time.Duration, states map[flow.ServiceID]*forward.ServiceState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range states {
-		c.observe(s)
+	for _, state := range states {
+		s := c.observe(state)
+		if s != nil && c.leases != nil && s.isSession() && s.state.Info.Limits.ConnectionsPerTarget > 0 {
+			c.leases.Wait(now, ConnectionGroup(s.state.Table), s.class, connectionHeadroom*len(s.targets))
+		}
 	}
 }
 
--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/limits"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+func requestOf(state *forward.ServiceState, port uint16) forward.Request {
+	k := flow.NewKey(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port), 1)
+	return forward.Request{Key: k, Hash: k.Hash(), Service: state, View: stateView{state}}
+}
+
+// fill takes every slot and returns the port of the next flow.
+func fill(t *testing.T, c *Controller, state *forward.ServiceState) uint16 {
+	t.Helper()
+	for port := range uint16(targetCount * slotsPerTarget) {
+		if v := c.Ask(0, requestOf(state, port)); v.Outcome != forward.Admitted {
+			t.Fatalf("flow %d: %+v", port, v)
+		}
+	}
+	return targetCount * slotsPerTarget
+}
+
+// Guards against a flow that gets two verdicts or none, a refusal with the wrong reason, and a slot that is lost when a
+// waiting flow is withdrawn.
+func TestVerdicts(t *testing.T) {
+	const ms = time.Millisecond
+	limit := bundle.Limits{SlotsPerTarget: slotsPerTarget}
+	c, state := New(nil), newState("short", bundle.ClassUrgent, 50*ms, limit)
+	next := fill(t, c, state)
+	for range 2 { // the first packet and its repetition
+		if v := c.Ask(0, requestOf(state, next)); v.Outcome != forward.Waiting {
+			t.Fatalf("%+v", v)
+		}
+	}
+	if r := c.Poll(49*ms, nil); len(r) != 0 {
+		t.Fatalf("released before the deadline: %+v", r)
+	}
+	if r := c.Poll(50*ms, nil); len(r) != 1 || r[0].Verdict != (forward.Verdict{Outcome: forward.Refused, Code: resultcode.RefusedDeadline}) {
+		t.Fatalf("at the deadline: %+v", r)
+	}
+	// A withdrawn flow frees its slot, whether it still waits or was admitted and not polled.
+	c.Ask(60*ms, requestOf(state, next+1))
+	c.Ask(60*ms, requestOf(state, next+2))
+	c.Cancel(61*ms, requestOf(state, next+1).Key)
+	c.Done(62*ms, state.Info.ID, state.Table.Targets[0].ID, ms, false)
+	c.Cancel(63*ms, requestOf(state, next+2).Key)
+	if r := c.Poll(64*ms, nil); len(r) != 0 {
+		t.Fatalf("verdict on a withdrawn flow: %+v", r)
+	}
+	if v := c.Ask(65*ms, requestOf(state, next+3)); v != (forward.Verdict{Outcome: forward.Admitted, Target: 0}) {
+		t.Fatalf("the slot of the withdrawn flow: %+v", v)
+	}
+	for i := range state.Targets {
+		state.Targets[i].Eligible = false
+	}
+	if v := c.Ask(66*ms, requestOf(state, next+4)); v.Code != resultcode.RefusedNoTarget {
+		t.Fatalf("without an eligible target: %+v", v)
+	}
+	// Work beyond the burst wait of a service without deadline.
+	c, state = New(nil), newState("short", bundle.ClassBulk, 0, limit)
+	c.Ask(0, requestOf(state, fill(t, c, state)))
+	if r := c.Poll(burstWait, nil); len(r) != 1 || r[0].Verdict.Code != resultcode.RefusedNoSlot {
+		t.Fatalf("after the longest wait: %+v", r)
+	}
+	// Sessions are limited by connections only.
+	c, state = New(nil), newState("session", bundle.ClassUrgent, 0, bundle.Limits{SlotsPerTarget: 1, ConnectionsPerTarget: slotsPerTarget})
+	state.Info.Kind = bundle.KindSession
+	if v := c.Ask(0, requestOf(state, fill(t, c, state))); v.Code != resultcode.RefusedConnections {
+		t.Fatalf("beyond the connection limit: %+v", v)
+	}
+	// Without a limit everything is admitted.
+	c, state = New(nil), newState("short", bundle.ClassBulk, 0, bundle.Limits{})
+	if v := c.Ask(0, requestOf(state, fill(t, c, state))); v.Outcome != forward.Admitted {
+		t.Fatalf("without limit: %+v", v)
+	}
+}
+
+// Guards against a caller prefix that takes the slots of all others, and against refusal of the others in its place.
+func TestCallerFairShare(t *testing.T) {
+	const seed = 1
+	run := func(p parts) (light, heavy float64) {
+		c := New(nil)
+		c.parts = p
+		state := newState("short", bundle.ClassUrgent, 250*time.Millisecond, bundle.Limits{SlotsPerTarget: slotsPerTarget})
+		// Nine prefixes ask for 0.05 of capacity each, and one for 2.5 times capacity.
+		s := newSimulation(seed, c, load{
+			state: state, rate: constant(2.95 * capacity), peak: 2.95 * capacity, mean: workMean, minimum: workMin,
+			callers: func(r *rand.Rand) netip.Addr {
+				x := r.Float64() * 2.95 / 0.05
+				return netip.AddrFrom4([4]byte{127, 1, byte(min(9, x)), byte(r.IntN(256))})
+			},
+		})
+		s.run(20 * time.Second)
+		o := &s.outcomes[0]
+		var answered, refused [2]int
+		for i := range byte(10) {
+			p := netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 1, i, 0}), 24)
+			answered[i/9] += o.answeredBy[p]
+			refused[i/9] += o.refusedBy[p]
+		}
+		part := func(i int) float64 { return float64(answered[i]) / float64(answered[i]+refused[i]) }
+		return part(0), part(1)
+	}
+	light, heavy := run(parts{})
+	lightOff, heavyOff := run(parts{noFairShare: true})
+	t.Logf("seed %d: answered of light prefixes %.3f, of the heavy one %.3f; without fair share %.3f, %.3f", seed, light, heavy, lightOff, heavyOff)
+	if light < 0.99 {
+		t.Errorf("%.3f of the work of prefixes within their share was answered, want 0.99", light)
+	}
+}
+
+// Guards against retries beyond the budget, budgets that never recover, and hedging of work that must not run twice.
+func TestRetryBudgetAndHedge(t *testing.T) {
+	c, state := New(nil), newState("short", bundle.ClassUrgent, 0, bundle.Limits{SlotsPerTarget: slotsPerTarget})
+	id := state.Info.ID
+	for port := range uint16(40) {
+		c.Ask(time.Second, requestOf(state, port))
+		c.Done(time.Second, id, state.Table.Targets[0].ID, 10*time.Millisecond, false)
+	}
+	retries := func(now time.Duration) (n int) {
+		for c.Retry(now, id) {
+			n++
+		}
+		return n
+	}
+	if got := retries(2 * time.Second); got != 4 {
+		t.Errorf("%d retries of 40 requests, want 10%%", got)
+	}
+	if got := retries(12 * time.Second); got != 0 {
+		t.Errorf("%d retries without a request in 10 s", got)
+	}
+	for port := range uint16(100) {
+		c.Ask(13*time.Second, requestOf(state, 100+port))
+	}
+	c.Poll(14*time.Second, nil)
+	if c.Hedge(14*time.Second, id, 5*time.Millisecond) || !c.Hedge(14*time.Second, id, 20*time.Millisecond) {
+		t.Error("want a hedge for work that runs longer than 95% of the answers took")
+	}
+	state.Info.Idempotent = false
+	if c.Hedge(14*time.Second, id, 20*time.Millisecond) {
+		t.Error("hedge of a service that is not idempotent")
+	}
+}
+
+// Guards against data races and against slots that get lost or doubled when several goroutines use one controller.
+func TestConcurrentUse(t *testing.T) {
+	c, state := New(nil), newState("short", bundle.ClassUrgent, 50*time.Millisecond, bundle.Limits{SlotsPerTarget: slotsPerTarget})
+	var polling, workers sync.WaitGroup
+	verdicts, stop := sync.Map{}, make(chan struct{})
+	polling.Go(func() {
+		for now := time.Duration(0); ; now += time.Millisecond {
+			for _, r := range c.Poll(now, nil) {
+				verdicts.Store(r.Key, r.Verdict)
+			}
+			select {
+			case <-stop:
+				return
+			default:
+			}
+		}
+	})
+	for w := range uint16(4) {
+		workers.Go(func() {
+			for i := range uint16(500) {
+				r := requestOf(state, w*1000+i)
+				v := c.Ask(0, r)
+				for v.Outcome == forward.Waiting {
+					if got, found := verdicts.Load(r.Key); found {
+						v = got.(forward.Verdict)
+					}
+				}
+				if v.Outcome == forward.Admitted && i >= 10 {
+					c.Done(0, state.Info.ID, state.Table.Targets[v.Target].ID, 0, false)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	close(stop)
+	polling.Wait()
+	used := 0
+	for _, x := range c.targets {
+		used += x.counts[limits.Urgent]
+		if x.counts[limits.Urgent] > slotsPerTarget {
+			t.Errorf("%d slots of %d in use", x.counts[limits.Urgent], slotsPerTarget)
+		}
+	}
+	if used != 40 {
+		t.Errorf("%d slots in use at the end, want the 40 that were kept", used)
+	}
+}
--- a/admission/service.go
+++ b/admission/service.go
@@ -18,6 +18,9 @@
 	durationWindow = 10 * time.Second
 	// durationLearned is the number of answers from which a service's durations are used.
 	durationLearned = 20
+	// connectionHeadroom is how many free connections of each target are leased ahead. At 2,000 new flows a second over 15
+	// targets it lasts for 240 ms, many times what a lease takes to arrive.
+	connectionHeadroom = 32
 )
 
 // service is what the controller knows of one service.
@@ -110,13 +113,22 @@
 // SlotGroup returns the group of the slots of a table's targets. Services whose tables start at the same address share
 // their targets, and so the group.
 func SlotGroup(t *placement.Table) limits.GroupID {
+	return limits.GroupID(limits.SlotsOf(t.Targets[0].DataCentre, lowestAddr(t)))
+}
+
+// ConnectionGroup returns the group of the connections of a table's targets.
+func ConnectionGroup(t *placement.Table) limits.GroupID {
+	return limits.GroupID(limits.ConnectionsOf(t.Targets[0].DataCentre, lowestAddr(t)))
+}
+
+func lowestAddr(t *placement.Table) netip.Addr {
 	lowest := t.Targets[0].Addr
 	for i := range t.Targets {
 		if t.Targets[i].Addr.Less(lowest) {
 			lowest = t.Targets[i].Addr
 		}
 	}
-	return limits.GroupID(limits.SlotsOf(t.Targets[0].DataCentre, lowest))
+	return lowest
 }
 
 func (s *service) slots() int { return s.state.Info.Limits.SlotsPerTarget }
@@ -125,11 +137,22 @@
 	return slices.ContainsFunc(s.state.Targets, func(t forward.TargetState) bool { return t.Eligible })
 }
 
+func (s *service) isSession() bool { return s.state.Info.Kind == bundle.KindSession }
+
+// resource returns what a flow of the service takes of a target, and whether that is limited.
+func (s *service) resource(t *target) (limits.ResourceID, bool) {
+	if s.isSession() {
+		return t.connections, s.state.Info.Limits.ConnectionsPerTarget > 0
+	}
+	return t.slots, s.slots() > 0
+}
+
 // start records that work starts at the target at position i.
-func (s *service) start(now time.Duration, i int) {
-	t := s.targets[i]
+func (s *service) start(now time.Duration, i int) { s.startAt(now, s.targets[i]) }
+
+func (s *service) startAt(now time.Duration, t *target) {
 	t.inFlight[s]++
-	if s.state.Info.Kind != bundle.KindSession {
+	if !s.isSession() {
 		t.counts[s.class]++
 		t.running = append(t.running, run{s, now})
 	}
--- a/limits/holder.go
+++ b/limits/holder.go
@@ -167,7 +167,17 @@
 	return true
 }
 
-// Release gives back a slot that Acquire took.
+// Adopt counts work that already runs at the target, such as a flow that came from another balancer. It needs no free
+// slot and is given back with Release.
+func (h *Holder) Adopt(r ResourceID, c Class) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.leases[r]; l != nil {
+		l.inUse[c]++
+	}
+}
+
+// Release gives back a slot that Acquire or Adopt took.
 func (h *Holder) Release(_ time.Duration, r ResourceID, c Class) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
