--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -22,6 +22,8 @@
 // compare also runs the baselines and the policy with parts switched off, for the tables of decision 0004.
 var compare = flag.Bool("compare", false, "run baselines and ablations")
 
+var seed = flag.Uint64("seed", 1, "seed of the simulated work")
+
 const (
 	slotsPerTarget = 3
 	targetCount    = 15
@@ -91,6 +93,7 @@
 	speed     func(target int, now time.Duration) float64
 	onDone    func(j *job, latency time.Duration)
 	onRefused func(j *job)
+	counts    func(arrived time.Duration) bool // which work the outcome covers; nil covers all
 	port      uint32
 	ended     flow.Key // the flow that Done is called for
 	overrun   int      // pieces of work that found every slot of their target taken
@@ -166,7 +169,9 @@
 		caller = l.callers(s.random)
 	}
 	j.key = flow.Key{Caller: caller.As16(), CallerPort: uint16(s.port), Endpoint: flow.EndpointID(s.port>>16 + uint32(i)<<20)}
-	s.outcomes[i].offered++
+	if s.counts == nil || s.counts(s.now) {
+		s.outcomes[i].offered++
+	}
 	r := forward.Request{Key: j.key, Hash: j.key.Hash(), Service: l.state, View: stateView{l.state}}
 	v := s.policy.Ask(s.now, r)
 	if v.Outcome == forward.Waiting {
@@ -214,6 +219,9 @@
 func (s *simulation) finish(j *job, takes time.Duration) {
 	l, o := &s.loads[j.load], &s.outcomes[j.load]
 	latency := s.now - j.arrived
+	if s.counts != nil && !s.counts(j.arrived) {
+		o = &outcome{short: o.short, answeredBy: o.answeredBy}
+	}
 	if d := l.state.Info.Deadline; d == 0 || latency <= d {
 		o.inTime++
 		o.useful += takes
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -22,6 +22,9 @@
 	burstWait = standingAfter
 	// maxWaiting bounds the flows that wait in one queue, and with it the memory that callers can make the balancer use.
 	maxWaiting = 4096
+	// bulkServed is how long after bulk work got a slot urgent work is taken to be within capacity. Urgent work that comes
+	// in bursts leaves bulk work no slot for some 100 ms; urgent work above capacity does for good.
+	bulkServed = time.Second
 	// fairQuantum is how many pieces of work callers may differ by before the one with less goes first. Without it the
 	// order among callers with equal demand is arbitrary, and some of their flows wait past the goal.
 	fairQuantum = 4
@@ -121,8 +124,8 @@
 }
 
 // waitLimit returns how long a flow may wait: never so long that an answer of typical duration would be past the
-// deadline, and in a standing queue no longer than the goal. While bulk work still gets slots, urgent work with a deadline
-// waits up to it, because bulk work is to be refused first.
+// deadline, and in a standing queue no longer than the goal. While bulk work still gets slots, urgent work waits until
+// an answer would probably be late, because bulk work is to be refused first.
 func (s *service) waitLimit(now time.Duration, off parts) time.Duration {
 	limit := burstWait
 	if s.queue.standing(now) {
@@ -135,8 +138,8 @@
 	if d == 0 {
 		return limit
 	}
-	if s.class == limits.Urgent && !off.noClasses && s.pool.bulkAt > 0 && now-s.pool.bulkAt < standingAfter {
-		return d - s.typical
+	if s.class == limits.Urgent && !off.noClasses && s.pool.bulkAt > 0 && now-s.pool.bulkAt < bulkServed {
+		return d - max(s.typical, s.late)
 	}
 	return min(limit, d-s.typical)
 }
