--- a/admission/service.go
+++ b/admission/service.go
@@ -18,6 +18,9 @@
 	durationWindow = 10 * time.Second
 	// durationLearned is the number of answers from which a service's durations are used.
 	durationLearned = 20
+	// reportWeight is the weight of a reported load beside the own work in progress. With reports that lag by 5 s, full
+	// weight gives a p99 of answers 1.4 times that with a quarter, and no weight twice that (TestMisleadingReports).
+	reportWeight = 0.25
 	// connectionHeadroom is how many free connections of each target are leased ahead. At 2,000 new flows a second over 15
 	// targets it lasts for 240 ms, many times what a lease takes to arrive.
 	connectionHeadroom = 32
@@ -203,9 +206,10 @@
 	return v.base.Eligible(i) && (v.allowed == nil || v.allowed(i))
 }
 
-// Load implements placement.View. What a target reports lags, so the own work in progress is a lower bound.
+// Load implements placement.View. The own work in progress is exact but covers one balancer only; the report covers all
+// but lags, and balancers that all follow a lagging report move their work to and fro together.
 func (v *loadView) Load(i int) float64 {
-	return max(v.base.Load(i), float64(v.service.targets[i].inFlight[v.service]))
+	return float64(v.service.targets[i].inFlight[v.service]) + reportWeight*v.base.Load(i)
 }
 
 // Share implements placement.View.
