--- a/admission/service.go
+++ b/admission/service.go
@@ -18,6 +18,9 @@
 	durationWindow = 10 * time.Second
 	// durationLearned is the number of answers from which a service's durations are used.
 	durationLearned = 20
+	// reportWeight is the weight of a reported load beside the own work in progress. With reports that lag by 5 s, full
+	// weight gives a p99 of answers 1.4 times that with a quarter, and no weight twice that (TestMisleadingReports).
+	reportWeight = 0.25
 )
 
 // service is what the controller knows of one service.
@@ -111,13 +114,17 @@
 // SlotGroup returns the group of the slots of a table's targets. Services whose tables start at the same address share
 // their targets, and so the group.
 func SlotGroup(t *placement.Table) limits.GroupID {
+	return limits.GroupID(limits.SlotsOf(t.Targets[0].DataCentre, lowestAddr(t)))
+}
+
+func lowestAddr(t *placement.Table) netip.Addr {
 	lowest := t.Targets[0].Addr
 	for i := range t.Targets {
 		if t.Targets[i].Addr.Less(lowest) {
 			lowest = t.Targets[i].Addr
 		}
 	}
-	return limits.GroupID(limits.SlotsOf(t.Targets[0].DataCentre, lowest))
+	return lowest
 }
 
 func (s *service) slots() int { return s.state.Info.Limits.SlotsPerTarget }
@@ -126,11 +133,19 @@
 	return slices.ContainsFunc(s.state.Targets, func(t forward.TargetState) bool { return t.Eligible })
 }
 
+func (s *service) isSession() bool { return s.state.Info.Kind == bundle.KindSession }
+
+// resource returns what a flow of the service takes of a target, and whether it is leased. Connections are not.
+func (s *service) resource(t *target) (limits.ResourceID, bool) {
+	return t.slots, !s.isSession() && s.slots() > 0
+}
+
 // start records that work starts at the target at position i.
-func (s *service) start(now time.Duration, i int) {
-	t := s.targets[i]
+func (s *service) start(now time.Duration, i int) { s.startAt(now, s.targets[i]) }
+
+func (s *service) startAt(now time.Duration, t *target) {
 	t.inFlight[s]++
-	if s.state.Info.Kind != bundle.KindSession {
+	if !s.isSession() {
 		t.counts[s.class]++
 		t.running = append(t.running, run{s, now})
 	}
@@ -181,9 +196,10 @@
 	return v.base.Eligible(i) && (v.allowed == nil || v.allowed(i))
 }
 
-// Load implements placement.View. What a target reports lags, so the own work in progress is a lower bound.
+// Load implements placement.View. The own work in progress is exact but covers one balancer only; the report covers all
+// but lags, and balancers that all follow a lagging report move their work to and fro together.
 func (v *loadView) Load(i int) float64 {
-	return max(v.base.Load(i), float64(v.service.targets[i].inFlight[v.service]))
+	return float64(v.service.targets[i].inFlight[v.service]) + reportWeight*v.base.Load(i)
 }
 
 // Share implements placement.View.
