--- a/bundle/judge_test.go
+++ b/bundle/judge_test.go
@@ -155,6 +155,29 @@
 	}
 }
 
+// Guards against a document that is read otherwise than it is written: numbers cut to whole ones, later documents
+// ignored, addresses that mean something else on every host.
+func TestParseRefuses(t *testing.T) {
+	const service = "{name: a, vni: 16, protocol: tcp, endpoints: [%q], class: bulk, kind: short, idempotent: true, targets: [{address: %q, data_centre: x, weight: %s}]}"
+	for _, tt := range []struct {
+		text string
+		code resultcode.Code
+	}{
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "10.0.0.1:1", "10.1.0.1", "2") + "]", resultcode.OK},
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "10.0.0.1:1", "10.1.0.1", "1.9") + "]", resultcode.BundleInvalidValue},
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "10.0.0.1:1", "10.1.0.1", `"1.9"`) + "]", resultcode.BundleInvalidValue},
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "10.0.0.1:1", "224.0.0.1", "2") + "]", resultcode.BundleInvalidValue},
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "0.0.0.0:1", "10.1.0.1", "2") + "]", resultcode.BundleInvalidValue},
+		{"version: 1\nservices: [" + fmt.Sprintf(service, "[fe80::1%eth0]:1", "10.1.0.1", "2") + "]", resultcode.BundleInvalidValue},
+		{"version: 1\nservices: []\n---\nservices: []", resultcode.BundleSyntax},
+		{"", resultcode.BundleSyntax},
+	} {
+		if _, err := bundle.Parse([]byte(tt.text)); resultcode.Of(err) != tt.code {
+			t.Errorf("%s: got %v, want %v", tt.text, err, tt.code)
+		}
+	}
+}
+
 // Guards against a small change of a large bundle that costs more than 16 KB on the wire.
 func TestDeltaSize(t *testing.T) {
 	older := sign(t, document(7, 11000))
--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
 
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/resultcode"
@@ -58,15 +59,29 @@
 	if decodeCompact(payload, doc) {
 		return nil
 	}
-	err := yaml.NewDecoder(bytes.NewReader(payload), yaml.DisallowUnknownField()).Decode(doc)
-	if err == nil {
-		return nil
+	file, err := parser.ParseBytes(payload, 0)
+	if err != nil {
+		return syntaxError(err)
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return resultcode.Errorf(resultcode.BundleSyntax, "", "%d YAML documents, 1 expected", len(file.Docs))
+	}
+	if err := checkNumbers(file.Docs[0].Body); err != nil {
+		return err
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(nil), yaml.DisallowUnknownField()).DecodeFromNode(file.Docs[0].Body, doc); err != nil {
+		return syntaxError(err)
 	}
+	return nil
+}
+
+func syntaxError(err error) error {
+	code := resultcode.BundleSyntax
 	var unknown *yaml.UnknownFieldError
 	if errors.As(err, &unknown) {
-		return resultcode.Errorf(resultcode.BundleUnknownField, "", "%s", yaml.FormatError(err, false, false))
+		code = resultcode.BundleUnknownField
 	}
-	return resultcode.Errorf(resultcode.BundleSyntax, "", "%s", yaml.FormatError(err, false, false))
+	return resultcode.Errorf(code, "", "%s", yaml.FormatError(err, false, false))
 }
 
 func checkFields(doc *Document) error {
@@ -153,8 +168,8 @@
 func (r *resolver) addEndpoint(info *ServiceInfo, text string) error {
 	field := "services." + info.Name + ".endpoints"
 	addr, err := netip.ParseAddrPort(text)
-	if err != nil || addr.Port() == 0 {
-		return resultcode.Errorf(resultcode.BundleInvalidValue, field, "%q is not allowed: must be address:port", text)
+	if err != nil || addr.Port() == 0 || !routable(addr.Addr()) {
+		return resultcode.Errorf(resultcode.BundleInvalidValue, field, "%q is not allowed: must be address:port with a unicast address without a zone", text)
 	}
 	key := EndpointAddr{Protocol: info.Proto, Addr: netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())}
 	if other := r.bundle.endpoints[key]; other != nil {
@@ -169,11 +184,16 @@
 	return nil
 }
 
+// routable reports whether packets can be sent to addr from every host: a zone names an interface of one host.
+func routable(addr netip.Addr) bool {
+	return addr.Zone() == "" && !addr.IsUnspecified() && !addr.IsMulticast()
+}
+
 func (r *resolver) addTarget(info *ServiceInfo, t *Target) error {
 	field := "services." + info.Name + ".targets"
 	addr, err := netip.ParseAddr(t.Address)
-	if err != nil {
-		return resultcode.Errorf(resultcode.BundleInvalidValue, field, "%q is not an IP address", t.Address)
+	if err != nil || !routable(addr) {
+		return resultcode.Errorf(resultcode.BundleInvalidValue, field, "%q is not allowed: must be a unicast IP address without a zone", t.Address)
 	}
 	addr = addr.Unmap()
 	if other, found := r.targets[addr]; found {
