--- a/rollout/activate.go
+++ b/rollout/activate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
@@ -91,9 +92,11 @@
 	if old.bundle != nil {
 		old.state = c.next(old.state, bundle.EventReplace)
 		c.event("bundle-superseded", old.version(), resultcode.OK, fmt.Sprintf("by %d", c.staged.version()))
+		c.older = slices.Insert(c.older, 0, base{old.sum, old.envelope()})
+		c.older = c.older[:min(len(c.older), maxBases)]
 	}
 	c.staged.state = c.next(c.staged.state, bundle.EventActivate)
-	c.inForce, c.previous, c.staged = c.staged, old, held{}
+	c.inForce, c.staged = c.staged, held{}
 	c.inForceAt = c.now
 	if c.conflict < c.inForce.version() {
 		c.conflict = 0
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/timeline"
@@ -47,6 +48,16 @@
 	keyID  string // key that signed it
 }
 
+// base is an envelope that a delta can build on.
+type base struct {
+	sum      uint64 // xxhash64 of the envelope
+	envelope []byte
+}
+
+// maxBases bounds the earlier envelopes that are kept for deltas, at most 8 MB. At 440 changes a day they let a
+// balancer that was paused for some minutes catch up by a delta.
+const maxBases = 8
+
 // peer is what is known of another balancer.
 type peer struct {
 	member    membership.Member
@@ -78,7 +89,7 @@
 	contact    map[string]time.Duration // last announcement from each other data centre
 	inForce    held
 	staged     held
-	previous   held
+	older      []base        // earlier bundles in force, newest first
 	stagedAt   time.Duration // when the staged bundle was accepted
 	waitsSince time.Duration // when the first of an unbroken row of staged bundles was accepted
 	activateAt time.Duration // deadline of the staged bundle
@@ -91,6 +102,7 @@
 	deltas   map[uint64][]byte              // by sum of the old envelope; all lead to the newest bundle
 	refused  map[DigestPrefix]time.Duration // digests that are not fetched, and until when
 	lastCode resultcode.Code
+	rejected rejected
 	conflict uint64
 }
 
@@ -271,14 +283,15 @@
 	return a
 }
 
-// ahead returns the peer of the data centre with the highest version in force above the own, or 0. The peer with
-// the lowest ID is taken among equals.
+// ahead returns the peer of the data centre with the highest version in force above the own, or 0. Which one is taken
+// among equals differs from balancer to balancer, so that the new flows of all that are behind do not go to one.
 func (c *Core) ahead() membership.HostID {
 	if len(c.local) == 0 {
 		return 0
 	}
 	best := slices.MaxFunc(c.local, func(a, b membership.HostID) int {
-		return cmp.Or(cmp.Compare(c.peers[a].known.InForce, c.peers[b].known.InForce), cmp.Compare(b, a))
+		return cmp.Or(cmp.Compare(c.peers[a].known.InForce, c.peers[b].known.InForce),
+			cmp.Compare(flow.Mix(uint64(a), uint64(c.cfg.Self)), flow.Mix(uint64(b), uint64(c.cfg.Self))))
 	})
 	if c.peers[best].known.InForce > c.inForce.version() {
 		return best
--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -7,7 +7,6 @@
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/membership"
-	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 // ChunkBytes is the largest part of an envelope in one message. It keeps messages below the limit of 64 KiB and lets
@@ -290,23 +289,34 @@
 }
 
 // delta returns a delta to h from the envelope with the checksum, or nil when that envelope is not held or the delta
-// is not shorter than a chunk.
-func (c *Core) delta(base uint64, h held) []byte {
-	if base == 0 {
+// is longer than a chunk.
+func (c *Core) delta(sum uint64, h held) []byte {
+	older := c.base(sum)
+	if older == nil || sum == h.sum {
 		return nil
 	}
-	for _, older := range [...]held{c.inForce, c.previous, c.staged} {
-		if older.bundle == nil || older.sum != base || older.sum == h.sum {
-			continue
-		}
-		key := base ^ h.sum
-		data, found := c.deltas[key]
-		if !found {
-			data = bundle.MakeDelta(older.envelope(), h.envelope())
-			c.deltas[key] = data
+	key := sum ^ h.sum
+	data, found := c.deltas[key]
+	if !found {
+		data = bundle.MakeDelta(older, h.envelope())
+		c.deltas[key] = data
+	}
+	if len(data) > ChunkBytes {
+		return nil
+	}
+	return data
+}
+
+// base returns the held envelope with the checksum, or nil.
+func (c *Core) base(sum uint64) []byte {
+	for _, h := range [...]held{c.inForce, c.staged} {
+		if h.bundle != nil && h.sum == sum {
+			return h.envelope()
 		}
-		if len(data) <= ChunkBytes {
-			return data
+	}
+	for _, b := range c.older {
+		if b.sum == sum {
+			return b.envelope
 		}
 	}
 	return nil
@@ -323,34 +333,3 @@
 		Version: h.version(), Digest: PrefixOf(h.bundle), Sum: h.sum, Index: uint16(index), Count: uint16(count), Bytes: part,
 	}})
 }
-
-// offer judges an envelope, from a peer or with from 0 from the platform, and stages its bundle when it is accepted.
-func (c *Core) offer(envelope []byte, from membership.HostID) resultcode.Code {
-	current := c.newest().bundle
-	v := bundle.Judge(current, envelope, c.cfg.Keys, c.wall.Add(c.now-c.wallAt))
-	switch v.Outcome {
-	case bundle.Accepted:
-		c.stage(held{bundle: v.Bundle, state: c.next(bundle.Chart.Initial(), bundle.EventAccept), sum: xxhash.Sum64(envelope), keyID: v.KeyID})
-	case bundle.Refused:
-		c.refuse(v, from)
-	}
-	return v.Code
-}
-
-func (c *Core) refuse(v bundle.Verdict, from membership.HostID) {
-	code := v.Code
-	if code == resultcode.BundleStaleVersion && from == 0 {
-		code = resultcode.PlatformStale
-	}
-	if code == resultcode.BundleVersionConflict {
-		c.reportConflict(v.Version, from)
-		return
-	}
-	c.reportRefusal(BundleRefused{Version: v.Version, Code: code, Err: v.Err, From: from})
-}
-
-func (c *Core) reportRefusal(r BundleRefused) {
-	c.lastCode = r.Code
-	c.event("bundle-refused", r.Version, r.Code, r.Err.Error())
-	c.emit(r)
-}
--- a/rollout/spread.go
+++ b/rollout/spread.go
@@ -192,9 +192,11 @@
 	if version == c.conflict || version < c.newest().version() {
 		return
 	}
-	c.conflict, c.lastCode = version, resultcode.BundleVersionConflict
-	c.event("bundle-conflict", version, resultcode.BundleVersionConflict, "")
-	c.emit(BundleRefused{Version: version, Code: resultcode.BundleVersionConflict, From: from})
+	c.conflict = version
+	c.reportRefusal(BundleRefused{
+		Version: version, Code: resultcode.BundleVersionConflict, From: from,
+		Err: resultcode.Errorf(resultcode.BundleVersionConflict, "version", "%d exists with two contents", version),
+	})
 	c.announce(c.sample(c.local, fanOut))
 }
 
