--- a/internal/bundlecli/commands.go
+++ b/internal/bundlecli/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
 	"strings"
@@ -63,7 +64,12 @@
 		return err
 	}
 	if s.Out != "-" {
-		s.cli.ok(report{Result: "ok", Version: b.Version, KeyID: s.ID, Bytes: len(envelope)}, ExitOK)
+		signed, err := bundle.DecodeEnvelope(envelope)
+		if err != nil {
+			return err
+		}
+		digest := fmt.Sprintf("%x", sha256.Sum256(signed.Payload))
+		s.cli.ok(report{Result: "ok", Version: b.Version, Digest: digest, KeyID: s.ID, Bytes: len(envelope)}, ExitOK)
 	}
 	return nil
 }
--- a/rollout/network_test.go
+++ b/rollout/network_test.go
@@ -1,10 +1,11 @@
 package rollout
 
 import (
-	"container/heap"
+	"cmp"
 	"crypto/ed25519"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -46,27 +47,11 @@
 
 type message struct {
 	at    time.Duration
-	seq   int
 	to    int
 	epoch int // life of the receiver that it was sent to; -1 for any
 	event Event
 }
 
-type queue []message
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(message)) }
-func (q *queue) Pop() any {
-	old := *q
-	m := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return m
-}
-
 // host is one balancer with what the test observes of it.
 type host struct {
 	member                        membership.Member
@@ -89,8 +74,7 @@
 type network struct {
 	rng             *rand.Rand
 	now             time.Duration
-	seq             int
-	queue           queue
+	queue           []message // in order of arrival
 	hosts           []*host
 	index           map[membership.HostID]int
 	loss, duplicate float64
@@ -136,9 +120,8 @@
 }
 
 func (n *network) post(m message) {
-	n.seq++
-	m.seq = n.seq
-	heap.Push(&n.queue, m)
+	i, _ := slices.BinarySearchFunc(n.queue, m.at+1, func(q message, at time.Duration) int { return cmp.Compare(q.at, at) })
+	n.queue = slices.Insert(n.queue, i, m)
 }
 
 // send loses, delays and repeats a message.
@@ -247,7 +230,8 @@
 		}
 		n.now += stepLength
 		for len(n.queue) > 0 && n.queue[0].at <= n.now {
-			m := heap.Pop(&n.queue).(message)
+			m := n.queue[0]
+			n.queue = n.queue[1:]
 			h := n.hosts[m.to]
 			if h.paused { // its sockets keep what arrives
 				m.at = n.now + stepLength
