--- a/rollout/failure_test.go
+++ b/rollout/failure_test.go
@@ -134,6 +134,48 @@
 	n.within(t, 16, 20*time.Second)
 }
 
+// Guards against a data centre that is cut off and does not show it, changes its version, or stays behind when the
+// first path is back.
+func TestCutOffDataCentre(t *testing.T) {
+	n := settled(t, 8, 8)
+	for v, path := range []string{"peers", "platform"} {
+		version := uint64(v + 6)
+		for _, h := range n.hosts[8:] {
+			h.side = 1
+		}
+		n.platform(false, n.hosts[8:])
+		n.publish(envelope(version, "", 3))
+		n.run(20*time.Second, nil)
+		here, there := n.hosts[0].core.Status(n.now), n.hosts[8].core.Status(n.now)
+		if here.InForce != version || there.InForce != version-1 {
+			t.Fatalf("versions %v", n.versions())
+		}
+		if age := 15 * time.Second; there.SinceRead < age || there.SinceContact["dc0"] < age || here.SinceContact["dc1"] < age {
+			t.Errorf("the cut is not shown: %+v, %+v", here, there)
+		}
+		if path == "peers" {
+			for _, h := range n.hosts[8:] {
+				h.side = 0
+			}
+		} else {
+			n.platform(true, n.hosts[8:])
+		}
+		n.within(t, version, 6*time.Second)
+		n.heal()
+		n.run(5*time.Second, nil)
+	}
+}
+
+// Guards against a version that nobody reads while both readers are dead and not yet declared gone.
+func TestReadersDie(t *testing.T) {
+	n := settled(t, 8)
+	for _, h := range n.hosts {
+		h.down = h.core.isReader()
+	}
+	n.publish(envelope(6, "", 3))
+	n.within(t, 6, 6*time.Second)
+}
+
 // Guards against a host without the newest version that does not know it is behind, or names no peer that is current.
 func TestBehind(t *testing.T) {
 	n := settled(t, 2)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/membership"
 )
 
 // Guards against a version that falls, a version with two contents, and a fleet that stays divided after loss, delay,
@@ -207,12 +208,14 @@
 
 // Guards against a message that stops the control goroutine: a peer's bytes are decoded and handled as they come.
 func FuzzPeerMessage(f *testing.F) {
-	n := newNetwork(1, 3)
-	n.publish(envelope(5, "", 3))
-	n.run(3*time.Second, nil)
-	core, peer := n.hosts[0].core, n.hosts[1].member.ID
+	content := envelope(5, "", 3)
 	f.Add([]byte("\x82\xa1v\x06\xa1s\x06"))
 	f.Fuzz(func(t *testing.T, body []byte) {
+		n := newNetwork(1, 2)
+		core, peer := n.hosts[0].core, n.hosts[1].member.ID
+		core.Handle(0, MemberView{[]membership.Member{n.hosts[1].member}})
+		core.Handle(0, PlatformBundle{"5", content})
+		core.Handle(0, PeerInForce{From: peer, Version: 5})
 		a, r, d := Announcement{}, Request{}, Data{}
 		if msgpack.Unmarshal(body, &a) == nil {
 			a.Host, a.DataCentre = peer, "dc0"
