--- a/bundle/document.go
+++ b/bundle/document.go
@@ -14,17 +14,17 @@
 // MaxEnvelopeBytes is the largest value that the platform's configuration service stores.
 const MaxEnvelopeBytes = 1 << 20
 
-// Document is the YAML form of a bundle.
+// Document is the YAML form of a bundle. The JSON names are those of the compact form and equal the YAML names.
 type Document struct {
-	Version     uint64     `yaml:"version" validate:"min=1"`
-	Description string     `yaml:"description,omitempty"`
-	Activation  Activation `yaml:"activation,omitempty"`
-	Services    []Service  `yaml:"services" validate:"dive"`
+	Version     uint64     `yaml:"version" json:"version" validate:"min=1"`
+	Description string     `yaml:"description,omitempty" json:"description,omitzero"`
+	Activation  Activation `yaml:"activation,omitempty" json:"activation,omitzero"`
+	Services    []Service  `yaml:"services" json:"services" validate:"dive"`
 }
 
 // Activation bounds how long a staged bundle waits for the other balancers of its data centre.
 type Activation struct {
-	MaxStageMS int `yaml:"max_stage_ms,omitempty" validate:"min=0,max=5000"` // milliseconds; 0 means DefaultMaxStage
+	MaxStageMS int `yaml:"max_stage_ms,omitempty" json:"max_stage_ms,omitzero" validate:"min=0,max=5000"` // milliseconds; 0 means DefaultMaxStage
 }
 
 // DefaultMaxStage is how long a staged bundle waits for members that do not report it staged.
@@ -44,46 +44,46 @@
 
 // Service describes one service behind one or more endpoints.
 type Service struct {
-	Name       string    `yaml:"name" validate:"required,max=63,excludesall=0x7C"`
-	VNI        uint32    `yaml:"vni" validate:"min=16,max=16777215"` // Geneve network identifier between balancers and targets
-	Protocol   string    `yaml:"protocol" validate:"oneof=tcp udp"`
-	Endpoints  []string  `yaml:"endpoints" validate:"min=1"` // "address:port"
-	Class      string    `yaml:"class" validate:"oneof=urgent bulk"`
-	Kind       string    `yaml:"kind" validate:"oneof=session short"`
-	Idempotent bool      `yaml:"idempotent"`
-	DeadlineMS int       `yaml:"deadline_ms,omitempty" validate:"min=0,max=3600000"` // milliseconds; 0 means none
-	Limits     Limits    `yaml:"limits,omitempty"`
-	Placement  Placement `yaml:"placement,omitempty"`
-	Retry      Retry     `yaml:"retry,omitempty"`
-	Targets    []Target  `yaml:"targets" validate:"dive"`
+	Name       string    `yaml:"name" json:"name" validate:"required,max=63,excludesall=0x7C"`
+	VNI        uint32    `yaml:"vni" json:"vni" validate:"min=16,max=16777215"` // Geneve network identifier between balancers and targets
+	Protocol   string    `yaml:"protocol" json:"protocol" validate:"oneof=tcp udp"`
+	Endpoints  []string  `yaml:"endpoints" json:"endpoints" validate:"min=1"` // "address:port"
+	Class      string    `yaml:"class" json:"class" validate:"oneof=urgent bulk"`
+	Kind       string    `yaml:"kind" json:"kind" validate:"oneof=session short"`
+	Idempotent bool      `yaml:"idempotent" json:"idempotent"`
+	DeadlineMS int       `yaml:"deadline_ms,omitempty" json:"deadline_ms,omitzero" validate:"min=0,max=3600000"` // milliseconds; 0 means none
+	Limits     Limits    `yaml:"limits,omitempty" json:"limits,omitzero"`
+	Placement  Placement `yaml:"placement,omitempty" json:"placement,omitzero"`
+	Retry      Retry     `yaml:"retry,omitempty" json:"retry,omitzero"`
+	Targets    []Target  `yaml:"targets" json:"targets" validate:"dive"`
 }
 
 // Limits bound what one target of a service is given. Zero means no limit.
 type Limits struct {
-	SlotsPerTarget       int `yaml:"slots_per_target,omitempty" validate:"min=0,max=65535"`
-	ConnectionsPerTarget int `yaml:"connections_per_target,omitempty" validate:"min=0,max=10000000"`
-	ReservedUrgentSlots  int `yaml:"reserved_urgent_slots,omitempty" validate:"min=0,max=65535"`
+	SlotsPerTarget       int `yaml:"slots_per_target,omitempty" json:"slots_per_target,omitzero" validate:"min=0,max=65535"`
+	ConnectionsPerTarget int `yaml:"connections_per_target,omitempty" json:"connections_per_target,omitzero" validate:"min=0,max=10000000"`
+	ReservedUrgentSlots  int `yaml:"reserved_urgent_slots,omitempty" json:"reserved_urgent_slots,omitzero" validate:"min=0,max=65535"`
 }
 
 // Placement selects how new flows are placed on targets.
 type Placement struct {
-	Strategy   string  `yaml:"strategy,omitempty" validate:"omitempty,oneof=hrw bounded p2c leastload"` // default bounded
-	LoadFactor float64 `yaml:"load_factor,omitempty" validate:"omitempty,min=1,max=10"`                 // bounded: limit as a multiple of the mean load; default 1.1
+	Strategy   string  `yaml:"strategy,omitempty" json:"strategy,omitzero" validate:"omitempty,oneof=hrw bounded p2c leastload"` // default bounded
+	LoadFactor float64 `yaml:"load_factor,omitempty" json:"load_factor,omitzero" validate:"omitempty,min=1,max=10"`              // bounded: limit as a multiple of the mean load; default 1.1
 }
 
 // Retry bounds retries of a service.
 type Retry struct {
-	BudgetPercent int `yaml:"budget_percent,omitempty" validate:"min=0,max=100"` // of requests; 0 means no retries
+	BudgetPercent int `yaml:"budget_percent,omitempty" json:"budget_percent,omitzero" validate:"min=0,max=100"` // of requests; 0 means no retries
 }
 
 // Target is one process that does a service's work.
 type Target struct {
-	Address    string `yaml:"address" validate:"ip"`
-	DataCentre string `yaml:"data_centre" validate:"required"`
-	Weight     int    `yaml:"weight,omitempty" validate:"min=0,max=1000"` // default 1
-	Drain      bool   `yaml:"drain,omitempty"`
-	DataPort   int    `yaml:"data_port,omitempty" validate:"min=0,max=65535"`   // Geneve UDP port; default DefaultDataPort
-	HealthPort int    `yaml:"health_port,omitempty" validate:"min=0,max=65535"` // HTTP port of health and load; 0 means no probes
+	Address    string `yaml:"address" json:"address" validate:"ip"`
+	DataCentre string `yaml:"data_centre" json:"data_centre" validate:"required"`
+	Weight     int    `yaml:"weight,omitempty" json:"weight,omitzero" validate:"min=0,max=1000"` // default 1
+	Drain      bool   `yaml:"drain,omitempty" json:"drain,omitzero"`
+	DataPort   int    `yaml:"data_port,omitempty" json:"data_port,omitzero" validate:"min=0,max=65535"`     // Geneve UDP port; default DefaultDataPort
+	HealthPort int    `yaml:"health_port,omitempty" json:"health_port,omitzero" validate:"min=0,max=65535"` // HTTP port of health and load; 0 means no probes
 }
 
 // DefaultDataPort is the UDP port that IANA assigned to Geneve (RFC 8926, section 3.3).
--- a/internal/bundlecli/commands.go
+++ b/internal/bundlecli/commands.go
@@ -99,7 +99,7 @@
 	}
 	var current *bundle.Bundle
 	if v.Current != "" {
-		if current, _, err = v.cli.load(v.Current); err != nil {
+		if current, err = v.cli.loadSigned(v.Current); err != nil {
 			return err
 		}
 	}
--- a/internal/bundlecli/files.go
+++ b/internal/bundlecli/files.go
@@ -110,3 +110,16 @@
 	b, err := bundle.Parse(data)
 	return b, envelope, err
 }
+
+// loadSigned is load with the payload that signing gives, so that a document and its envelope count as the same content.
+func (c *command) loadSigned(path string) (*bundle.Bundle, error) {
+	b, envelope, err := c.load(path)
+	if err != nil || envelope != nil {
+		return b, err
+	}
+	payload, err := bundle.Compact(&b.Document)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.Parse(payload)
+}
