--- a/rollout/spread.go
+++ b/rollout/spread.go
@@ -12,9 +12,6 @@
 // 118 balancers, the size planned for one data centre, are reached in three rounds.
 const fanOut = 8
 
-// repeatFanOut is the number of peers beside the readers that a repeated announcement goes to.
-const repeatFanOut = 3
-
 // repeatInterval is the time between announcements while some peer lacks a change. It leaves a round trip of 100 ms
 // time for the answer.
 const repeatInterval = 200 * time.Millisecond
@@ -22,6 +19,13 @@
 // repeatTime is how long an activation is announced to peers that do not show it. Probes go on after that.
 const repeatTime = 2 * time.Second
 
+// repairDelay is how long after a change the readers leave the others to the announcements that go round. Until then
+// almost everyone seems to lack it.
+const repairDelay = 500 * time.Millisecond
+
+// repairFanOut is the number of peers that a reader tells again at a time.
+const repairFanOut = 4
+
 // replyInterval bounds the announcements in reply to one peer.
 const replyInterval = 100 * time.Millisecond
 
@@ -87,18 +91,28 @@
 	if c.staged.bundle == nil && c.now-c.inForceAt > repeatTime {
 		return
 	}
-	var lacking, readers []membership.HostID
+	var to, lacking []membership.HostID
 	for _, id := range c.local {
-		if c.hasCaughtUp(id) {
-			continue
-		}
-		if slices.Contains(c.readers[:], id) {
-			readers = append(readers, id)
-		} else {
+		switch {
+		case slices.Contains(c.readers[:], id) && c.staged.bundle != nil:
+			to = append(to, id) // a reader may have the bundle and still lack the word that it is staged here
+		case !c.hasCaughtUp(id):
 			lacking = append(lacking, id)
 		}
 	}
-	c.announce(append(readers, c.sample(lacking, repeatFanOut)...))
+	// Only the readers are told of everyone's state, so that only they know who lacks the change.
+	if c.isReader() && c.now-c.changedAt() > repairDelay {
+		to = append(to, c.sample(lacking, repairFanOut)...)
+	}
+	c.announce(to)
+}
+
+// changedAt returns the time of the last change of the staged bundle or the one in force.
+func (c *Core) changedAt() time.Duration {
+	if c.staged.bundle != nil {
+		return c.stagedAt
+	}
+	return c.inForceAt
 }
 
 // hasCaughtUp reports whether a peer shows the state of the newest bundle that this balancer shows.
@@ -123,14 +137,28 @@
 		c.contact[a.DataCentre] = c.now
 	}
 	c.compareContent(a)
-	version, _ := a.newest()
-	behind := version < c.newest().version() || (a.InForce < c.inForce.version() && a.DataCentre == c.cfg.DataCentre)
-	if behind && c.now >= p.nextReply {
+	if (c.lags(a) || c.isAsked(a)) && c.now >= p.nextReply {
 		p.nextReply = c.now + replyInterval
 		c.announce([]membership.HostID{a.Host})
 	}
 }
 
+// lags reports whether the sender of an announcement lacks something that this balancer's announcement tells. That it
+// does not show a version in force is expected for a while after the activation, whose announcement goes round.
+func (c *Core) lags(a Announcement) bool {
+	if version, _ := a.newest(); version < c.newest().version() {
+		return true
+	}
+	return a.InForce < c.inForce.version() && a.DataCentre == c.cfg.DataCentre && c.now-c.inForceAt > repeatInterval
+}
+
+// isAsked reports whether an announcement from a reader that has the same bundles may be the repetition for hosts whose
+// own announcement was lost.
+func (c *Core) isAsked(a Announcement) bool {
+	since := c.now - c.changedAt()
+	return !c.isReader() && slices.Contains(c.readers[:], a.Host) && repairDelay < since && since < repeatTime
+}
+
 // hearRead takes in the age of a read that a peer of the data centre knows of.
 func (c *Core) hearRead(sinceMS int64) {
 	if sinceMS < 0 {
@@ -164,9 +192,11 @@
 	if version == c.conflict || version < c.newest().version() {
 		return
 	}
-	c.conflict, c.lastCode = version, resultcode.BundleVersionConflict
-	c.event("bundle-conflict", version, resultcode.BundleVersionConflict, "")
-	c.emit(BundleRefused{Version: version, Code: resultcode.BundleVersionConflict, From: from})
+	c.conflict = version
+	c.reportRefusal(BundleRefused{
+		Version: version, Code: resultcode.BundleVersionConflict, From: from,
+		Err: resultcode.Errorf(resultcode.BundleVersionConflict, "version", "%d exists with two contents", version),
+	})
 	c.announce(c.sample(c.local, fanOut))
 }
 
