--- a/internal/experiment/bundles.go
+++ b/internal/experiment/bundles.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	r.reportBundles(&o, watch.stop())
-	return nil
+	return r.smallChanges(ctx)
 }
 
 func (r *Run) reportBundles(o *outcome, w *versionWatch) {
--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -8,11 +8,11 @@
 	"github.com/marigoldwood/marigoldwood/internal/standin/caller"
 )
 
-// Sizes of the demo. Each claims target works on two requests at once; a request takes demoWork.
+// Sizes of the demo. At the crest a request takes demoWork, so that the four targets with two slots can answer 2,000 a
+// second.
 const (
 	demoSessions  = 600
 	demoWork      = 4 * time.Millisecond
-	demoSlots     = 2
 	demoRate      = 300.0 // requests a second outside the crest
 	demoCrest     = 6     // the crest as a multiple of demoRate
 	demoDeadline  = 500   // ms
@@ -23,9 +23,7 @@
 
 // demo shows a deployment at work: sessions and requests while a target drains and a balancer is replaced.
 func demo(ctx context.Context, r *Run) error {
-	claims := Claims()
-	claims.Limits.SlotsPerTarget = demoSlots
-	d, err := r.deploy(ctx, Options{Balancers: 3, Services: []Service{Rounds(), claims}})
+	d, err := r.deploy(ctx, Options{Balancers: 3, Services: []Service{Rounds(), Claims()}})
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/services.go
+++ b/internal/experiment/services.go
@@ -20,15 +20,18 @@
 // firstVNI is the Geneve network identifier of the first service.
 const firstVNI = 101
 
-// connectionLimit is the connection limit of today's targets.
-const connectionLimit = 2000
+// Limits of today's targets.
+const (
+	todaySlots      = 2
+	connectionLimit = 2000
+)
 
 // Rounds is a session service of today's size: 15 targets with 2 slots.
 func Rounds() Service {
 	return Service{
 		Service: bundle.Service{
 			Name: "rounds", Protocol: "tcp", Class: bundle.ClassUrgent, Kind: bundle.KindSession,
-			Limits: bundle.Limits{ConnectionsPerTarget: connectionLimit},
+			Limits: bundle.Limits{SlotsPerTarget: todaySlots, ConnectionsPerTarget: connectionLimit},
 		},
 		Count: 15, Work: target.Work{ShortMicros: 500},
 	}
@@ -39,6 +42,7 @@
 	return Service{
 		Service: bundle.Service{
 			Name: "claims", Protocol: "udp", Class: bundle.ClassBulk, Kind: bundle.KindShort,
+			Limits: bundle.Limits{SlotsPerTarget: todaySlots, ConnectionsPerTarget: connectionLimit},
 		},
 		Count: 4, Work: target.Work{ShortMicros: 1000},
 	}
