--- a/internal/experiment/balancer.go
+++ b/internal/experiment/balancer.go
@@ -47,6 +47,23 @@
 	return get[Status](ctx, d.ports.at(b.Address, portOperator), "/status")
 }
 
+// Explanation is the part of a balancer's explanation of a flow that the experiments use.
+type Explanation struct {
+	Owner   string `json:"owner"`
+	Backup  string `json:"backup"`
+	Role    string `json:"role"`
+	Target  string `json:"target"`
+	Default string `json:"default"`
+	Known   bool   `json:"known"`
+	Rule    string `json:"rule"`
+}
+
+// Explain asks a balancer where a flow goes. The protocol is tcp or udp.
+func (d *Deployment) Explain(ctx context.Context, b *Balancer, protocol string, caller, endpoint netip.AddrPort) (Explanation, error) {
+	flow := fmt.Sprintf("%s,%s,%s", protocol, caller, endpoint)
+	return get[Explanation](ctx, d.ports.at(b.Address, portOperator), "/explain"+query("flow", flow))
+}
+
 // launch starts the process of a balancer.
 func (d *Deployment) launch(b *Balancer) error {
 	settings, err := d.writeSettings(b)
--- a/internal/experiment/partition.go
+++ b/internal/experiment/partition.go
@@ -122,7 +122,13 @@
 		}
 		r.Report.AtMost("most requests at one target, in a partition", most, sides*ingestSlots, fmt.Sprintf("with %d slots", ingestSlots))
 	}
-	return r.conclude(ctx)
+	o, err := r.finish(ctx, 15*time.Second)
+	if err != nil {
+		return err
+	}
+	r.Report.Show("requests without a whole answer", float64(o.brokenRequests()), fmt.Sprintf("of %d", o.requests()))
+	r.safety(&o)
+	return nil
 }
 
 // overruns returns the number of requests that found all slots of their target in use, and the most at one target.
