--- a/internal/standin/fabric/fabric_test.go
+++ b/internal/standin/fabric/fabric_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/marigoldwood/marigoldwood/internal/standin/platform"
 	"github.com/marigoldwood/marigoldwood/internal/standin/process"
 	"github.com/marigoldwood/marigoldwood/internal/standin/wire"
 )
@@ -123,6 +127,33 @@
 	}
 }
 
+// Guards against a fabric that keeps sending to balancers that the host list no longer shows as live.
+func TestFollowHostList(t *testing.T) {
+	var leaving atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		hosts := []platform.Host{
+			{Address: balancers[0].String(), State: "live"}, {Address: targetAt.String(), State: "live"}, {Address: balancers[1].String(), State: "live"},
+		}
+		if leaving.Load() {
+			hosts[2].State = "leaving"
+		}
+		process.WriteJSON(w, hosts)
+	}))
+	defer server.Close()
+	f := New(Options{Platform: server.Listener.Addr().String(), LagMS: 50, Balancers: process.Prefix{Prefix: netip.MustParsePrefix("127.62.10.0/24")}}, process.NewLog("fabric"))
+	go f.follow(t.Context())
+	for _, want := range []int{2, 1} {
+		leaving.Store(want == 1)
+		end := time.Now().Add(5 * time.Second)
+		for len(*f.live.Load()) != want {
+			if time.Now().After(end) {
+				t.Fatalf("live balancers %v, want %d", *f.live.Load(), want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
 // BenchmarkForward measures the packets that pass the fabric from callers to balancers. Packets that the sender offers
 // too fast are lost in socket buffers and do not count.
 func BenchmarkForward(b *testing.B) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -136,18 +136,30 @@
 	if !process.ReadJSON(w, r, &b) {
 		return
 	}
-	address := r.URL.Query().Get("target")
-	found := false
-	for _, n := range p.nodes {
-		if address == "" || n.spec.Address.String() == address {
-			found = true
-			n.SetBehaviour(b)
-			n.log.WithFields(logrus.Fields{"event": "behaviour", "drain": b.Drain, "leaving": b.Leaving, "shed": strconv.Quote(b.Shed)}).Info("behaviour")
+	var address netip.Addr
+	if text := r.URL.Query().Get("target"); text != "" {
+		var err error
+		if address, err = netip.ParseAddr(text); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
 		}
 	}
-	if !found {
+	if !p.SetBehaviour(address, b) {
 		http.Error(w, "no such target", http.StatusNotFound)
 		return
 	}
 	process.Done(w)
 }
+
+// SetBehaviour replaces the behaviour of the target at the address, or of all when it is not valid. It reports whether
+// there is such a target.
+func (p *Process) SetBehaviour(address netip.Addr, b Behaviour) (found bool) {
+	for _, n := range p.nodes {
+		if !address.IsValid() || n.spec.Address == address {
+			found = true
+			n.SetBehaviour(b)
+			n.log.WithFields(logrus.Fields{"event": "behaviour", "drain": b.Drain, "leaving": b.Leaving, "shed": strconv.Quote(b.Shed)}).Info("behaviour")
+		}
+	}
+	return found
+}
