--- /dev/null
+++ b/internal/experiment/measure_test.go
@@ -0,0 +1,72 @@
+package experiment
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/internal/standin/caller"
+	"github.com/marigoldwood/marigoldwood/internal/standin/target"
+)
+
+// Guards against figures that are computed wrongly, which would let a missed goal pass.
+func TestFigures(t *testing.T) {
+	hundred := make([]float64, 100)
+	for i := range hundred {
+		hundred[i] = float64(i + 1)
+	}
+	targets := []target.Counters{
+		{Service: "a", Address: "1", Connections: 10}, {Service: "a", Address: "2", Connections: 20},
+		{Service: "a", Address: "3", Connections: 0}, {Service: "b", Address: "4", Connections: 99},
+	}
+	points := []point{{X: 1, usage: usage{CPU: 5}}, {X: 2, usage: usage{CPU: 7}}, {X: 4, usage: usage{CPU: 11}}}
+	base, slope := fit(points, func(u *usage) float64 { return u.CPU })
+	load := caller.LoadResult{SlotMS: 100}
+	for range 30 {
+		load.Slots = append(load.Slots, caller.Slot{Offered: 10, InTime: 5, Goodput: 8})
+	}
+	tests := []struct {
+		name      string
+		got, want float64
+	}{
+		{"p99 of 100 values", quantile(hundred, 0.99), 99},
+		{"maximum", quantile(hundred, 1), 100},
+		{"quantile of nothing", quantile(nil, 0.99), 0},
+		{"imbalance", imbalance(targets, "a"), 2},
+		{"imbalance without a leaving target", imbalance(targets, "a", "3"), 4.0 / 3},
+		{"line at 0", base, 3},
+		{"slope", slope, 2},
+		{"goodput", goodput(&load, 1, 2), 80},
+		{"part in time", inTime(&load, 1, 2), 0.5},
+	}
+	for _, tt := range tests {
+		if math.Abs(tt.got-tt.want) > 1e-9 {
+			t.Errorf("%s: %v, want %v", tt.name, tt.got, tt.want)
+		}
+	}
+}
+
+// Guards against reverts and late versions that the watch does not see.
+func TestVersionWatch(t *testing.T) {
+	published := time.UnixMilli(1_000_000)
+	w := &versionWatch{last: make(map[string]uint64), seen: make(map[string]map[uint64]time.Time)}
+	note := func(name string, version uint64, afterMS int64) {
+		s := Status{}
+		s.Bundle.InForce, s.Bundle.InForceUnixMS = version, published.UnixMilli()+afterMS
+		w.note(name, &s)
+	}
+	note("b1", 1, -500)
+	note("b2", 1, -500)
+	note("b1", 2, 200)
+	if got := w.slowest(2, published); got != -1 {
+		t.Errorf("in force after %v s although b2 does not have it", got)
+	}
+	note("b2", 3, 700) // a newer version counts
+	if got := w.slowest(2, published); got != 0.7 {
+		t.Errorf("in force after %v s, want 0.7", got)
+	}
+	note("b2", 2, 900)
+	if w.reverts != 1 {
+		t.Errorf("%d reverts, want 1", w.reverts)
+	}
+}
