--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -133,6 +133,7 @@
 	r.Report.Figures["calls"] = o.Calls
 	r.Report.Figures["targets"] = o.Targets
 	r.Report.Figures["runs"] = o.Runs
+	r.Report.Figures["false_refusals"] = o.FalseRefusals
 	r.Report.Figures["status"] = o.Statuses
 	if fabric, err := d.Fabric(ctx); err == nil {
 		r.Report.Figures["fabric"] = fabric
