--- a/internal/experiment/partition.go
+++ b/internal/experiment/partition.go
@@ -54,7 +54,7 @@
 	if err := d.SetFabric(ctx, fabric.Config{Mode: mode}); err != nil {
 		return err
 	}
-	if err := r.background(ctx); err != nil {
+	if err := r.background(ctx, backgroundRate); err != nil {
 		return err
 	}
 	if err := d.SetPlatform(ctx, platform.Faults{Down: true}); err != nil {
@@ -122,7 +122,13 @@
 		}
 		r.Report.AtMost("most requests at one target, in a partition", most, sides*ingestSlots, fmt.Sprintf("with %d slots", ingestSlots))
 	}
-	return r.conclude(ctx)
+	o, err := r.finish(ctx, 15*time.Second)
+	if err != nil {
+		return err
+	}
+	r.Report.Show("requests without a whole answer", float64(o.brokenRequests()), fmt.Sprintf("of %d", o.requests()))
+	r.safety(&o)
+	return nil
 }
 
 // overruns returns the number of requests that found all slots of their target in use, and the most at one target.
