--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -52,3 +52,31 @@
 		})
 	}
 }
+
+// BenchmarkScan measures the passes over 500,000 flows that a change of targets or of owners needs. They hold up the
+// traffic goroutines by one shard at a time.
+func BenchmarkScan(b *testing.B) {
+	const flows = 500_000
+	s := testSnapshot(testBundle(b, 1, tcpSession, udpShort))
+	e := NewEngine(Config{Flows: 600_000})
+	e.Publish(s)
+	openFlows(b, e, flows)
+	fewer := tcpSession
+	fewer.targets = fewer.targets[1:]
+	next := testSnapshot(testBundle(b, 2, fewer, udpShort))
+	b.Run("rebase", func(b *testing.B) {
+		for b.Loop() {
+			e.Rebase(s, next)
+		}
+	})
+	b.Run("collect", func(b *testing.B) {
+		for b.Loop() {
+			e.Collect(0, 1) // an owned bucket: nothing is removed
+		}
+	})
+	b.Run("sweep", func(b *testing.B) {
+		for b.Loop() {
+			e.Sweep(10*time.Minute, nil)
+		}
+	})
+}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -362,6 +362,9 @@
 		return true, q.sender
 	}
 	if a := e.ahead.Load(); a != nil && a.version > q.st.version {
+		if q.st.peers[a.peer] == nil { // it has left meanwhile
+			return true, q.st.CurrentPeer
+		}
 		return true, a.peer
 	}
 	return q.st.Behind, q.st.CurrentPeer
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -18,6 +18,7 @@
 	RuleException Rule = "exception"  // the flow table holds the flow, off its default target
 	RuleWaiting   Rule = "waiting"    // the flow waits for admission
 	RuleDefault   Rule = "default"    // no entry: a running flow would be adopted on its default target
+	RuleBase      Rule = "base"       // no entry: a running flow would be adopted on its default by an earlier bundle
 	RulePlacement Rule = "placement"  // no entry: a new flow would be placed by the strategy
 	RuleReset     Rule = "reset"      // no entry: a running connection would be reset
 	RulePeer      Rule = "peer"       // another balancer decides
@@ -68,13 +69,17 @@
 	if e.explainEntry(st, now, k, hash, &x) {
 		return x
 	}
+	t, earlier := st.earlierTarget(sv, b, hash)
 	switch {
 	case sv.Info.Proto == flow.UDP:
 		x.Rule = RulePlacement
-	case d == nil || !state.InSync && !sv.Info.Idempotent:
+	case t == nil || !state.InSync && !sv.Info.Idempotent:
 		x.Rule = RuleReset
 	default:
-		x.Rule, x.TargetID, x.Target = RuleDefault, d.id, d.addr
+		x.Rule, x.TargetID, x.Target = RuleDefault, t.id, t.addr
+		if earlier {
+			x.Rule = RuleBase
+		}
 	}
 	return x
 }
--- a/forward/moves.go
+++ b/forward/moves.go
@@ -11,6 +11,7 @@
 // packets that the earlier one forwarded to default targets, of which there are no copies.
 type moves struct {
 	pending atomic.Bool
+	last    atomic.Int64                        // when a bucket last moved, nanoseconds
 	at      [ownership.BucketCount]atomic.Int64 // nanoseconds; 0: never, movePending: not stamped yet
 }
 
@@ -27,11 +28,20 @@
 	if !m.pending.Swap(false) {
 		return
 	}
+	m.last.Store(int64(now))
 	for b := range m.at {
 		m.at[b].CompareAndSwap(movePending, max(int64(now), 1))
 	}
 }
 
+// settleTime is twice the time for which sweeps keep entries of buckets that have moved away.
+const settleTime = 2 * foreignIdleMS * time.Millisecond
+
+// settled reports whether sweeps have had the time to remove every entry that a move has made invalid.
+func (m *moves) settled(now time.Duration) bool {
+	return !m.pending.Load() && now-time.Duration(m.last.Load()) > settleTime
+}
+
 // recent reports whether the bucket moved within takeoverWindow.
 func (m *moves) recent(b ownership.Bucket, now time.Duration) bool {
 	at := m.at[b].Load()
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -36,8 +36,12 @@
 		return dst
 	}
 	nowMS := uint32(now.Milliseconds())
+	settled := e.moves.settled(now)
 	e.table.Sweep(sweepParts, func(en *flow.Entry) bool {
 		en.HoldAge(nowMS)
+		if settled && !en.Expired(nowMS) && !en.Has(flow.FlagSilent) && en.State() != flow.Deferred {
+			return true // most entries; hashing their keys would take most of the time of a sweep
+		}
 		k := en.Key()
 		hash := k.Hash()
 		b := ownership.BucketOf(hash)
