--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -69,26 +69,16 @@
 
 // testSnapshot returns a snapshot in which this balancer owns every bucket in sync and every target is eligible.
 func testSnapshot(b *bundle.Bundle) *Snapshot {
-	s := &Snapshot{
-		Self: hostSelf, Incarnation: 5, DataCentre: testDC, Bundle: b,
-		Map:         ownership.Build([]membership.HostID{hostSelf, hostPeer}),
-		Buckets:     new([ownership.BucketCount]BucketState),
-		Peers:       map[membership.HostID]netip.AddrPort{hostPeer: peerAddr, hostThird: thirdAddr},
-		PeerAddrs:   map[netip.Addr]membership.HostID{peerAddr.Addr(): hostPeer, thirdAddr.Addr(): hostThird},
-		Services:    make(map[flow.ServiceID]*ServiceState),
-		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
-		Retired:     make(map[flow.TargetID]RetiredTarget),
-	}
-	for i := range s.Buckets {
-		s.Buckets[i] = BucketState{Role: RoleOwner, InSync: true}
-	}
-	for _, info := range b.ServiceInfos() {
-		ss := &ServiceState{Info: info, Table: placement.NewTable(info, testDC)}
-		for _, t := range ss.Table.Targets {
-			ss.Targets = append(ss.Targets, TargetState{Eligible: true, Usable: true, Share: 1})
-			s.TargetAddrs[t.Addr] = info
+	s := NewSnapshot(b, testDC)
+	s.Self, s.Incarnation = hostSelf, 5
+	s.Map = ownership.Build([]membership.HostID{hostSelf, hostPeer})
+	s.Peers[hostPeer], s.Peers[hostThird] = peerAddr, thirdAddr
+	s.PeerAddrs[peerAddr.Addr()], s.PeerAddrs[thirdAddr.Addr()] = hostPeer, hostThird
+	setRole(s, BucketState{Role: RoleOwner, InSync: true})
+	for _, ss := range s.Services {
+		for i := range ss.Targets {
+			ss.Targets[i] = TargetState{Eligible: true, Usable: true, Share: 1}
 		}
-		s.Services[info.ID] = ss
 	}
 	return s
 }
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -73,6 +73,28 @@
 	Stopping    bool                               // a graceful shutdown is under way
 }
 
+// NewSnapshot returns a snapshot with the services of a bundle and their targets in a data centre. The targets are
+// neither eligible nor usable, and the buckets have no owner, until the caller fills them in.
+func NewSnapshot(b *bundle.Bundle, dataCentre string) *Snapshot {
+	s := &Snapshot{
+		DataCentre: dataCentre, Bundle: b,
+		Buckets:     new([ownership.BucketCount]BucketState),
+		Peers:       make(map[membership.HostID]netip.AddrPort),
+		PeerAddrs:   make(map[netip.Addr]membership.HostID),
+		Services:    make(map[flow.ServiceID]*ServiceState),
+		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
+		Retired:     make(map[flow.TargetID]RetiredTarget),
+	}
+	for _, info := range b.ServiceInfos() {
+		table := placement.NewTable(info, dataCentre)
+		s.Services[info.ID] = &ServiceState{Info: info, Table: table, Targets: make([]TargetState, len(table.Targets))}
+		for i := range table.Targets {
+			s.TargetAddrs[table.Targets[i].Addr] = info
+		}
+	}
+	return s
+}
+
 // RetiredTarget is a target that is no longer in the bundle. It gets packets of running flows only.
 type RetiredTarget struct {
 	Addr     netip.Addr
--- a/internal/dataplane/bench_test.go
+++ b/internal/dataplane/bench_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/gopacket/gopacket/layers"
 	"golang.org/x/sys/unix"
 
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -76,11 +75,11 @@
 	for i := range flows {
 		source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), 4000)
 		var parsed forward.Packet
-		packet.Parse(inner(b, flow.TCP, source, endpoint, syn), &parsed)
+		packet.Parse(inner(flow.TCP, source, endpoint, forward.SYN), &parsed)
 		p.engine.FromCaller(0, &parsed)
-		packet.Parse(inner(b, flow.TCP, endpoint, source, func(s *layers.TCP) { s.SYN, s.ACK = true, true }), &parsed)
+		packet.Parse(inner(flow.TCP, endpoint, source, forward.SYN|forward.ACK), &parsed)
 		p.engine.FromTarget(0, &parsed, p.target.addr.Addr(), testVNI)
-		data := inner(b, flow.TCP, source, endpoint, ack)
+		data := inner(flow.TCP, source, endpoint, forward.ACK)
 		packet.Parse(data, &parsed)
 		p.engine.FromCaller(0, &parsed)
 		out = append(out, encapsulate(geneve.Header{VNI: geneve.VNICaller}, data))
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/gopacket/gopacket/layers"
-
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/forward"
@@ -21,24 +19,21 @@
 
 var caller = netip.MustParseAddrPort("192.0.2.1:4000")
 
-func syn(s *layers.TCP) { s.SYN = true }
-func ack(s *layers.TCP) { s.ACK = true }
-
 // Guards against a packet that changes on its way, or leaves on the wrong leg.
 func TestForward(t *testing.T) {
 	p := newPlane(t, nil)
 	p.start(t)
-	request := inner(t, flow.TCP, caller, endpoint, syn)
+	request := inner(flow.TCP, caller, endpoint, forward.SYN)
 	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, request)
 	if h, _, got := receive(t, p.target); h.VNI != testVNI || !bytes.Equal(got, request) {
 		t.Fatalf("the target got %x with %+v", got, h)
 	}
-	answer := inner(t, flow.TCP, endpoint, caller, func(s *layers.TCP) { s.SYN, s.ACK = true, true })
+	answer := inner(flow.TCP, endpoint, caller, forward.SYN|forward.ACK)
 	p.send(t, p.target, geneve.Header{VNI: testVNI}, answer)
 	if h, _, got := receive(t, p.fabric); h.VNI != geneve.VNICaller || !bytes.Equal(got, answer) {
 		t.Fatalf("the fabric got %x with %+v", got, h)
 	}
-	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, inner(t, flow.UDP, caller, endpoint, nil))
+	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, inner(flow.UDP, caller, endpoint, 0))
 	if _, _, got := receive(t, p.fabric); got[9] != 1 || got[20] != 3 || got[21] != 13 {
 		t.Fatalf("a refused datagram was answered with %x", got)
 	}
@@ -56,7 +51,7 @@
 	}
 	p.engine.Publish(&next)
 	p.start(t)
-	request := inner(t, flow.TCP, caller, endpoint, ack)
+	request := inner(flow.TCP, caller, endpoint, forward.ACK)
 	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, request)
 	h, _, got := receive(t, p.peer)
 	want := forward.PeerInfo{Version: 1, Incarnation: 1, Hops: 1, Direction: forward.ToTarget, VNI: testVNI}
@@ -75,7 +70,7 @@
 	p := newPlane(t, nil)
 	p.tick.Store(-int64(time.Second))
 	p.start(t)
-	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, inner(t, flow.TCP, caller, endpoint, syn))
+	p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, inner(flow.TCP, caller, endpoint, forward.SYN))
 	waitFor(t, "a fenced packet", func() bool { return p.codeCount(resultcode.PacketFenced) == 1 })
 	if p.engine.Flows() != 0 {
 		t.Error("a flow was placed while fenced")
@@ -117,7 +112,7 @@
 		1: {Outcome: forward.Admitted}, 2: {Outcome: forward.Refused, Code: resultcode.RefusedNoSlot},
 	} {
 		source := netip.AddrPortFrom(caller.Addr(), port)
-		request := inner(t, flow.TCP, source, endpoint, syn)
+		request := inner(flow.TCP, source, endpoint, forward.SYN)
 		p.send(t, p.fabric, geneve.Header{VNI: geneve.VNICaller}, request)
 		k := flow.NewKey(source, id)
 		waitFor(t, "the flow to wait", func() bool { return p.engine.Waits(k) })
--- a/internal/dataplane/fixture_test.go
+++ b/internal/dataplane/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/netip"
@@ -9,9 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/gopacket/gopacket"
-	"github.com/gopacket/gopacket/layers"
-
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/forward"
@@ -19,7 +17,6 @@
 	"github.com/marigoldwood/marigoldwood/internal/packet"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
-	"github.com/marigoldwood/marigoldwood/placement"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -54,24 +51,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &forward.Snapshot{
-		Self: 1, Incarnation: 1, DataCentre: "dc", Bundle: b, Map: ownership.Build([]membership.HostID{1, 2}),
-		Buckets:     new([ownership.BucketCount]forward.BucketState),
-		Peers:       map[membership.HostID]netip.AddrPort{2: peer},
-		PeerAddrs:   map[netip.Addr]membership.HostID{peer.Addr(): 2},
-		Services:    make(map[flow.ServiceID]*forward.ServiceState),
-		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
-	}
+	s := forward.NewSnapshot(b, "dc")
+	s.Self, s.Incarnation, s.Map = 1, 1, ownership.Build([]membership.HostID{1, 2})
+	s.Peers[2], s.PeerAddrs[peer.Addr()] = peer, 2
 	for i := range s.Buckets {
 		s.Buckets[i] = forward.BucketState{Role: forward.RoleOwner, InSync: true}
 	}
-	for _, info := range b.ServiceInfos() {
-		ss := &forward.ServiceState{Info: info, Table: placement.NewTable(info, "dc")}
-		for _, x := range ss.Table.Targets {
-			ss.Targets = append(ss.Targets, forward.TargetState{Eligible: true, Usable: true, Share: 1})
-			s.TargetAddrs[x.Addr] = info
+	for _, ss := range s.Services {
+		for i := range ss.Targets {
+			ss.Targets[i] = forward.TargetState{Eligible: true, Usable: true, Share: 1}
 		}
-		s.Services[info.ID] = ss
 	}
 	return s
 }
@@ -116,22 +105,20 @@
 	})
 }
 
-// inner returns a TCP or UDP packet from source to destination.
-func inner(t testing.TB, protocol flow.Protocol, source, destination netip.AddrPort, edit func(*layers.TCP)) []byte {
-	ip := &layers.IPv4{
-		Version: 4, TTL: 64, Protocol: layers.IPProtocol(protocol), SrcIP: source.Addr().AsSlice(), DstIP: destination.Addr().AsSlice(),
-	}
-	var transport gopacket.SerializableLayer = &layers.UDP{SrcPort: layers.UDPPort(source.Port()), DstPort: layers.UDPPort(destination.Port())}
-	if protocol == flow.TCP {
-		s := &layers.TCP{SrcPort: layers.TCPPort(source.Port()), DstPort: layers.TCPPort(destination.Port()), Seq: 1, Ack: 1}
-		edit(s)
-		transport = s
-	}
-	buffer := gopacket.NewSerializeBuffer()
-	if err := gopacket.SerializeLayers(buffer, gopacket.SerializeOptions{FixLengths: true}, ip, transport); err != nil {
-		t.Fatal(err)
+// inner returns an IPv4 packet with a TCP or UDP header; flags are those of TCP. Nothing here reads checksums.
+func inner(protocol flow.Protocol, source, destination netip.AddrPort, flags forward.TCPFlags) []byte {
+	b := make([]byte, 40)
+	b[0], b[3], b[8], b[9] = 0x45, 40, 64, byte(protocol)
+	copy(b[12:], source.Addr().AsSlice())
+	copy(b[16:], destination.Addr().AsSlice())
+	binary.BigEndian.PutUint16(b[20:], source.Port())
+	binary.BigEndian.PutUint16(b[22:], destination.Port())
+	if protocol == flow.UDP {
+		b[25] = 20 // length
+		return b
 	}
-	return buffer.Bytes()
+	b[27], b[31], b[32], b[33] = 1, 1, 0x50, byte(flags) // sequence number, acknowledgement, header length
+	return b
 }
 
 func encapsulate(h geneve.Header, inner []byte) []byte {
--- a/internal/dataplane/spread_test.go
+++ b/internal/dataplane/spread_test.go
@@ -7,6 +7,7 @@
 	"golang.org/x/net/bpf"
 
 	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/internal/geneve"
 )
 
@@ -25,8 +26,8 @@
 	var count [workers]int
 	for i := range flows {
 		source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(i % 8)}), uint16(30000+i/8))
-		there, err := vm.Run(encapsulate(geneve.Header{VNI: 1}, inner(t, flow.TCP, source, endpoint, ack)))
-		back, backErr := vm.Run(encapsulate(geneve.Header{VNI: 2, HasPeer: true}, inner(t, flow.TCP, endpoint, source, ack)))
+		there, err := vm.Run(encapsulate(geneve.Header{VNI: 1}, inner(flow.TCP, source, endpoint, forward.ACK)))
+		back, backErr := vm.Run(encapsulate(geneve.Header{VNI: 2, HasPeer: true}, inner(flow.TCP, endpoint, source, forward.ACK)))
 		if err != nil || backErr != nil || there != back || there >= workers {
 			t.Fatalf("worker %d there, %d back: %v, %v", there, back, err, backErr)
 		}
