--- a/forward/change_test.go
+++ b/forward/change_test.go
@@ -19,8 +19,9 @@
 	now     time.Duration
 	hosts   [3]*fleetHost
 	owner   int
-	bundles []*Snapshot // by version - 1, for the targets of each
-	model   map[uint16]netip.AddrPort
+	bundles []*Snapshot               // by version - 1, for the targets of each
+	model   map[uint16]netip.AddrPort // target of each open session
+	ran     map[uint16]netip.AddrPort // target that got each request
 }
 
 type fleetHost struct {
@@ -104,10 +105,34 @@
 	}
 }
 
+// request sends a request, or a duplicate of it, and perhaps an answer. It may be dropped; it may not run twice, and not be
+// refused after it has run.
+func (f *fleet) request(port uint16) {
+	at := rapid.IntRange(0, 2).Draw(f.t, "entry")
+	d := f.carry(at, udp(port), netip.Addr{}, 0)
+	f.t.Logf("request %d enters at %d: %v to %v, %v", port, at, d.Action, d.Addr(), d.Code)
+	first, ran := f.ran[port]
+	switch {
+	case d.Action == Drop || d.Action == Refuse && !ran:
+		return
+	case d.Action != ForwardTarget, ran && first != d.Addr():
+		f.t.Fatalf("request %d ran at %v (%v): %v to %v, %v", port, first, ran, d.Action, d.Addr(), d.Code)
+	}
+	f.ran[port] = d.Addr()
+	if rapid.Bool().Draw(f.t, "answered") {
+		f.carry(rapid.IntRange(0, 2).Draw(f.t, "return"), answer(udp(port), 0), d.Addr().Addr(), 21)
+	}
+}
+
 func (f *fleet) some() {
 	for range rapid.IntRange(0, 6).Draw(f.t, "packets") {
 		f.now += 10 * time.Millisecond
-		f.exchange(uint16(rapid.IntRange(1, 8).Draw(f.t, "flow")), false)
+		port := uint16(rapid.IntRange(1, 8).Draw(f.t, "flow"))
+		if rapid.Bool().Draw(f.t, "request") {
+			f.request(port)
+		} else {
+			f.exchange(port, false)
+		}
 	}
 }
 
@@ -191,21 +216,22 @@
 
 // stage lets the owner report flows that a new bundle with other targets will move.
 func (f *fleet) stage() {
-	s := tcpSession
-	s.targets = nil
+	sessions, requests := tcpSession, udpShort
+	sessions.targets, requests.targets = nil, nil
 	for i := 1; i <= 5; i++ {
 		if rapid.Bool().Draw(f.t, "target") || i == 1 {
-			s.targets = append(s.targets, fmt.Sprintf("127.1.0.%d", i))
+			sessions.targets = append(sessions.targets, fmt.Sprintf("127.1.0.%d", i))
+			requests.targets = append(requests.targets, fmt.Sprintf("127.2.0.%d", i))
 		}
 	}
-	next := testSnapshot(testBundle(f.t, len(f.bundles)+1, s))
+	next := testSnapshot(testBundle(f.t, len(f.bundles)+1, sessions, requests))
 	for _, ss := range next.Services {
 		for i := range ss.Targets {
 			ss.Targets[i].Eligible = rapid.IntRange(0, 3).Draw(f.t, "eligible") > 0
 		}
 	}
 	f.bundles = append(f.bundles, next)
-	f.t.Logf("staged version %d with %v", len(f.bundles)-1, s.targets)
+	f.t.Logf("staged version %d with %v", len(f.bundles)-1, sessions.targets)
 	f.hosts[f.owner].Rebase(f.hosts[f.owner].Snapshot(), next)
 }
 
@@ -220,12 +246,12 @@
 	}
 }
 
-// Guards against a session that a planned change breaks: handovers, bundles that come into force unevenly, targets that
+// Guards against a session that a planned change breaks, and a request that runs twice or is refused after it ran: handovers, bundles that come into force unevenly, targets that
 // leave, and the failure of an owner whose copies are complete.
 func TestSessionsSurviveChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleet{t: t, model: make(map[uint16]netip.AddrPort), now: time.Second}
-		f.bundles = []*Snapshot{testSnapshot(testBundle(t, 1, tcpSession))}
+		f := &fleet{t: t, model: make(map[uint16]netip.AddrPort), ran: make(map[uint16]netip.AddrPort), now: time.Second}
+		f.bundles = []*Snapshot{testSnapshot(testBundle(t, 1, tcpSession, udpShort))}
 		for i := range f.hosts {
 			f.addHost(i, 0)
 			f.setRole(i, BucketState{Role: RoleForward, Peer: 1})
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -32,6 +32,7 @@
 	counters  counters
 	ahead     atomic.Pointer[ahead]
 	moves     moves
+	history   history
 
 	mu       sync.Mutex // guards Publish, open and received
 	open     map[flow.TargetID]*atomic.Int64
@@ -65,6 +66,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
+	if old := e.state.Load(); old != nil && old.Bundle != nil && old.Bundle != s.Bundle {
+		e.history.add(newBase(old))
+	}
 	st.inherit(e.state.Load(), &e.moves, e.received)
 	e.state.Store(st)
 	for id, c := range e.open {
--- a/forward/sweep.go
+++ b/forward/sweep.go
@@ -32,7 +32,7 @@
 // silent connections, which end. It is meant to be called every 100 ms.
 func (e *Engine) Sweep(now time.Duration, dst []Ending) []Ending {
 	st := e.state.Load()
-	e.moves.stamp(now)
+	e.stamp(now)
 	if st == nil {
 		return dst
 	}
@@ -67,6 +67,14 @@
 	return dst
 }
 
+// stamp gives the changes that Publish has noted their time.
+func (e *Engine) stamp(now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.moves.stamp(now)
+	e.history.stamp(now)
+}
+
 func connected(s flow.State) bool {
 	return s == flow.Established || s == flow.CallerClosing || s == flow.TargetClosing || s == flow.Adopted
 }
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -28,14 +28,16 @@
 }
 
 // unknownOutcome reports whether a datagram may repeat a request that the earlier owner sent to a target other than the
-// default: the default was not eligible, or another bundle was in force.
+// one that it would get now: the default is not eligible, or another bundle was in force lately. After a planned handover too,
+// requests on their default targets are not known.
 func (e *Engine) unknownOutcome(q *query) bool {
 	sv := q.ep.service
 	if q.p.Protocol != flow.UDP || sv.Info.Idempotent {
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
-	return q.recentTakeover() && !sv.eligible(d) || e.moves.recent(q.bucket, q.now) && q.earlierTarget() != d
+	recent := q.recentTakeover() || e.moves.recent(q.bucket, q.now)
+	return recent && (!sv.eligible(d) || q.earlierTarget() != d || !e.history.sameDefault(sv, q.hash, d.id, q.now))
 }
 
 // adoptable reports whether a connection without an entry can be taken to be on its default target.
