--- a/forward/base.go
+++ b/forward/base.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
@@ -50,6 +51,16 @@
 	return b.tables[sv.id]
 }
 
+// complete returns b with the tables of the services that it leaves out because they had the same defaults as now.
+func (b *Base) complete(now *Base) *Base {
+	if now == nil {
+		return b
+	}
+	out := &Base{tables: maps.Clone(now.tables)}
+	maps.Copy(out.tables, b.tables)
+	return out
+}
+
 // Base returns the base of a bucket for the balancer that it is handed over to, or nil when it gives every flow the same
 // default as the bundle in force.
 func (e *Engine) Base(b ownership.Bucket) *Base {
--- a/forward/state.go
+++ b/forward/state.go
@@ -182,7 +182,7 @@
 			m.add(ownership.Bucket(b))
 			st.bases[b] = now
 			if earlier := received[ownership.Bucket(b)]; earlier != nil {
-				st.bases[b] = earlier
+				st.bases[b] = earlier.complete(now)
 				delete(received, ownership.Bucket(b))
 			}
 		}
