--- a/forward/owner_test.go
+++ b/forward/owner_test.go
@@ -230,3 +230,18 @@
 		t.Fatalf("the session is %v", x.State)
 	}
 }
+
+// Guards against garbage for each packet of a known flow, in every way that packets come.
+func TestNoAllocation(t *testing.T) {
+	e, _ := newTestEngine(testSnapshot(testBundle(t, 1, tcpSession)))
+	to := e.FromCaller(0, tcp(SYN, 1, 0, 0))
+	data, back, addr := tcp(ACK, 2, 1, 5), answer(tcp(ACK, 2, 1, 0), ACK), to.Addr().Addr()
+	info := PeerInfo{Version: 1, Hops: 1, Direction: ToTarget, VNI: 20}
+	if n := testing.AllocsPerRun(100, func() {
+		e.FromCaller(time.Second, data)
+		e.FromTarget(time.Second, back, addr, to.VNI)
+		e.FromPeer(time.Second, data, peerAddr.Addr(), info)
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
