--- a/forward/base.go
+++ b/forward/base.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
 	"github.com/marigoldwood/marigoldwood/flow"
@@ -15,7 +16,9 @@
 // the bucket over passes the base on, unless the bundle in force gives the same defaults.
 type Base struct {
 	Services []BaseService
-	tables   map[flow.ServiceID]*placement.Table
+	// Recent holds the targets of the bundles that were in force lately, for a balancer that has started since.
+	Recent [][]BaseService
+	tables map[flow.ServiceID]*placement.Table
 }
 
 // BaseService holds the targets of a service in the order of its bundle.
@@ -62,15 +65,28 @@
 }
 
 // Base returns the base of a bucket for the balancer that it is handed over to, or nil when it gives every flow the same
-// default as the bundle in force.
-func (e *Engine) Base(b ownership.Bucket) *Base {
+// default as the bundle in force, and no other was in force lately.
+func (e *Engine) Base(now time.Duration, b ownership.Bucket) *Base {
 	st := e.state.Load()
 	if st == nil || st.bases[b] == nil {
 		return nil
 	}
-	out := &Base{}
+	out := &Base{Services: st.differing(st.bases[b])}
+	for _, p := range e.history.list() {
+		if services := st.differing(p.base); p.recent(now) && len(services) > 0 {
+			out.Recent = append(out.Recent, services)
+		}
+	}
+	if len(out.Services) == 0 && len(out.Recent) == 0 {
+		return nil
+	}
+	return out
+}
+
+// differing returns the services to which b gives other defaults than the bundle in force.
+func (st *state) differing(b *Base) (out []BaseService) {
 	for id, sv := range st.services {
-		table := st.bases[b].tables[id]
+		table := b.tables[id]
 		if table == nil || sameDefaults(table, sv.Table) {
 			continue
 		}
@@ -79,10 +95,7 @@
 			t := &table.Targets[i]
 			s.Targets = append(s.Targets, BaseTarget{ID: t.ID, Weight: t.Weight, Drain: t.Drain})
 		}
-		out.Services = append(out.Services, s)
-	}
-	if len(out.Services) == 0 {
-		return nil
+		out = append(out, s)
 	}
 	return out
 }
@@ -93,17 +106,24 @@
 	if base == nil {
 		return
 	}
-	received := &Base{tables: make(map[flow.ServiceID]*placement.Table)}
-	for _, s := range base.Services {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received[b] = baseOf(base.Services)
+	for _, services := range base.Recent {
+		e.history.add(baseOf(services))
+	}
+}
+
+func baseOf(services []BaseService) *Base {
+	out := &Base{tables: make(map[flow.ServiceID]*placement.Table)}
+	for _, s := range services {
 		table := &placement.Table{}
 		for _, t := range s.Targets {
 			table.Targets = append(table.Targets, bundle.TargetInfo{ID: t.ID, Weight: t.Weight, Drain: t.Drain})
 		}
-		received.tables[s.Service] = table
+		out.tables[s.Service] = table
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.received[b] = received
+	return out
 }
 
 func sameDefaults(a, b *placement.Table) bool {
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -66,6 +66,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := compile(s, e.counterLocked)
+	if s.Bundle != nil {
+		e.history.start()
+	}
 	if old := e.state.Load(); old != nil && old.Bundle != nil && old.Bundle != s.Bundle {
 		e.history.add(newBase(old))
 	}
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -36,6 +36,9 @@
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
+	if q.recentTakeover() && e.history.short(q.now) {
+		return true
+	}
 	recent := q.recentTakeover() || e.moves.recent(q.bucket, q.now)
 	return recent && (!sv.eligible(d) || q.earlierTarget() != d || !e.history.sameDefault(sv, q.hash, d.id, q.now))
 }
