--- a/forward/rebase.go
+++ b/forward/rebase.go
@@ -13,12 +13,17 @@
 // that need a copy under next to the sink and returns their number. Copies that are no longer needed are removed only
 // when next holds the bundle in force, since a staged bundle may take effect at some balancers before others. With
 // old nil it looks at every flow.
-func (e *Engine) Rebase(old, next *Snapshot) (added int) {
+func (e *Engine) Rebase(old, next *Snapshot) (added int) { return e.rebase(old, next, true) }
+
+// AddCopies is Rebase without the removal of copies.
+func (e *Engine) AddCopies(old, next *Snapshot) (added int) { return e.rebase(old, next, false) }
+
+func (e *Engine) rebase(old, next *Snapshot, drop bool) (added int) {
 	st := e.state.Load()
 	if st == nil || next == nil || next.Bundle == nil {
 		return 0
 	}
-	inForce := st.Bundle == next.Bundle
+	drop = drop && st.Bundle == next.Bundle
 	services := changedServices(old, next)
 	if len(services) == 0 {
 		return 0
@@ -44,7 +49,7 @@
 			en.Flags |= flow.FlagException
 			e.sink.ExceptionAdded(b, Exception{Key: k, Target: en.Target})
 			added++
-		case !needs && en.Has(flow.FlagException) && inForce:
+		case !needs && en.Has(flow.FlagException) && drop:
 			en.Flags &^= flow.FlagException
 			e.sink.ExceptionRemoved(b, k)
 		}
--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -60,15 +60,21 @@
 	}()
 }
 
-// copyInstalled starts to copy the exceptions among installed flows to the backups.
+// copyInstalled starts to copy the exceptions among installed flows of buckets that are owned by now to the backups.
 func (l *Loop) copyInstalled() {
 	if len(l.installed) == 0 {
 		return
 	}
-	for _, e := range l.cfg.Engine.Exceptions(func(b ownership.Bucket) bool { return l.installed[b] }) {
+	states := l.handover.States()
+	owned := func(b ownership.Bucket) bool { return l.installed[b] && states[b].Role == ownership.RoleOwner }
+	for _, e := range l.cfg.Engine.Exceptions(owned) {
 		l.replicator.Add(l.now, e)
 	}
-	clear(l.installed)
+	for b := range l.installed {
+		if states[b].Role == ownership.RoleOwner {
+			delete(l.installed, b)
+		}
+	}
 }
 
 // collect takes the flows of released buckets out of the flow table and hands them to the new owner. The grant holds
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -17,10 +17,19 @@
 	l.cfg.Engine.Publish(l.snapshot(l.rollout.InForce()))
 	if l.rebase {
 		l.rebase = false
-		l.cfg.Engine.Rebase(previous, l.cfg.Engine.Snapshot())
+		l.updateCopies(previous)
 	}
 }
 
+// updateCopies follows a change of eligible targets. While copies for two bundles are kept, none is dropped.
+func (l *Loop) updateCopies(previous *forward.Snapshot) {
+	if l.dropCopies != 0 {
+		l.cfg.Engine.AddCopies(previous, l.cfg.Engine.Snapshot())
+		return
+	}
+	l.cfg.Engine.Rebase(previous, l.cfg.Engine.Snapshot())
+}
+
 // snapshot returns the control state with the given bundle, which may be nil.
 func (l *Loop) snapshot(b *bundle.Bundle) *forward.Snapshot {
 	status := l.rollout.Status(l.now)
