--- a/rollout/activate.go
+++ b/rollout/activate.go
@@ -11,7 +11,7 @@
 )
 
 // maxWait bounds the time for which newer versions can put off an activation by replacing a staged one, so that a
-// row of publications still takes effect within the 6 s that a single one has.
+// series of publications still takes effect within the 6 s that a single one has.
 const maxWait = 3 * time.Second
 
 // pushFanOut is the number of peers that a balancer which sees the bundle staged everywhere tells so. Those announce the
--- a/rollout/activate_test.go
+++ b/rollout/activate_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// Guards against a row of publications that keeps every one of them from taking effect.
-func TestRowOfVersions(t *testing.T) {
+// Guards against a series of publications that keeps every one of them from taking effect.
+func TestSeriesOfVersions(t *testing.T) {
 	c, _ := waiting(t)
 	for v := uint64(7); v < 20; v++ {
 		start := time.Duration(v-6) * time.Second
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -91,7 +91,7 @@
 	staged     held
 	older      []base        // earlier bundles in force, newest first
 	stagedAt   time.Duration // when the staged bundle was accepted
-	waitsSince time.Duration // when the first of an unbroken row of staged bundles was accepted
+	waitsSince time.Duration // when the first of the staged bundles that replaced each other was accepted
 	activateAt time.Duration // deadline of the staged bundle
 	inForceAt  time.Duration
 	announceAt time.Duration // next repetition of the announcement
--- a/rollout/failure_test.go
+++ b/rollout/failure_test.go
@@ -202,14 +202,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := settled(t, 4)
-			liar := n.hosts[1]
-			liar.down = true
+			faulty := n.hosts[1]
+			faulty.down = true
 			for i := range 100 {
 				n.run(100*time.Millisecond, nil)
-				n.handle(0, MemberView{[]membership.Member{liar.member, n.hosts[2].member}})
-				n.handle(0, PeerAnnounced{Announcement{Host: liar.member.ID, DataCentre: "dc0", Staged: 99}})
+				n.handle(0, MemberView{[]membership.Member{faulty.member, n.hosts[2].member}})
+				n.handle(0, PeerAnnounced{Announcement{Host: faulty.member.ID, DataCentre: "dc0", Staged: 99}})
 				if data != nil {
-					n.handle(0, PeerData{liar.member.ID, *data})
+					n.handle(0, PeerData{faulty.member.ID, *data})
 				}
 				if i == 30 {
 					n.hosts[0].noPlatform = true
--- a/rollout/fetch.go
+++ b/rollout/fetch.go
@@ -38,11 +38,11 @@
 // the validity of keys depends on the time.
 const retryRefused = 30 * time.Second
 
-// maxAttempts is the number of requests without an answer after which a version is taken for one that cannot be had for
-// now, so that a peer that announces what it does not deliver keeps nobody from the version that the others have.
+// maxAttempts is the number of unanswered requests after which a version is given up for retryUnanswered. A peer that
+// announces a version without delivering it must not block the fetch of a version that other peers hold.
 const maxAttempts = 10
 
-// retryUnanswered is the time for which such a version is not asked for.
+// retryUnanswered is the time for which a version is not requested after maxAttempts.
 const retryUnanswered = 3 * time.Second
 
 // maxRefused bounds the remembered refusals.
@@ -235,8 +235,8 @@
 	c.finishWith(envelope, from)
 }
 
-// finishWith judges a transferred envelope. A peer's announcement that its content does not bear out is not
-// followed again for a while.
+// finishWith judges a transferred envelope. When the result is not the announced bundle, its digest is not fetched
+// again before retryRefused has passed.
 func (c *Core) finishWith(envelope []byte, from membership.HostID) {
 	digest := c.fetch.digest
 	c.fetch = nil
--- a/rollout/platform.go
+++ b/rollout/platform.go
@@ -112,7 +112,7 @@
 }
 
 // asksPeersFirst reports whether a balancer without a bundle still waits for its peers. The platform may offer an
-// older or a conflicting bundle, so the peers' word comes first.
+// older or a conflicting bundle, so the peers are asked first.
 func (c *Core) asksPeersFirst() bool {
 	if c.newest().bundle != nil || c.now-c.started >= peersFirst {
 		return false
--- a/rollout/spread.go
+++ b/rollout/spread.go
@@ -19,8 +19,8 @@
 // repeatTime is how long an activation is announced to peers that do not show it. Probes go on after that.
 const repeatTime = 2 * time.Second
 
-// repairDelay is how long after a change the readers leave the others to the announcements that go round. Until then
-// almost everyone seems to lack it.
+// repairDelay is how long after a change the readers leave the others to the announcements of their neighbours. Until
+// then almost every host seems to lack it.
 const repairDelay = 500 * time.Millisecond
 
 // repairFanOut is the number of peers that a reader tells again at a time.
@@ -95,7 +95,7 @@
 	for _, id := range c.local {
 		switch {
 		case slices.Contains(c.readers[:], id) && c.staged.bundle != nil:
-			to = append(to, id) // a reader may have the bundle and still lack the word that it is staged here
+			to = append(to, id) // a reader may hold the bundle without knowing that it is staged here
 		case !c.hasCaughtUp(id):
 			lacking = append(lacking, id)
 		}
@@ -143,8 +143,8 @@
 	}
 }
 
-// lags reports whether the sender of an announcement lacks something that this balancer's announcement tells. That it
-// does not show a version in force is expected for a while after the activation, whose announcement goes round.
+// lags reports whether the sender of an announcement lacks something that this balancer's announcement tells. An older
+// version in force is expected for a short time after the activation, while the announcements spread.
 func (c *Core) lags(a Announcement) bool {
 	if version, _ := a.newest(); version < c.newest().version() {
 		return true
