--- a/rollout/failure_test.go
+++ b/rollout/failure_test.go
@@ -197,19 +197,19 @@
 		"silent":      nil,
 		"bad delta":   {Version: 99, Delta: []byte("x")},
 		"bad chunk":   {Version: 99, Sum: 1, Count: 1, Bytes: []byte("x")},
-		"older":       {Version: 99, Sum: sumOf(envelope(4, "", 3)), Count: 1, Bytes: envelope(4, "", 3)},
+		"older":       {Version: 99, Sum: xxhash.Sum64(envelope(4, "", 3)), Count: 1, Bytes: envelope(4, "", 3)},
 		"chunk range": {Version: 99, Index: 7, Count: 3, Bytes: []byte("x")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := settled(t, 4)
-			liar := n.hosts[1]
-			liar.down = true
+			faulty := n.hosts[1]
+			faulty.down = true
 			for i := range 100 {
 				n.run(100*time.Millisecond, nil)
-				n.handle(0, MemberView{[]membership.Member{liar.member, n.hosts[2].member}})
-				n.handle(0, PeerAnnounced{Announcement{Host: liar.member.ID, DataCentre: "dc0", Staged: 99}})
+				n.handle(0, MemberView{[]membership.Member{faulty.member, n.hosts[2].member}})
+				n.handle(0, PeerAnnounced{Announcement{Host: faulty.member.ID, DataCentre: "dc0", Staged: 99}})
 				if data != nil {
-					n.handle(0, PeerData{liar.member.ID, *data})
+					n.handle(0, PeerData{faulty.member.ID, *data})
 				}
 				if i == 30 {
 					n.hosts[0].noPlatform = true
@@ -222,5 +222,3 @@
 		})
 	}
 }
-
-func sumOf(envelope []byte) uint64 { return xxhash.Sum64(envelope) }
