--- a/ownership/events.go
+++ b/ownership/events.go
@@ -101,12 +101,13 @@
 	Redirect                 // the sender is not the owner; Holder may be
 	Offer                    // unasked: the sender owns the buckets and takes the receiver for their owner
 	Partial                  // exceptions only; more follows
+	Taken                    // confirms a grant, which its sender need not keep any longer
 )
 
 // Grant is the message of a previous owner to the new one.
 type Grant struct {
 	Result     Result
-	Release    uint64 // Granted: random number of the release, the same when the grant is sent again
+	Release    uint64 // Granted, Taken: random number of the release, the same when the grant is sent again
 	Buckets    []Bucket
 	InSync     bool              // Granted, HeldCopies: the exceptions are complete
 	Holder     membership.HostID // Redirect: member to ask instead, 0 when the sender knows of none
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -28,7 +28,10 @@
 			h.release(k, from)
 		case phaseReleasing, phaseMerging:
 		case phaseAcquiring:
-			redirects[k.peer] = append(redirects[k.peer], b)
+			// Given up. A grant that is still on its way makes this member an owner that offers the bucket.
+			redirects[0] = append(redirects[0], b)
+			*k = bucket{peer: from}
+			h.dirty = true
 		case phaseOther:
 			if g, found := h.granted[b]; found && (g.to == from || g.to == denied || !h.reachable[g.to]) {
 				if again[g.release] == nil {
@@ -185,8 +188,15 @@
 			h.redirected(b, k, from, g.Holder)
 		case Offer:
 			h.offered(b, k, from)
+		case Taken:
+			if h.granted[b].release == g.Release {
+				delete(h.granted, b)
+			}
 		}
 	}
+	if g.Result == Granted {
+		h.emit(SendGrant{To: from, Grant: Grant{Result: Taken, Release: g.Release, Buckets: g.Buckets}})
+	}
 }
 
 func (h *Handover) takeGranted(b Bucket, k *bucket, from membership.HostID, g *Grant) {
@@ -231,7 +241,7 @@
 	switch {
 	case holder == 0 && k.lost:
 		h.own(k, false, h.now)
-	case h.reachable[k.via] && k.redirects < 2*maxRedirects && (holder == 0 || holder == k.via && k.redirects > maxRedirects/2):
+	case h.reachable[k.via] && k.redirects < 2*maxRedirects && holder == 0:
 		// A grant that was lost on its way to a member that no longer asks for it; its sender has kept it.
 		k.peer, k.denied, k.via, k.next = k.via, from, 0, h.now
 	case holder == 0, holder == h.self, k.redirects >= maxRedirects:
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -13,7 +13,7 @@
 // Timing of claims.
 const (
 	claimRetry     = 200 * time.Millisecond // first wait for an answer; doubles up to claimRetryMax
-	claimRetryMax  = 2 * time.Second
+	claimRetryMax  = time.Second
 	copiesLimit    = time.Second            // longest wait for the copies of an owner that is gone
 	maxRedirects   = 8                      // redirects after which the next member of the ranking is asked
 	inFlightLimit  = time.Second            // a grant that was sent before the map changed arrives within this time
