--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -132,7 +132,9 @@
 	for _, effect := range n.h.Handle(c.now, e) {
 		switch effect := effect.(type) {
 		case SendClaim:
-			c.send(n.id, effect.To, func(to *testNode) { c.handle(to, ClaimReceived{From: n.id, Buckets: effect.Buckets, Denied: effect.Denied}) })
+			c.send(n.id, effect.To, func(to *testNode) {
+				c.handle(to, ClaimReceived{From: n.id, Buckets: effect.Buckets, Denied: effect.Denied})
+			})
 		case SendGrant:
 			c.send(n.id, effect.To, func(to *testNode) { c.handle(to, GrantReceived{From: n.id, Grant: effect.Grant}) })
 		case Collect:
