--- a/ownership/replicate_test.go
+++ b/ownership/replicate_test.go
@@ -86,6 +86,7 @@
 // Guards against copies that differ from the owner's exceptions after batches were lost, flows ended and the backup
 // changed.
 func TestReplication(t *testing.T) {
+	t.Parallel()
 	p := newPair()
 	p.run(20 * time.Second)
 	p.lose = func() bool { return p.rng.IntN(3) == 0 }
@@ -124,6 +125,7 @@
 // Guards against additions that wait longer than 100 ms, and against copies that cost more than the control traffic
 // allows. It prints the bytes per exception.
 func TestBytesPerException(t *testing.T) {
+	t.Parallel()
 	p := newPair()
 	p.run(10 * time.Second)
 	const n = 6000
@@ -167,6 +169,7 @@
 
 // Guards against a change of backup taking the bandwidth that the rest of control needs: 4 KB/s are allowed.
 func TestResyncIsPaced(t *testing.T) {
+	t.Parallel()
 	p := newPair()
 	for range 10000 {
 		p.r.Add(p.now, p.exception())
@@ -186,6 +189,7 @@
 
 // Guards against grants and batches that lose IPv6 callers or the addresses of retired targets.
 func TestExceptionsRoundTrip(t *testing.T) {
+	t.Parallel()
 	e := Exceptions{
 		Flows: []Exception{
 			{Key: flow.NewKey(netip.MustParseAddrPort("[2001:db8::1]:5"), 9), Target: 4},
