--- a/membership/state.go
+++ b/membership/state.go
@@ -46,7 +46,8 @@
 // rejoin follows the news that others declared this member gone.
 func (c *Core) rejoin() {
 	var hold time.Duration
-	if c.wasCutOff() {
+	cutOff := c.wasCutOff()
+	if cutOff {
 		c.dropVerdicts()
 		c.rejoins = slices.DeleteFunc(c.rejoins, func(at time.Duration) bool { return c.now-at > flapWindow })
 		if n := len(c.rejoins); n > 0 {
@@ -60,7 +61,7 @@
 			c.restartSelf(Warm)
 		}
 	}
-	c.emit(SelfGone{Incarnation: c.self.Incarnation, Hold: hold})
+	c.emit(SelfGone{CutOff: cutOff, Incarnation: c.self.Incarnation, Hold: hold})
 }
 
 // wasCutOff tells an outage of this member from that of its accuser, and from a partition into halves: this one was
--- a/ownership/change.go
+++ b/ownership/change.go
@@ -118,3 +118,26 @@
 		h.emit(Install{Exceptions: e})
 	}
 }
+
+// lapse gives up what this member owned before it was paused or cut off. It asks the member that took each bucket over,
+// and keeps its own entries only if nobody did.
+func (h *Handover) lapse() {
+	if h.current == nil {
+		return
+	}
+	others := Build(without(h.current.Members(), h.self))
+	for b := range h.buckets {
+		k := &h.buckets[b]
+		from := others.Owner(Bucket(b))
+		if from == 0 || k.phase == phaseOther || k.phase == phaseAcquiring {
+			continue
+		}
+		if owner := h.current.Owner(Bucket(b)); owner != h.self {
+			*k = bucket{peer: owner}
+		} else {
+			h.acquire(k, from, others.Backup(Bucket(b)), false)
+			k.lapsed = true
+		}
+		h.dirty = true
+	}
+}
--- a/ownership/cluster_test.go
+++ b/ownership/cluster_test.go
@@ -139,6 +139,8 @@
 			c.send(n.id, effect.To, func(to *testNode) { c.handle(to, GrantReceived{From: n.id, Grant: effect.Grant}) })
 		case Collect:
 			c.handle(n, c.collect(n, effect))
+		case Discard:
+			c.collect(n, Collect{Buckets: effect.Buckets})
 		case Install:
 			for _, e := range effect.Exceptions.Flows {
 				if _, found := n.flows[e.Key]; !found {
--- a/ownership/events.go
+++ b/ownership/events.go
@@ -81,6 +81,10 @@
 	Exceptions Exceptions
 }
 
+// Lapsed reports that this member was paused or cut off and declared gone, so that others have taken over its buckets
+// although its own map may not have changed. It must be sent before traffic is decided again.
+type Lapsed struct{}
+
 // Tick lets time pass. Send it every 50 ms.
 type Tick struct{}
 
@@ -89,6 +93,7 @@
 func (GrantReceived) event() {}
 func (Quiesced) event()      {}
 func (Collected) event()     {}
+func (Lapsed) event()        {}
 func (Tick) event()          {}
 
 // Result is the answer of a member to a claim for buckets.
@@ -136,6 +141,9 @@
 	Buckets []Bucket
 }
 
+// Discard asks to drop the flow table entries of buckets that another member has decided for since they were made.
+type Discard struct{ Buckets []Bucket }
+
 // Install adds exceptions to the flow table. An entry that is there already keeps its target.
 type Install struct{ Exceptions Exceptions }
 
@@ -148,5 +156,6 @@
 func (SendClaim) effect() {}
 func (SendGrant) effect() {}
 func (Collect) effect()   {}
+func (Discard) effect()   {}
 func (Install) effect()   {}
 func (Publish) effect()   {}
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -173,9 +173,19 @@
 // receiveGrant takes the answer to a claim. Granted buckets are taken even when the map has changed meanwhile, since
 // nobody else holds them; the owner that the map names claims them from here.
 func (h *Handover) receiveGrant(from membership.HostID, g *Grant) {
-	switch g.Result {
-	case Granted, HeldCopies, Partial:
-		h.install(g.Exceptions)
+	if g.Result == Partial {
+		if parts := h.parts[from]; len(parts.Flows) < maxPartFlows {
+			parts.add(g.Exceptions)
+			h.parts[from] = parts
+		}
+		return
+	}
+	if g.Result == Granted || g.Result == HeldCopies {
+		h.discardLapsed(g)
+		all := h.parts[from]
+		delete(h.parts, from)
+		all.add(g.Exceptions)
+		h.install(all)
 	}
 	for _, b := range g.Buckets {
 		k := &h.buckets[b%BucketCount]
@@ -199,6 +209,20 @@
 	}
 }
 
+// discardLapsed drops the entries of granted buckets that this member owned before it was declared gone: the granter has
+// decided for them since.
+func (h *Handover) discardLapsed(g *Grant) {
+	var old []Bucket
+	for _, b := range g.Buckets {
+		if k := &h.buckets[b%BucketCount]; g.Result == Granted && k.phase == phaseAcquiring && k.lapsed {
+			old = append(old, b)
+		}
+	}
+	if len(old) > 0 {
+		h.emit(Discard{Buckets: old})
+	}
+}
+
 func (h *Handover) takeGranted(b Bucket, k *bucket, from membership.HostID, g *Grant) {
 	id := release{number: g.Release, bucket: b}
 	if _, found := h.taken[id]; found {
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -20,7 +20,8 @@
 	offerDelay     = 500 * time.Millisecond // an owner that the map does not name waits so long for a claim
 	mergeLimit     = 500 * time.Millisecond // longest time without decisions while another owner's exceptions are merged
 	retainGranted  = 30 * time.Second       // granted exceptions are kept so long, in case the grant is lost
-	grantPartFlows = 1024                   // exceptions in one message; about 36 KB, below the limit of 64 KiB
+	grantPartFlows = 1024                   // exceptions in one message; at most 26 KB, below the limit of 64 KiB
+	maxPartFlows   = 1 << 20                // exceptions of one grant
 )
 
 // phase is the internal state of a bucket.
@@ -50,6 +51,7 @@
 	denied      membership.HostID // acquiring: member that peer named as the holder, and that is not
 	alternative membership.HostID // acquiring: member that holds copies if peer does not own the bucket
 	abandoned   bool              // acquiring: the map names another owner now, but a grant may be on its way
+	lapsed      bool              // acquiring: this member owned the bucket before it was declared gone
 	lost        bool              // acquiring: the previous owner is gone and peer is asked for copies
 	inSync      bool
 	takenOverAt time.Duration
@@ -98,7 +100,8 @@
 	reachable map[membership.HostID]bool
 	buckets   [BucketCount]bucket
 	granted   map[Bucket]granted
-	taken     map[release]time.Duration // grants that were taken, and when to forget them
+	taken     map[release]time.Duration        // grants that were taken, and when to forget them
+	parts     map[membership.HostID]Exceptions // of grants whose last message is still to come
 	number    uint64
 	dirty     bool
 	quiesce   bool
@@ -106,7 +109,10 @@
 
 // NewHandover returns a handover that owns nothing.
 func NewHandover(self membership.HostID, copies Copies, rng *rand.Rand) *Handover {
-	return &Handover{self: self, copies: copies, rng: rng, granted: make(map[Bucket]granted), taken: make(map[release]time.Duration)}
+	return &Handover{
+		self: self, copies: copies, rng: rng, granted: make(map[Bucket]granted), taken: make(map[release]time.Duration),
+		parts: make(map[membership.HostID]Exceptions),
+	}
 }
 
 // Handle applies an event at time now and returns the effects.
@@ -123,6 +129,8 @@
 		h.collect(e.Number)
 	case Collected:
 		h.sendGranted(&e)
+	case Lapsed:
+		h.lapse()
 	case Tick:
 	}
 	h.expire()
--- a/ownership/handover_test.go
+++ b/ownership/handover_test.go
@@ -148,6 +148,38 @@
 	}
 }
 
+// Guards against a member that wakes from a pause and decides with what it knew before, while others own its buckets.
+func TestPaused(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 8)
+	flows := c.open(3000, 0.3)
+	c.run(20 * time.Second)
+	paused := c.nodes[hostID(3)]
+	delete(c.nodes, paused.id)
+	c.spreadView()
+	c.settle(10 * time.Second)
+	maps.Copy(flows, c.open(3000, 0.3))
+	for key, target := range flows { // the caller's port is used again and the new flow has another target
+		owner, next := c.owner(key), flow.TargetID(targetOffset+(uint64(target)-targetOffset+1)%targets)
+		owner.copier.Closed(c.now, key)
+		owner.flows[key], flows[key] = next, next
+		owner.copier.Opened(c.now, Exception{Key: key, Target: next}, next != c.defaultTarget(key))
+	}
+	c.nodes[paused.id] = paused
+	c.handle(paused, Lapsed{})
+	c.spreadView()
+	for range 100 {
+		c.run(testStep)
+		if n := c.count(flows); n[broken] > 0 {
+			t.Fatalf("%v: %d flows broken", c.now, n[broken])
+		}
+	}
+	c.settle(10 * time.Second)
+	if n := c.count(flows); n[delivered] != len(flows) {
+		t.Errorf("%v of %d flows delivered", n, len(flows))
+	}
+}
+
 // Guards against flows that change their target when the two sides of a partition meet again.
 func TestPartitionHeals(t *testing.T) {
 	t.Parallel()
