--- a/ownership/events.go
+++ b/ownership/events.go
@@ -81,6 +81,10 @@
 	Exceptions Exceptions
 }
 
+// Lapsed reports that this member was paused or cut off and declared gone, so that others have taken over its buckets
+// although its own map may not have changed. It must be sent before traffic is decided again.
+type Lapsed struct{}
+
 // Tick lets time pass. Send it every 50 ms.
 type Tick struct{}
 
@@ -89,6 +93,7 @@
 func (GrantReceived) event() {}
 func (Quiesced) event()      {}
 func (Collected) event()     {}
+func (Lapsed) event()        {}
 func (Tick) event()          {}
 
 // Result is the answer of a member to a claim for buckets.
@@ -101,12 +106,13 @@
 	Redirect                 // the sender is not the owner; Holder may be
 	Offer                    // unasked: the sender owns the buckets and takes the receiver for their owner
 	Partial                  // exceptions only; more follows
+	Taken                    // confirms a grant, which its sender need not keep any longer
 )
 
 // Grant is the message of a previous owner to the new one.
 type Grant struct {
 	Result     Result
-	Release    uint64 // Granted: random number of the release, the same when the grant is sent again
+	Release    uint64 // Granted, Taken: random number of the release, the same when the grant is sent again
 	Buckets    []Bucket
 	InSync     bool              // Granted, HeldCopies: the exceptions are complete
 	Holder     membership.HostID // Redirect: member to ask instead, 0 when the sender knows of none
@@ -135,6 +141,9 @@
 	Buckets []Bucket
 }
 
+// Discard asks to drop the flow table entries of buckets that another member has decided for since they were made.
+type Discard struct{ Buckets []Bucket }
+
 // Install adds exceptions to the flow table. An entry that is there already keeps its target.
 type Install struct{ Exceptions Exceptions }
 
@@ -147,5 +156,6 @@
 func (SendClaim) effect() {}
 func (SendGrant) effect() {}
 func (Collect) effect()   {}
+func (Discard) effect()   {}
 func (Install) effect()   {}
 func (Publish) effect()   {}
