--- a/admission/crest_test.go
+++ b/admission/crest_test.go
@@ -39,6 +39,7 @@
 	bulkInTime                 float64
 	bulkRefused, urgentRefused int
 	overrun                    int
+	exceptions                 float64
 }
 
 // runCrest offers urgent work of urgentPart, 0.15 unless said otherwise, and bulk work of 0.35 of capacity, so that at the top urgent work alone is 0.9 of
@@ -90,6 +91,7 @@
 		}
 	}
 	r.bulkRefused, r.urgentRefused, r.overrun = b.refused, u.refused, s.overrun
+	r.exceptions = float64(u.exceptions+b.exceptions) / float64(u.offered+b.offered-u.refused-b.refused)
 	return r
 }
 
@@ -98,8 +100,8 @@
 func TestCrest(t *testing.T) {
 	seed := *seed
 	log := func(name string, r crestResult) {
-		t.Logf("%-22s urgent in time %.4f  bulk in time %.3f  goodput %.3f  longest wait %6s ms  normal after %s  refused urgent %d bulk %d",
-			name, r.urgentInTime, r.bulkInTime, r.goodput, ms(r.longest), r.normal.Round(time.Millisecond), r.urgentRefused, r.bulkRefused)
+		t.Logf("%-22s urgent in time %.4f  bulk in time %.3f  goodput %.3f  longest wait %6s ms  normal after %s  refused urgent %d bulk %d  exceptions %.2f",
+			name, r.urgentInTime, r.bulkInTime, r.goodput, ms(r.longest), r.normal.Round(time.Millisecond), r.urgentRefused, r.bulkRefused, r.exceptions)
 	}
 	t.Logf("seed %d", seed)
 	r := runCrest(seed, New(nil), 1)
--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -44,6 +44,7 @@
 // outcome counts what became of the work of one service.
 type outcome struct {
 	offered, inTime, late, refused int
+	exceptions                     int                     // not on the flow's default target
 	short                          *hdrhistogram.Histogram // answer time of short work, microseconds
 	longest                        time.Duration           // wait
 	useful                         time.Duration           // slot time of work answered in time
@@ -196,6 +197,9 @@
 		return
 	}
 	j.target, j.started = v.Target, s.now
+	if table := s.loads[j.load].state.Table; table.Default(j.key.Hash()) != v.Target {
+		o.exceptions++
+	}
 	if s.busy[j.target] < slotsPerTarget {
 		s.work(j)
 		return
--- a/health/outlier.go
+++ b/health/outlier.go
@@ -133,7 +133,7 @@
 	s.evaluated = now
 	mean, median := t.meanLoad(now, s), s.medianTook()
 	for _, x := range s.targets {
-		if reason := t.contradiction(now, x, mean, median); reason != "" {
+		if reason := t.contradiction(now, s, x, mean, median); reason != "" {
 			x.distrustTo, x.reason = now+t.settings.DistrustFor, reason
 		}
 		if distrusted := now < x.distrustTo; distrusted != x.distrusted {
@@ -148,17 +148,17 @@
 }
 
 // contradiction returns why the target's newest load report cannot be true, or an empty string.
-func (t *Tracker) contradiction(now time.Duration, x *target, mean float64, median time.Duration) string {
+func (t *Tracker) contradiction(now time.Duration, s *service, x *target, mean float64, median time.Duration) string {
 	o := x.newest()
 	if o == nil {
 		return ""
 	}
 	w := &x.traffic
 	// Work that was in progress for longer than the report is old was in progress when it was made.
-	if w.inFlight > 0 && o.InFlight == 0 && w.oldest > now-o.okAt+t.settings.ProbeInterval && now-w.inFlightAt < t.settings.ProbeInterval {
+	if w.inFlight > 0 && s.reportedLoad(o) == 0 && w.oldest > now-o.okAt+t.settings.ProbeInterval && now-w.inFlightAt < t.settings.ProbeInterval {
 		return "reports no work while it holds work of this host"
 	}
-	if load := reportedLoad(o); load >= idleBelow*mean || median == 0 {
+	if load := s.reportedLoad(o); load >= idleBelow*mean || median == 0 {
 		return ""
 	}
 	if took := w.mean(); float64(took) > slowAbove*float64(median) {
@@ -184,8 +184,13 @@
 	return took[len(took)/2]
 }
 
-func reportedLoad(o *observation) float64 {
-	return float64(o.InFlight+o.Queue) + float64(o.Connections)
+// reportedLoad returns what a target reports of the unit that its service is placed by: open connections of sessions,
+// work in progress and queued of requests.
+func (s *service) reportedLoad(o *observation) float64 {
+	if s.sessions {
+		return float64(o.Connections)
+	}
+	return float64(o.InFlight) + float64(o.Queue)
 }
 
 // meanLoad returns the mean of the loads reported by eligible targets that are not distrusted.
@@ -194,7 +199,7 @@
 	for _, x := range s.targets {
 		if o := x.newest(); o != nil && x.state.acceptsNew() && !x.distrusted {
 			w := t.reportWeight(now - o.okAt)
-			sum += w * reportedLoad(o)
+			sum += w * s.reportedLoad(o)
 			weights += w
 		}
 	}
@@ -224,5 +229,5 @@
 		return mean * ratio
 	}
 	w := t.reportWeight(now - o.okAt)
-	return w*reportedLoad(o) + (1-w)*mean
+	return w*s.reportedLoad(o) + (1-w)*mean
 }
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -66,6 +66,7 @@
 
 type service struct {
 	id        flow.ServiceID
+	sessions  bool
 	targets   []*target // in the order of placement.Table
 	evaluated time.Duration
 }
@@ -127,7 +128,7 @@
 	old := t.targets
 	t.targets, t.byAddr, t.services = make(map[flow.TargetID]*target), make(map[netip.Addr][]*target), nil
 	for _, info := range e.Services {
-		s := &service{id: info.ID}
+		s := &service{id: info.ID, sessions: info.Kind == bundle.KindSession}
 		for _, ti := range info.Resolved {
 			if ti.DataCentre != e.DataCentre {
 				continue
