--- a/admission/harness_test.go
+++ b/admission/harness_test.go
@@ -1,11 +1,11 @@
 package admission
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -44,11 +44,9 @@
 // outcome counts what became of the work of one service.
 type outcome struct {
 	offered, inTime, late, refused int
+	exceptions                     int                     // not on the flow's default target
 	short                          *hdrhistogram.Histogram // answer time of short work, microseconds
 	longest                        time.Duration           // wait
-	useful                         time.Duration           // slot time of work answered in time
-	refusedBy                      map[netip.Prefix]int
-	answeredBy                     map[netip.Prefix]int
 }
 
 type job struct {
@@ -60,29 +58,13 @@
 }
 
 type simEvent struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type agenda []simEvent
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].order < a[j].order)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(simEvent)) }
-func (a *agenda) Pop() any {
-	e := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 type simulation struct {
 	now       time.Duration
-	events    agenda
-	order     int
+	events    []simEvent // by time, the latest first
 	random    *rand.Rand
 	policy    forward.Admission
 	loads     []load
@@ -90,7 +72,6 @@
 	busy      [targetCount]int
 	queues    [targetCount][]*job
 	waiting   map[flow.Key]*job
-	speed     func(target int, now time.Duration) float64
 	onDone    func(j *job, latency time.Duration)
 	onRefused func(j *job)
 	counts    func(arrived time.Duration) bool // which work the outcome covers; nil covers all
@@ -103,16 +84,20 @@
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), policy: policy, loads: loads, waiting: make(map[flow.Key]*job)}
 	for range loads {
 		s.outcomes = append(s.outcomes, outcome{
-			short: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3), refusedBy: map[netip.Prefix]int{}, answeredBy: map[netip.Prefix]int{},
+			short: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3),
 		})
 	}
-	s.speed = func(int, time.Duration) float64 { return 1 }
 	return s
 }
 
 func (s *simulation) at(t time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.events, simEvent{t, s.order, do})
+	i, _ := slices.BinarySearchFunc(s.events, t, func(e simEvent, t time.Duration) int {
+		if e.at > t {
+			return -1
+		}
+		return 1 // before earlier ones at the same time, so that those run first
+	})
+	s.events = slices.Insert(s.events, i, simEvent{t, do})
 }
 
 func (s *simulation) run(until time.Duration) {
@@ -120,8 +105,9 @@
 		s.arrive(i)
 	}
 	s.poll()
-	for len(s.events) > 0 && s.events[0].at <= until {
-		e := heap.Pop(&s.events).(simEvent)
+	for last := len(s.events) - 1; last >= 0 && s.events[last].at <= until; last = len(s.events) - 1 {
+		e := s.events[last]
+		s.events = s.events[:last]
 		s.now = e.at
 		e.do()
 	}
@@ -185,8 +171,9 @@
 	o := &s.outcomes[j.load]
 	o.longest = max(o.longest, s.now-j.arrived)
 	if v.Outcome == forward.Refused {
-		o.refused++
-		o.refusedBy[prefixOf(j.key)]++
+		if s.counts == nil || s.counts(j.arrived) {
+			o.refused++
+		}
 		if !j.long { // a refusal is worse than any wait
 			_ = o.short.RecordValue(int64(time.Hour / time.Microsecond))
 		}
@@ -196,6 +183,9 @@
 		return
 	}
 	j.target, j.started = v.Target, s.now
+	if (s.counts == nil || s.counts(j.arrived)) && s.loads[j.load].state.Table.Default(j.key.Hash()) != v.Target {
+		o.exceptions++
+	}
 	if s.busy[j.target] < slotsPerTarget {
 		s.work(j)
 		return
@@ -208,10 +198,9 @@
 	s.busy[j.target]++
 	o := &s.outcomes[j.load]
 	o.longest = max(o.longest, s.now-j.arrived)
-	takes := time.Duration(float64(j.takes) / s.speed(j.target, s.now))
-	s.at(s.now+takes, func() {
+	s.at(s.now+j.takes, func() {
 		s.busy[j.target]--
-		s.finish(j, takes)
+		s.finish(j)
 		if q := s.queues[j.target]; len(q) > 0 && s.busy[j.target] < slotsPerTarget {
 			s.queues[j.target] = q[1:]
 			s.work(q[0])
@@ -219,16 +208,14 @@
 	})
 }
 
-func (s *simulation) finish(j *job, takes time.Duration) {
+func (s *simulation) finish(j *job) {
 	l, o := &s.loads[j.load], &s.outcomes[j.load]
 	latency := s.now - j.arrived
 	if s.counts != nil && !s.counts(j.arrived) {
-		o = &outcome{short: o.short, answeredBy: o.answeredBy}
+		o = &outcome{short: o.short}
 	}
 	if d := l.state.Info.Deadline; d == 0 || latency <= d {
 		o.inTime++
-		o.useful += takes
-		o.answeredBy[prefixOf(j.key)]++
 	} else {
 		o.late++
 	}
