--- a/internal/standin/target/registry.go
+++ b/internal/standin/target/registry.go
@@ -20,8 +20,8 @@
 type Registry struct {
 	mu        sync.Mutex
 	flows     map[FlowID]flowRecord
-	runs      map[uint64]uint8
-	twice     []uint64
+	runs      map[uint64]run
+	twice     []Repeat
 	moved     []Move
 	forgotten uint64
 }
@@ -34,7 +34,22 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{flows: make(map[FlowID]flowRecord), runs: make(map[uint64]uint8)}
+	return &Registry{flows: make(map[FlowID]flowRecord), runs: make(map[uint64]run)}
+}
+
+// run is the last run of a request.
+type run struct {
+	target netip.Addr
+	times  uint8
+}
+
+// Repeat is the second run of a request.
+type Repeat struct {
+	Request uint64     `json:"request"`
+	Service string     `json:"service"`
+	First   netip.Addr `json:"first"`
+	Second  netip.Addr `json:"second"`
+	At      time.Time  `json:"at"`
 }
 
 // Move is the arrival of a flow at a second target.
@@ -80,28 +95,26 @@
 	r.moved = append(r.moved, Move{FlowID: id, From: record.target, To: target, At: time.Now()})
 }
 
-// Run records that a request starts to run.
-func (r *Registry) Run(request uint64) {
+// Run records that a target starts to run a request.
+func (r *Registry) Run(request uint64, service string, target netip.Addr) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n, known := r.runs[request]
+	last, known := r.runs[request]
 	if !known && len(r.runs) >= registryLimit {
 		r.forgotten++
 		return
 	}
-	if n == 1 {
-		r.twice = append(r.twice, request)
-	}
-	if n < 255 {
-		r.runs[request] = n + 1
+	if last.times == 1 {
+		r.twice = append(r.twice, Repeat{Request: request, Service: service, First: last.target, Second: target, At: time.Now()})
 	}
+	r.runs[request] = run{target: target, times: min(last.times, 254) + 1}
 }
 
 // Summary is what the registry shows.
 type Summary struct {
 	Flows     int      `json:"flows"`
 	Requests  int      `json:"requests"`  // requests that were run
-	Twice     []uint64 `json:"twice"`     // requests that were run more than once
+	Twice     []Repeat `json:"twice"`     // requests that were run more than once
 	Moved     []Move   `json:"moved"`     // flows that came to a second target
 	Forgotten uint64   `json:"forgotten"` // flows and requests beyond the limit of the registry
 }
@@ -112,7 +125,7 @@
 	defer r.mu.Unlock()
 	return Summary{
 		Flows: len(r.flows), Requests: len(r.runs), Forgotten: r.forgotten,
-		Twice: append([]uint64{}, r.twice...), Moved: append([]Move{}, r.moved...),
+		Twice: append([]Repeat{}, r.twice...), Moved: append([]Move{}, r.moved...),
 	}
 }
 
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -59,7 +59,7 @@
 
 func (n *Node) start(j *job) {
 	n.running++
-	n.registry.Run(j.request.ID)
+	n.registry.Run(j.request.ID, n.spec.Service, n.spec.Address)
 	d := n.serviceTime(&j.request)
 	j.micros = uint64(d.Microseconds())
 	if d == 0 {
