--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -168,6 +168,13 @@
 	return n
 }
 
+func (o *outcome) refusedRequests() (n uint64) {
+	for _, l := range o.Calls.Loads {
+		n += l.Refused
+	}
+	return n
+}
+
 func (o *outcome) requests() (n uint64) {
 	for _, l := range o.Calls.Loads {
 		n += l.Sent
@@ -217,6 +224,7 @@
 
 // safety adds the goals that hold in every run, whatever fails.
 func (r *Run) safety(o *outcome) {
+	r.Report.Show("requests refused as not run", float64(o.refusedRequests()), fmt.Sprintf("of %d", o.requests()))
 	r.Report.AtMost("foreign packets", float64(o.foreign()), 0, "")
 	r.Report.AtMost("answers mixed up", float64(o.mixed()), 0, "")
 	r.Report.AtMost("requests run twice", float64(len(o.Runs.Twice)), 0, "")
