--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -98,7 +98,7 @@
 	mixed := udpLoad("short and long work", 2, demoRate, 2, demoLongShort)
 	mixed.LongFraction, mixed.LongMicros = longShare, uint32((longFactor * demoLongShort).Microseconds())
 	crest := udpLoad(fmt.Sprintf("crest: demand ×%d", demoCrest), 2, demoRate, 1, demoWork)
-	crest.DeadlineMS, crest.RepeatMS = demoDeadline, -1
+	crest.DeadlineMS = demoDeadline
 	base := demoRate
 	crest.Steps = append(crest.Steps, caller.Step{Rate: demoCrest * demoRate, RampFrom: &base, Seconds: 1}, caller.Step{Rate: demoCrest * demoRate, Seconds: 1})
 	return []caller.Load{short, mixed, crest}
--- a/internal/standin/caller/exchange.go
+++ b/internal/standin/caller/exchange.go
@@ -54,7 +54,11 @@
 	}
 	c := l.stack.Dial(e.local, plan.Endpoint, &tcpExchange{exchange: e})
 	e.timeout = l.stack.After(timeout, func() { e.stats.TimedOut++; e.finish(); c.Abort() })
-	e.cancelAfter(func(b []byte) { c.Write(b) }, message.Frame)
+	e.cancelAfter(func(b []byte) {
+		if c.Open() { // before that the cancellation would be queued ahead of the request
+			c.Write(b)
+		}
+	}, message.Frame)
 }
 
 // cancelAfter sends a cancellation when the request is not answered in time.
