--- a/admission/controller.go
+++ b/admission/controller.go
@@ -235,6 +235,7 @@
 			c.leases.Wait(now, ConnectionGroup(s.state.Table), s.class, connectionHeadroom*len(s.targets))
 		}
 	}
+	c.removeMissing(states)
 }
 
 // dispatch gives free slots to waiting flows and refuses those that have waited too long.
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -78,6 +78,16 @@
 	if v := c.Ask(0, requestOf(state, fill(t, c, state))); v.Code != resultcode.RefusedConnections {
 		t.Fatalf("beyond the connection limit: %+v", v)
 	}
+	// A service that left the bundle is forgotten when its last flow ends.
+	c.Observe(0, nil)
+	for range targetCount * slotsPerTarget {
+		for _, target := range state.Table.Targets {
+			c.Done(0, state.Info.ID, target.ID, 0, false)
+		}
+	}
+	if c.Observe(0, nil); len(c.services) != 0 {
+		t.Fatal("a service without flows is kept")
+	}
 	// Without a limit everything is admitted.
 	c, state = New(nil), newState("short", bundle.ClassBulk, 0, bundle.Limits{})
 	if v := c.Ask(0, requestOf(state, fill(t, c, state))); v.Outcome != forward.Admitted {
--- a/admission/service.go
+++ b/admission/service.go
@@ -16,8 +16,10 @@
 
 const (
 	durationWindow = 10 * time.Second
-	// durationLearned is the number of answers from which a service's durations are used.
+	// durationLearned is the number of answers from which a service's durations are used, and durationRefresh after how
+	// many they are updated within a window.
 	durationLearned = 20
+	durationRefresh = 200
 	// reportWeight is the weight of a reported load beside the own work in progress. With reports that lag by 5 s, full
 	// weight gives a p99 of answers 1.4 times that with a quarter, and no weight twice that (TestMisleadingReports).
 	reportWeight = 0.25
@@ -34,7 +36,7 @@
 	targets []*target // by position in the service's table
 	byID    map[flow.TargetID]*target
 	view    loadView
-	took    [2]*hdrhistogram.Histogram // microseconds; current and previous window
+	took    *hdrhistogram.Histogram // microseconds, of the current window
 	turned  time.Duration
 	typical time.Duration // median, 0 until learned
 	late    time.Duration // 95th percentile, 0 until learned
@@ -64,9 +66,7 @@
 	s := c.services[state.Info.ID]
 	if s == nil {
 		s = &service{queue: queue{callers: make(map[netip.Prefix]*caller)}}
-		for i := range s.took {
-			s.took[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 2)
-		}
+		s.took = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 2)
 		c.services[state.Info.ID] = s
 	}
 	if s.state == state {
@@ -84,6 +84,21 @@
 	return s
 }
 
+// removeMissing forgets services that are not in a snapshot, once no flow of theirs waits or runs.
+func (c *Controller) removeMissing(states map[flow.ServiceID]*forward.ServiceState) {
+	for id, s := range c.services {
+		inUse := slices.ContainsFunc(s.targets, func(t *target) bool { return t.inFlight[s] > 0 })
+		if states[id] != nil || s.queue.waiting > 0 || inUse {
+			continue
+		}
+		delete(c.services, id)
+		s.pool.services = slices.DeleteFunc(s.pool.services, func(x *service) bool { return x == s })
+		for _, t := range s.targets {
+			delete(t.inFlight, s)
+		}
+	}
+}
+
 func (c *Controller) setTargets(s *service) {
 	s.targets, s.byID = nil, make(map[flow.TargetID]*target)
 	for i := range s.state.Table.Targets {
@@ -183,15 +198,23 @@
 // observeDuration learns from the duration of one answer.
 func (s *service) observeDuration(now, took time.Duration) {
 	if now-s.turned >= durationWindow {
-		s.took[0], s.took[1], s.turned = s.took[1], s.took[0], now
-		s.took[0].Reset()
+		s.learn()
+		s.took.Reset()
+		s.turned = now
+	}
+	_ = s.took.RecordValue(max(1, took.Microseconds())) // a value out of range is longer than any deadline
+	if n := s.took.TotalCount(); n%durationRefresh == 0 || (n == durationLearned && s.typical == 0) {
+		s.learn()
 	}
-	_ = s.took[0].RecordValue(max(1, took.Microseconds())) // a value out of range is longer than any deadline
-	if n := s.took[0].TotalCount(); n < durationLearned || n%durationLearned != 0 {
+}
+
+// learn takes the durations of the current window, if there are enough.
+func (s *service) learn() {
+	if s.took.TotalCount() < durationLearned {
 		return
 	}
-	s.typical = time.Duration(s.took[0].ValueAtQuantile(50)) * time.Microsecond
-	s.late = time.Duration(s.took[0].ValueAtQuantile(95)) * time.Microsecond
+	s.typical = time.Duration(s.took.ValueAtQuantile(50)) * time.Microsecond
+	s.late = time.Duration(s.took.ValueAtQuantile(95)) * time.Microsecond
 }
 
 // loadView shows a strategy the targets that may be used, with the work of this balancer counted at once.
