--- a/limits/holder.go
+++ b/limits/holder.go
@@ -12,7 +12,7 @@
 	// renewAfter leaves room for two lost renewals in one Term.
 	renewAfter = Term / 3
 	// idleAfter is how long a lease is kept without need while nobody else waits for it.
-	idleAfter = 50 * time.Millisecond
+	idleAfter = 200 * time.Millisecond
 	// askGap is the least time between two requests for one resource, except for slots that are given up. urgentGap is the
 	// same for urgent work that waits.
 	askGap    = 10 * time.Millisecond
