--- a/admission/controller.go
+++ b/admission/controller.go
@@ -229,6 +229,7 @@
 	for _, state := range states {
 		c.observe(state)
 	}
+	c.removeMissing(states)
 }
 
 // dispatch gives free slots to waiting flows and refuses those that have waited too long.
