--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -16,11 +16,12 @@
 const (
 	plannedMembers  = 118 // balancers of one data centre
 	plannedNodes    = 830
-	plannedFlows    = 17e6 // open, over all nodes
-	plannedNewFlows = 52e3 // a second, over all nodes
-	plannedCPU      = 1.9  // % of a core for control, per node
-	plannedMemory   = 256  // MB per node
-	plannedTraffic  = 19   // KB/s of control traffic per node
+	plannedTargets  = 4600 / 7 // targets of one data centre
+	plannedFlows    = 17e6     // open, over all nodes
+	plannedNewFlows = 52e3     // a second, over all nodes
+	plannedCPU      = 1.9      // % of a core for control, per node
+	plannedMemory   = 256      // MB per node
+	plannedTraffic  = 19       // KB/s of control traffic per node
 )
 
 const (
@@ -47,7 +48,7 @@
 // capacity measures how the cost of a balancer grows with the number of balancers, open flows and new flows, and
 // projects it to the planned size.
 func capacity(ctx context.Context, r *Run) error {
-	members, err := r.costOfMembers(ctx, []int{2, 4, 8, 16})
+	members, err := r.costOfMembers(ctx, []int{2, 8, 24, 64})
 	if err != nil {
 		return err
 	}
@@ -59,15 +60,24 @@
 	if err != nil {
 		return err
 	}
+	targets, err := r.costOfTargets(ctx, []int{20, 200, 650})
+	if err != nil {
+		return err
+	}
+	addresses, err := r.costOfAddresses([]int{10, 100, 1300})
+	if err != nil {
+		return err
+	}
+	r.Report.Figures["by_targets"], r.Report.Figures["by_addresses"] = targets, addresses
 	r.Report.Figures["by_members"], r.Report.Figures["by_open_flows"], r.Report.Figures["by_new_flows"] = members, flows, rates
-	r.project(members, flows, rates)
+	r.project(members, flows, rates, targets)
 	for _, p := range []struct {
 		name, x string
 		points  []point
-	}{{"members", "balancers", members}, {"flows", "open flows per balancer", flows}, {"rate", "new flows a second per balancer", rates}} {
+	}{{"members", "balancers", members}, {"flows", "open flows per balancer", flows}, {"rate", "new flows a second per balancer", rates}, {"targets", "targets", targets}} {
 		r.Report.plotPoints(p.name, p.x, p.points)
 	}
-	return r.writeProjection()
+	return r.writeProjection(members, flows, rates, targets, addresses)
 }
 
 func (r *Run) costOfMembers(ctx context.Context, sizes []int) ([]point, error) {
@@ -244,7 +254,7 @@
 
 // project adds the cost of a node at the planned size: that of the planned number of members, plus the planned share
 // of flows.
-func (r *Run) project(members, flows, rates []point) {
+func (r *Run) project(members, flows, rates, targets []point) {
 	at := func(points []point, x float64, y func(*usage) float64) float64 {
 		base, slope := fit(points, y)
 		return base + slope*x
@@ -255,11 +265,16 @@
 	_, perFlow := fit(flows, memory)
 	_, perNew := fit(rates, traffic)
 	_, cpuPerNew := fit(rates, cpu)
+	// The points by number of members have 19 targets; the planned number adds the slope by number of targets.
+	more := func(y func(*usage) float64) float64 {
+		_, slope := fit(targets, y)
+		return slope * (plannedTargets - 19)
+	}
 	rep := r.Report
 	rep.AtMost("control traffic at 2,000 new flows/s per balancer", at(rates, 2000, traffic), 4, "KB/s")
-	rep.AtMost("planned size: control, processor", at(members, plannedMembers, cpu), plannedCPU, "% of a core")
-	rep.AtMost("planned size: memory", at(members, plannedMembers, memory)+perFlow*plannedFlows/plannedNodes, plannedMemory, "MB")
-	rep.AtMost("planned size: control traffic", at(members, plannedMembers, traffic)+perNew*plannedNewFlows/plannedNodes, plannedTraffic, "KB/s")
+	rep.AtMost("planned size: control, processor", at(members, plannedMembers, cpu)+more(cpu), plannedCPU, "% of a core")
+	rep.AtMost("planned size: memory", at(members, plannedMembers, memory)+more(memory)+perFlow*plannedFlows/plannedNodes, plannedMemory, "MB")
+	rep.AtMost("planned size: control traffic", at(members, plannedMembers, traffic)+more(traffic)+perNew*plannedNewFlows/plannedNodes, plannedTraffic, "KB/s")
 	rep.Show("memory per open flow", perFlow*1e6, "bytes")
 	rep.Show("processor time per new short flow", cpuPerNew*1e4, "µs")
 }
@@ -283,12 +298,30 @@
 	r.Plots = append(r.Plots, p)
 }
 
-// writeProjection writes the goals as Markdown, for docs/CAPACITY.md.
-func (r *Run) writeProjection() error {
+// writeProjection writes the goals and the fitted laws as Markdown, for docs/CAPACITY.md.
+func (r *Run) writeProjection(members, flows, rates, targets []point, addresses []bundleCost) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "Command: `marigoldwood-experiment capacity --seed %d`\n\n| measure | value | goal |\n|---|---|---|\n", r.Seed)
+	fmt.Fprintf(&b, "Command: `make capacity SEED=%d`\n\n| measure | projected | limit |\n|---|---|---|\n", r.Seed)
 	for _, g := range r.Report.Goals {
 		fmt.Fprintf(&b, "| %s | %.4g %s | %s |\n", g.Measure, g.Value, g.Unit, g.Goal)
 	}
+	b.WriteString("\n| law | measured (x: y) | fit | largest residual | unit of y |\n|---|---|---|---|---|\n")
+	cpu := func(u *usage) float64 { return u.CPU }
+	memory := func(u *usage) float64 { return u.Memory }
+	traffic := func(u *usage) float64 { return u.Traffic }
+	calls := func(u *usage) float64 { return u.Calls }
+	for _, x := range []struct {
+		name   string
+		points []point
+	}{{"balancers of the data centre", members}, {"targets", targets}, {"open flows per balancer", flows}, {"new flows/s per balancer", rates}} {
+		b.WriteString(law("processor", x.name, "% of a core", x.points, cpu))
+		b.WriteString(law("memory", x.name, "MB", x.points, memory))
+		b.WriteString(law("control traffic sent", x.name, "KB/s", x.points, traffic))
+	}
+	b.WriteString(law("platform calls, all balancers", "balancers of the data centre", "calls/s", members, calls))
+	b.WriteString("\n| addresses | envelope, bytes | judged in | published in | memory |\n|---|---|---|---|---|\n")
+	for _, c := range addresses {
+		fmt.Fprintf(&b, "| %d | %d | %.1f ms | %.1f ms | %.1f MB |\n", c.Addresses, c.Envelope, c.JudgeMS, c.PublishMS, c.MemoryMB)
+	}
 	return os.WriteFile(filepath.Join(r.Out, "capacity.md"), []byte(b.String()), 0o644)
 }
