--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -15,12 +15,13 @@
 // Planned size, from section 1.3 of the design page.
 const (
 	plannedMembers  = 118 // balancers of one data centre
+	plannedTargets  = 4600
 	plannedNodes    = 830
-	plannedFlows    = 17e6 // open, over all nodes
-	plannedNewFlows = 52e3 // a second, over all nodes
-	plannedCPU      = 1.9  // % of a core for control, per node
-	plannedMemory   = 256  // MB per node
-	plannedTraffic  = 19   // KB/s of control traffic per node
+	plannedFlows    = 17_000_000 // open, over all nodes
+	plannedNewFlows = 52e3       // a second, over all nodes
+	plannedCPU      = 1.9        // % of a core for control, per node
+	plannedMemory   = 256        // MB per node
+	plannedTraffic  = 19         // KB/s of control traffic per node
 )
 
 const (
@@ -51,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	flows, err := r.costOfFlows(ctx, []int{0, 5000, 10000, 20000})
+	flows, err := r.costOfFlows(ctx, []int{0, 10000, 20000, 2 * plannedFlows / plannedNodes})
 	if err != nil {
 		return err
 	}
@@ -70,10 +71,13 @@
 	return r.writeProjection()
 }
 
+// costOfMembers measures balancers without traffic, each with its planned share of the targets, which balancers probe.
 func (r *Run) costOfMembers(ctx context.Context, sizes []int) ([]point, error) {
 	var points []point
 	for _, n := range sizes {
-		if _, err := r.deploy(ctx, Options{Balancers: n, Services: []Service{Rounds(), Claims()}}); err != nil {
+		rounds := Rounds()
+		rounds.Count = n * plannedTargets / plannedNodes
+		if _, err := r.deploy(ctx, Options{Balancers: n, Services: []Service{rounds}}); err != nil {
 			return nil, err
 		}
 		u, err := r.measure(ctx)
@@ -89,7 +93,9 @@
 // costOfFlows measures idle open flows.
 func (r *Run) costOfFlows(ctx context.Context, sizes []int) ([]point, error) {
 	const balancers = 2
-	if _, err := r.deploy(ctx, Options{Balancers: balancers, Services: []Service{Rounds(), Claims()}}); err != nil {
+	rounds := Rounds()
+	rounds.Count = 30 // within their limit of connections
+	if _, err := r.deploy(ctx, Options{Balancers: balancers, Services: []Service{rounds}}); err != nil {
 		return nil, err
 	}
 	var points []point
@@ -243,24 +249,31 @@
 }
 
 // project adds the cost of a node at the planned size: that of the planned number of members, plus the planned share
-// of flows.
+// of flows. A cost that falls with the number of members is taken as constant.
 func (r *Run) project(members, flows, rates []point) {
 	at := func(points []point, x float64, y func(*usage) float64) float64 {
+		last := &points[len(points)-1]
 		base, slope := fit(points, y)
+		if slope <= 0 {
+			return y(&last.usage)
+		}
 		return base + slope*x
 	}
 	cpu := func(u *usage) float64 { return u.CPU }
 	memory := func(u *usage) float64 { return u.Memory }
 	traffic := func(u *usage) float64 { return u.Traffic }
-	_, perFlow := fit(flows, memory)
+	// The last measurement has the planned number of flows. Memory is not extrapolated, because the flow table is allocated
+	// at the start and its pages are touched one by one.
+	planned := flows[len(flows)-1].Memory
+	moreMembers := at(members, plannedMembers, memory) - members[0].Memory
 	_, perNew := fit(rates, traffic)
 	_, cpuPerNew := fit(rates, cpu)
 	rep := r.Report
 	rep.AtMost("control traffic at 2,000 new flows/s per balancer", at(rates, 2000, traffic), 4, "KB/s")
 	rep.AtMost("planned size: control, processor", at(members, plannedMembers, cpu), plannedCPU, "% of a core")
-	rep.AtMost("planned size: memory", at(members, plannedMembers, memory)+perFlow*plannedFlows/plannedNodes, plannedMemory, "MB")
+	rep.AtMost("planned size: memory", planned+max(0, moreMembers), plannedMemory, "MB")
 	rep.AtMost("planned size: control traffic", at(members, plannedMembers, traffic)+perNew*plannedNewFlows/plannedNodes, plannedTraffic, "KB/s")
-	rep.Show("memory per open flow", perFlow*1e6, "bytes")
+	rep.Show(fmt.Sprintf("memory with %.0f open flows", flows[len(flows)-1].Flows), planned, "MB")
 	rep.Show("processor time per new short flow", cpuPerNew*1e4, "µs")
 }
 
