--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -91,9 +91,10 @@
 func TestAsymmetricLoss(t *testing.T) {
 	t.Parallel()
 	for name, lost := range map[string]func(from, to int) bool{
-		"one way":     func(from, to int) bool { return from == 1 && to == 2 },
-		"both ways":   func(from, to int) bool { return from+to == 3 && from*to == 2 },
-		"three pairs": func(from, to int) bool { return from < 3 && to == from+3 },
+		"one way":             func(from, to int) bool { return from == 1 && to == 2 },
+		"both ways":           func(from, to int) bool { return from+to == 3 && from*to == 2 },
+		"half of the members": func(from, to int) bool { return from < 4 && to == 4 || from == 4 && to < 4 },
+		"three pairs":         func(from, to int) bool { return from < 3 && to == from+3 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1, 8, oneDC)
