--- a/membership/probe.go
+++ b/membership/probe.go
@@ -75,9 +75,14 @@
 	}
 }
 
+// pingSuspect pings a suspected member directly and through one other member. The ping-req carries the suspicion to the
+// helper, and the relayed ack brings back the refutation when the direct path is down.
 func (c *Core) pingSuspect(m *member) {
 	c.sequence++
 	c.sendPing(m, c.sequence)
+	for _, helper := range c.pickHelpers(m.ID, 1) {
+		c.requestPing(helper, m, c.sequence)
+	}
 	if m.contested {
 		m.pings++
 		m.expires = min(m.expires, c.now+time.Duration(1+contestPings-min(m.pings, contestPings))*ProbeInterval)
@@ -133,14 +138,18 @@
 	p.indirect, p.deadline = true, c.now+AckTimeout
 	c.probes = append(c.probes, p)
 	c.sendPing(m, p.sequence) // a lost packet is more frequent than a lost host
-	for _, helper := range c.pickHelpers(p.target) {
-		msg := c.message(PingReq, p.sequence, helper)
-		msg.Target, msg.TargetAddr = m.ID, m.Probe
-		c.emit(Send{To: helper.Probe, Message: msg})
+	for _, helper := range c.pickHelpers(p.target, IndirectProbes) {
+		c.requestPing(helper, m, p.sequence)
 	}
 }
 
-func (c *Core) pickHelpers(target HostID) []*member {
+func (c *Core) requestPing(helper, target *member, sequence uint64) {
+	msg := c.message(PingReq, sequence, helper)
+	msg.Target, msg.TargetAddr = target.ID, target.Probe
+	c.emit(Send{To: helper.Probe, Message: msg})
+}
+
+func (c *Core) pickHelpers(target HostID, n int) []*member {
 	var live []*member
 	for _, id := range c.sortedMembers() {
 		if m := c.members[id]; id != target && m.announced != Gone && !m.suspected {
@@ -148,7 +157,7 @@
 		}
 	}
 	c.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(IndirectProbes, len(live))]
+	return live[:min(n, len(live))]
 }
 
 // suspect starts a suspicion after a failed probe.
