--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -115,11 +115,11 @@
 
 // Guards against a member that hears nothing, or whose packets are all lost, taking others down with it. The others must
 // remove it, keep each other, and take it back.
-func TestDeafAndMute(t *testing.T) {
+func TestOneWayIsolation(t *testing.T) {
 	t.Parallel()
 	for name, lost := range map[string]func(from, to int) bool{
-		"deaf": func(_, to int) bool { return to == 3 },
-		"mute": func(from, _ int) bool { return from == 3 },
+		"receives nothing": func(_, to int) bool { return to == 3 },
+		"sends nothing":    func(from, _ int) bool { return from == 3 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1, 8, oneDC)
--- a/ownership/grant.go
+++ b/ownership/grant.go
@@ -57,7 +57,9 @@
 
 // answerOther answers for a bucket that this member does not own: with the copies of an owner that is gone or has
 // restarted, or with the member that it granted the bucket to.
-func (h *Handover) answerOther(from membership.HostID, b Bucket, copies, incomplete *Grant, redirects map[membership.HostID][]Bucket) {
+func (h *Handover) answerOther(
+	from membership.HostID, b Bucket, copies, incomplete *Grant, redirects map[membership.HostID][]Bucket,
+) {
 	if source := h.copies.Source(b); source != 0 && (source == from || !h.reachable[source]) {
 		held, complete := h.copies.Take(b)
 		if complete {
