--- a/internal/experiment/control.go
+++ b/internal/experiment/control.go
@@ -128,12 +128,12 @@
 }
 
 // FalseRefusals returns the flows that were refused as not run although a target had them.
-func (d *Deployment) FalseRefusals(ctx context.Context) ([]target.FlowID, error) {
+func (d *Deployment) FalseRefusals(ctx context.Context) ([]target.KnownFlow, error) {
 	refused, err := get[[]target.FlowID](ctx, d.ports.at(callerAddress, portControl), "/refused")
 	if err != nil {
 		return nil, err
 	}
-	return call[[]target.FlowID](ctx, http.MethodPost, d.ports.at(targetsAddress, portControl), "/known", refused)
+	return call[[]target.KnownFlow](ctx, http.MethodPost, d.ports.at(targetsAddress, portControl), "/known", refused)
 }
 
 // Call starts callers.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -105,7 +105,7 @@
 	Calls         caller.Result
 	Targets       []target.Counters
 	Runs          target.Summary
-	FalseRefusals []target.FlowID
+	FalseRefusals []target.KnownFlow
 	Statuses      []Status
 }
 
@@ -229,6 +229,13 @@
 	r.Report.AtMost("answers mixed up", float64(o.mixed()), 0, "")
 	r.Report.AtMost("requests run twice", float64(len(o.Runs.Twice)), 0, "")
 	r.Report.AtMost("false refusals", float64(o.falseRefusals()), 0, "")
+	requested := 0
+	for _, f := range o.FalseRefusals {
+		if f.Request {
+			requested++
+		}
+	}
+	r.Report.Show("false refusals after a request, and not only a SYN, reached a target", float64(requested), "")
 	r.Report.AtMost("new flows at leaving targets after 3 s", float64(o.lateFlows()), 0, "")
 }
 
--- a/internal/standin/target/node.go
+++ b/internal/standin/target/node.go
@@ -262,6 +262,9 @@
 		s.node.counters.Malformed++
 		return
 	}
+	if r.Sequence == 1 {
+		s.node.registry.Requested(FlowID{Caller: c.Remote(), Service: s.node.spec.Service})
+	}
 	if r.FeedMS > 0 && s.feed == nil {
 		s.push(c, &r)
 	}
--- a/internal/standin/target/registry.go
+++ b/internal/standin/target/registry.go
@@ -29,6 +29,7 @@
 type flowRecord struct {
 	target  netip.Addr
 	refused bool // the target itself refused the flow
+	request bool // the target received a request of the flow
 	moved   bool
 }
 
@@ -129,14 +130,30 @@
 	}
 }
 
+// Requested records that a target received a request of a flow.
+func (r *Registry) Requested(id FlowID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if record, known := r.flows[id]; known && !record.request {
+		record.request = true
+		r.flows[id] = record
+	}
+}
+
+// KnownFlow is a flow that reached a target and was not refused by it.
+type KnownFlow struct {
+	FlowID
+	Request bool `json:"request"` // the target received a request of the flow, and not only a SYN
+}
+
 // Known returns those of the flows that reached a target and were not refused by it.
-func (r *Registry) Known(ids []FlowID) []FlowID {
+func (r *Registry) Known(ids []FlowID) []KnownFlow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := []FlowID{}
+	known := []KnownFlow{}
 	for _, id := range ids {
 		if record, ok := r.flows[id]; ok && !record.refused {
-			known = append(known, id)
+			known = append(known, KnownFlow{FlowID: id, Request: record.request})
 		}
 	}
 	return known
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -113,7 +113,7 @@
 func (p *Process) Runs() Summary { return p.registry.Summary() }
 
 // Known returns those of the flows that reached a target and were not refused by it.
-func (p *Process) Known(ids []FlowID) []FlowID { return p.registry.Known(ids) }
+func (p *Process) Known(ids []FlowID) []KnownFlow { return p.registry.Known(ids) }
 
 // Control returns the handler of the control port: GET /counters, PUT /behaviour?target=ADDRESS (every target when
 // left out), GET /runs, and POST /known with a list of flows.
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -186,6 +186,7 @@
 		n.counters.Malformed++
 		return
 	}
+	n.registry.Requested(FlowID{Caller: p.Src, Service: n.spec.Service})
 	n.requestUDP(f, &r, p.Src, p.Dst)
 }
 
