--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -53,7 +53,8 @@
 	return []experiment.Service{rounds, claims, orders}
 }
 
-// deploy starts three balancers.
+// deploy starts three balancers. Deployments have ports of their own, and the tests run side by side so that the package
+// ends within 60 s.
 func deploy(t *testing.T) *experiment.Deployment {
 	t.Helper()
 	if testing.Short() {
@@ -165,6 +166,7 @@
 
 // Guards against a deployment that does not pass both protocols over both IP versions, in both directions.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	d := deploy(t)
 	start(t, d, 2)
 	pause(t, 2500*time.Millisecond)
@@ -175,7 +177,7 @@
 func TestDrainedTarget(t *testing.T) {
 	for i, by := range []experiment.Notice{experiment.ByBundle, experiment.ByHostList, experiment.BySignal} {
 		t.Run(string(by), func(t *testing.T) {
-			t.Parallel() // the whole package is to end within 60 s
+			t.Parallel()
 			d := deploy(t)
 			start(t, d, 5)
 			pause(t, time.Second)
@@ -190,6 +192,7 @@
 
 // Guards against flows cut off by a planned replacement of a balancer.
 func TestReplacedBalancer(t *testing.T) {
+	t.Parallel()
 	d := deploy(t)
 	start(t, d, 6)
 	pause(t, time.Second)
@@ -201,6 +204,7 @@
 // Guards against sessions lost with a killed balancer: the goal is at most 0.1% of the open flows, so of 200 sessions
 // none.
 func TestKilledBalancer(t *testing.T) {
+	t.Parallel()
 	d := deploy(t)
 	start(t, d, 6)
 	pause(t, 1500*time.Millisecond)
@@ -216,6 +220,7 @@
 
 // Guards against a target's refusal that is reported as something else, or is retried on a target that runs it.
 func TestRefusingTargets(t *testing.T) {
+	t.Parallel()
 	d := deploy(t)
 	must(t, d.SetBehaviour(t.Context(), netip.Addr{}, target.Behaviour{Shed: target.ShedICMP}))
 	p := plan(1)
