Follow the pause rules of the handover, advertise ports, sign with package bundle

A member that was cut off claims its buckets back before it decides, and drops what it knew of them when the grant arrives. Acks of exception batches go out every 250 ms instead of every 50 ms.

--- a/forward/copies.go
+++ b/forward/copies.go
@@ -95,6 +95,27 @@
 	return out
 }
 
+// Discard removes the entries of buckets that another balancer has decided for since they were made.
+func (e *Engine) Discard(now time.Duration, buckets ...ownership.Bucket) {
+	st := e.state.Load()
+	if st == nil {
+		return
+	}
+	var wanted [ownership.BucketCount]bool
+	for _, b := range buckets {
+		wanted[b%ownership.BucketCount] = true
+	}
+	e.table.Range(func(en *flow.Entry) bool {
+		k := en.Key()
+		if !wanted[bucketOf(&k)] {
+			return true
+		}
+		en.Flags &^= flow.FlagException // the other balancer's copies replace it
+		e.finish(st, now, &k, en)
+		return false
+	})
+}
+
 func (e *Engine) isGranted(st *state, k *flow.Key, hash uint64, en *flow.Entry) bool {
 	ep := st.byID[k.Endpoint]
 	return e.isNeeded(st, k, hash, en) || en.State().Open() && ep != nil && ep.service.copied
--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/internal/peer"
@@ -10,6 +11,11 @@
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
+// ackInterval is how often batches of exceptions are acknowledged. An owner sends again what is not acknowledged for 1 s.
+const ackInterval = 250 * time.Millisecond
+
+const pruneInterval = 10 * time.Second
+
 func (l *Loop) applyBuckets(effects []ownership.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -17,6 +23,8 @@
 			l.send(e.To, &peer.BucketClaim{Buckets: e.Buckets, Denied: e.Denied})
 		case ownership.SendGrant:
 			l.send(e.To, peer.NewBucketGrant(e.Grant))
+		case ownership.Discard:
+			l.cfg.Engine.Discard(l.now, e.Buckets...)
 		case ownership.Install:
 			l.install(e.Exceptions)
 		case ownership.Publish:
@@ -114,11 +122,24 @@
 	for _, s := range l.replicator.Tick(l.now) {
 		l.send(s.To, &peer.ExceptionBatch{Epoch: s.Batch.Epoch, Sequence: s.Batch.Sequence, Data: s.Batch.Data})
 	}
+	if l.now < l.nextAcks {
+		return
+	}
+	l.nextAcks = l.now + ackInterval
 	for _, s := range l.store.Acks() {
 		l.send(s.To, &peer.ExceptionAck{Epoch: s.Ack.Epoch, Sequence: s.Ack.Sequence})
 	}
 }
 
+// pruneCopies drops copies for owners that this balancer is no longer the backup of.
+func (l *Loop) pruneCopies() {
+	if l.now < l.nextPrune {
+		return
+	}
+	l.nextPrune = l.now + pruneInterval
+	l.store.Prune(l.now, l.cfg.Self.ID, l.owners)
+}
+
 func (l *Loop) drainExceptions() {
 	changes, overflow := l.cfg.Exceptions.take()
 	for _, c := range changes {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -112,6 +112,8 @@
 	platform    platformCalls
 	tables      tableCache
 	nextObserve time.Duration
+	nextAcks    time.Duration
+	nextPrune   time.Duration
 	dropCopies  time.Duration // when copies that the bundle in force made unnecessary are dropped; 0 for never
 }
 
@@ -246,6 +248,7 @@
 	l.observeTraffic()
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
 	l.sendBatches()
+	l.pruneCopies()
 	l.tickLedgers()
 	l.readHosts()
 	l.advance()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -26,8 +26,10 @@
 		case membership.StatusReceived:
 			l.statusReceived(e)
 		case membership.SelfGone:
-			// Others have taken over the buckets. They are claimed back before the balancer decides again.
-			l.applyBuckets(l.handover.Handle(l.now, ownership.Lapsed{}))
+			if e.CutOff {
+				// Others have taken over the buckets. They are claimed back before the balancer decides again.
+				l.applyBuckets(l.handover.Handle(l.now, ownership.Lapsed{}))
+			}
 			l.record(timeline.Event{Kind: "declared-gone", Detail: fmt.Sprintf("rejoins with incarnation %d after %s", e.Incarnation, e.Hold)})
 		case membership.LeavingListed:
 			l.record(timeline.Event{Kind: "member-listed-leaving", Member: l.memberName(e.Member)})
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -43,10 +44,14 @@
 
 // provideSelf describes this host. The wall clock as incarnation makes a restarted process newer than its earlier life.
 func provideSelf(s *settings.Settings) membership.Member {
-	address := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(s.Listen.Address, port) }
+	address := func(port, listen uint16) netip.AddrPort {
+		return netip.AddrPortFrom(s.Listen.Address, cmp.Or(port, listen))
+	}
 	return membership.Member{
 		ID: membership.NewHostID(s.Host.Name), Name: s.Host.Name, DataCentre: s.Host.DataCentre,
-		Data: address(s.Listen.DataPort), Probe: address(s.Listen.ProbePort), Peer: address(s.Listen.PeerPort),
+		Data:        address(s.Advertise.DataPort, s.Listen.DataPort),
+		Probe:       address(s.Advertise.ProbePort, s.Listen.ProbePort),
+		Peer:        address(s.Advertise.PeerPort, s.Listen.PeerPort),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 }
@@ -97,9 +102,9 @@
 func provideProber() *prober.Prober { return prober.New(0, 0) }
 
 // provideDataplane opens the data sockets. The control tick is read from the loop, which is made later.
-func provideDataplane(s *settings.Settings, self membership.Member, engine *forward.Engine, clock monotonic, turn *lastTurn) (*dataplane.Dataplane, error) {
+func provideDataplane(s *settings.Settings, engine *forward.Engine, clock monotonic, turn *lastTurn) (*dataplane.Dataplane, error) {
 	return dataplane.New(dataplane.Config{
-		Listen: self.Data, Workers: s.Traffic.Workers, Fabric: s.Fabric.Address, Engine: engine, Clock: clock, Tick: turn.read,
+		Listen: netip.AddrPortFrom(s.Listen.Address, s.Listen.DataPort), Workers: s.Traffic.Workers, Fabric: s.Fabric.Address, Engine: engine, Clock: clock, Tick: turn.read,
 	})
 }
 
--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -61,9 +61,9 @@
 	}
 	t.pool = peer.NewPool(peer.PoolConfig{Identity: t.identity, Credentials: credentials, Local: s.Listen.Address, Refused: t.connectionFailed})
 	t.config = peer.ListenConfig{
-		Address: self.Peer, Identity: t.identity, Credentials: credentials, Handler: t.receivePeer, Refused: t.connectionFailed,
+		Address: netip.AddrPortFrom(s.Listen.Address, s.Listen.PeerPort), Identity: t.identity, Credentials: credentials, Handler: t.receivePeer, Refused: t.connectionFailed,
 	}
-	t.probes, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(self.Probe))
+	t.probes, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(s.Listen.Address, s.Listen.ProbePort)))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/daemon/wire_gen.go
+++ b/internal/daemon/wire_gen.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	daemonLastTurn := provideLastTurn()
-	dataplane, err := provideDataplane(s, member, engine, daemonMonotonic, daemonLastTurn)
+	dataplane, err := provideDataplane(s, engine, daemonMonotonic, daemonLastTurn)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/sign.go
+++ b/internal/experiment/sign.go
@@ -5,26 +5,9 @@
 	"encoding/base64"
 	"encoding/binary"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/marigoldwood/marigoldwood/bundle"
 )
 
-// TODO: replace by bundle.Sign once it is merged, and remove this file but for signingKey.
-
-// envelope is the signed form of a bundle.
-type envelope struct {
-	KeyID     string `msgpack:"key_id"`
-	Payload   []byte `msgpack:"payload"`
-	Signature []byte `msgpack:"signature"`
-}
-
-const signatureContext = "marigoldwood bundle v1\n"
-
-func signBundle(payload []byte, keyID string, key ed25519.PrivateKey) ([]byte, error) {
-	b := binary.BigEndian.AppendUint32([]byte(signatureContext), uint32(len(keyID)))
-	b = append(append(b, keyID...), payload...)
-	return msgpack.Marshal(&envelope{KeyID: keyID, Payload: payload, Signature: ed25519.Sign(key, b)})
-}
-
 // keyID names the key that signs the bundles of a deployment.
 const keyID = "experiment"
 
@@ -42,5 +25,5 @@
 }
 
 func (k signingKey) sign(payload []byte) ([]byte, error) {
-	return signBundle(payload, keyID, k.private)
+	return bundle.Sign(payload, keyID, k.private)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,16 +9,18 @@
 
 // Settings is a checked settings file. Load returns it complete, with defaults filled in.
 type Settings struct {
-	Host     Host     `yaml:"host"`
-	Listen   Listen   `yaml:"listen"`
-	Fabric   Fabric   `yaml:"fabric"`
-	Platform Platform `yaml:"platform"`
-	Peers    Peers    `yaml:"peers"`
-	Operator Operator `yaml:"operator"`
-	Bundle   Bundle   `yaml:"bundle"`
-	Limits   Limits   `yaml:"limits"`
-	Traffic  Traffic  `yaml:"traffic"`
-	Log      Log      `yaml:"log"`
+	Host   Host   `yaml:"host"`
+	Listen Listen `yaml:"listen"`
+	// Advertise holds the ports that other balancers send to, where they differ from the ports listened on.
+	Advertise Advertise `yaml:"advertise"`
+	Fabric    Fabric    `yaml:"fabric"`
+	Platform  Platform  `yaml:"platform"`
+	Peers     Peers     `yaml:"peers"`
+	Operator  Operator  `yaml:"operator"`
+	Bundle    Bundle    `yaml:"bundle"`
+	Limits    Limits    `yaml:"limits"`
+	Traffic   Traffic   `yaml:"traffic"`
+	Log       Log       `yaml:"log"`
 }
 
 // Host identifies the process.
@@ -36,6 +38,13 @@
 	OperatorPort uint16     `yaml:"operator_port" validate:"min=1" default:"7083" doc:"TCP port of the operator interface, metrics and health"`
 }
 
+// Advertise holds the ports under which other balancers reach this one, for example through a forwarder.
+type Advertise struct {
+	DataPort  uint16 `yaml:"data_port" doc:"UDP port of Geneve packets; 0 means listen.data_port"`
+	ProbePort uint16 `yaml:"probe_port" doc:"UDP port of membership probes; 0 means listen.probe_port"`
+	PeerPort  uint16 `yaml:"peer_port" doc:"TCP port of peer messages; 0 means listen.peer_port"`
+}
+
 // Fabric is where packets to callers are sent.
 type Fabric struct {
 	Address netip.AddrPort `yaml:"address" validate:"required" doc:"Geneve address of the fabric, address:port"`
