Do not refuse datagrams as not run while a lost member may still decide

Cause: in a partition the fabric hands packets of one flow to both sides. A request that one side had run was repeated by its caller, reached the other side and was refused there as not run. Cost: for 10 min after an unplanned loss a UDP request that finds no slot is dropped instead of refused.

--- a/forward/roles_test.go
+++ b/forward/roles_test.go
@@ -205,3 +205,15 @@
 		t.Fatalf("got %+v, done %v", endings, r.done)
 	}
 }
+
+// Guards against a refusal that says "not run" for a request that the other side of a partition has run.
+func TestNoRefusalWhilePossiblyDivided(t *testing.T) {
+	for divided, want := range map[bool]Action{false: Refuse, true: Drop} {
+		s := testSnapshot(testBundle(t, 1, udpShort))
+		setRole(s, BucketState{Role: RoleOwner, InSync: true})
+		s.PossiblyDivided = divided
+		e, r := newTestEngine(s)
+		r.verdict = &Verdict{Outcome: Refused, Code: resultcode.RefusedNoSlot}
+		expect(t, e.FromCaller(20*time.Second, udp(9)), want, resultcode.RefusedNoSlot)
+	}
+}
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -61,8 +61,11 @@
 	Services    map[flow.ServiceID]*ServiceState
 	TargetAddrs map[netip.Addr]*bundle.ServiceInfo // service of each target address of this data centre
 	Retired     map[flow.TargetID]RetiredTarget    // targets that the bundle has dropped and that flows still use
-	Fenced      bool                               // the view is being refreshed after a pause
-	Stopping    bool                               // a graceful shutdown is under way
+	// PossiblyDivided reports that a member was lost without notice and may still decide on the other side of a partition,
+	// where the fabric hands it packets of the same flows.
+	PossiblyDivided bool
+	Fenced          bool // the view is being refreshed after a pause
+	Stopping        bool // a graceful shutdown is under way
 }
 
 // NewSnapshot returns a snapshot with the services of a bundle and their targets in a data centre. The targets are
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -36,6 +36,9 @@
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
+	if q.st.PossiblyDivided && !sv.eligible(d) {
+		return true
+	}
 	if q.recentTakeover() && e.history.short(q.now) {
 		return true
 	}
@@ -163,6 +166,10 @@
 	if !q.st.owns(q.bucket) || q.recentTakeover() || e.moves.recent(q.bucket, q.now) {
 		return drop(code)
 	}
+	// A datagram may repeat a request that the fabric handed to the other side of a partition. A SYN carries no request.
+	if q.p.Protocol == flow.UDP && q.st.PossiblyDivided {
+		return drop(code)
+	}
 	d := decide(Refuse, ToTarget)
 	d.Reply, d.Code = ReplyRefused, code
 	if q.p.Protocol == flow.TCP {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -102,6 +102,7 @@
 	quiesce     uint64                    // publication that must be quiesced, 0 for none
 	installed   map[ownership.Bucket]bool // buckets with installed flows that are not yet looked at for copies
 	bases       bases
+	lost        map[membership.HostID]time.Duration // members lost without notice, and until when they count as possibly alive
 	retired     map[flow.TargetID]forward.RetiredTarget
 	hosts       hostList
 	state       lifecycle
@@ -249,6 +250,7 @@
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
 	l.sendBatches()
 	l.pruneCopies()
+	l.possiblyDivided()
 	l.tickLedgers()
 	l.readHosts()
 	l.advance()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -45,12 +45,50 @@
 		Kind: "member-state", Member: e.Member.Name,
 		Detail: fmt.Sprintf("%s to %s, incarnation %d", e.Previous, e.Member.State, e.Member.Incarnation),
 	})
+	l.noteLoss(e)
 	l.applyRollout(l.rollout.Handle(l.now, rollout.MemberView{Members: l.allMembers()}))
 	if e.Member.State == membership.Leaving || e.Previous == membership.Leaving {
 		l.updateMap()
 	}
 }
 
+const (
+	// divisionTime is how long a lost member counts as possibly alive on the other side of a partition. Partitions last
+	// for minutes.
+	divisionTime = 10 * time.Minute
+	// reunionTime is how long the balancer stays careful after the last lost member is back: callers repeat requests that
+	// they sent before.
+	reunionTime = 5 * time.Second
+)
+
+// noteLoss remembers members of the data centre that were lost without notice.
+func (l *Loop) noteLoss(e membership.MemberChanged) {
+	m := e.Member
+	if m.DataCentre != l.cfg.Self.DataCentre || m.ID == l.cfg.Self.ID {
+		return
+	}
+	switch {
+	case m.State == membership.Gone && e.Previous.Owns():
+		l.lost[m.ID] = l.now + divisionTime
+	case m.State.Owns():
+		if _, found := l.lost[m.ID]; found {
+			l.lost[m.ID] = l.now + reunionTime
+		}
+	}
+}
+
+// possiblyDivided reports whether a lost member may still decide.
+func (l *Loop) possiblyDivided() bool {
+	for id, until := range l.lost {
+		if l.now < until {
+			return true
+		}
+		delete(l.lost, id)
+		l.dirty = true
+	}
+	return false
+}
+
 func (l *Loop) allMembers() []membership.Member {
 	return append(l.members.Members(), l.members.Remote()...)
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -37,12 +37,13 @@
 		Self: l.cfg.Self.ID, Incarnation: l.members.Self().Incarnation, DataCentre: l.cfg.Self.DataCentre,
 		Bundle: b, Behind: status.Behind, CurrentPeer: status.CurrentPeer,
 		Map: l.owners, Buckets: l.handover.States(),
-		Peers:       make(map[membership.HostID]netip.AddrPort),
-		PeerAddrs:   make(map[netip.Addr]membership.HostID),
-		Services:    make(map[flow.ServiceID]*forward.ServiceState),
-		TargetAddrs: make(map[netip.Addr]*bundle.ServiceInfo),
-		Retired:     make(map[flow.TargetID]forward.RetiredTarget, len(l.retired)),
-		Fenced:      l.refreshing, Stopping: l.state.leaving,
+		Peers:           make(map[membership.HostID]netip.AddrPort),
+		PeerAddrs:       make(map[netip.Addr]membership.HostID),
+		Services:        make(map[flow.ServiceID]*forward.ServiceState),
+		TargetAddrs:     make(map[netip.Addr]*bundle.ServiceInfo),
+		Retired:         make(map[flow.TargetID]forward.RetiredTarget, len(l.retired)),
+		PossiblyDivided: l.possiblyDivided(),
+		Fenced:          l.refreshing, Stopping: l.state.leaving,
 	}
 	for _, m := range l.peers() {
 		s.Peers[m.ID] = m.Data
