--- /dev/null
+++ b/internal/explore/rules.go
@@ -0,0 +1,92 @@
+package explore
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/marigoldwood/marigoldwood/forward"
+	"github.com/marigoldwood/marigoldwood/ownership"
+)
+
+var lapsed = ownership.Lapsed{}
+
+// checkDelivery checks a delivery to a target before it is noted.
+func (w *world) checkDelivery(f int, addr netip.Addr, vni uint32) {
+	t := w.sc.targets[addr]
+	if t.service != flowNames[f] || t.vni != vni {
+		w.fail(fmt.Sprintf("a packet of %s reaches %s of service %q", flowNames[f], addr, t.service))
+	}
+	for _, d := range w.deliveries[f] {
+		if d.target != addr {
+			w.fail(fmt.Sprintf("%s is delivered to %s and to %s", flowNames[f], d.target, addr))
+			return
+		}
+	}
+}
+
+// check checks the rules that hold between steps.
+func (w *world) check() {
+	for i, b := range w.hosts {
+		v := b.engine.Snapshot().Bundle.Version
+		if w.lives[i] == b.life && v < w.highest[i] {
+			w.fail(fmt.Sprintf("the version in force at %s falls from %d to %d", hostName(i), w.highest[i], v))
+		}
+		w.lives[i], w.highest[i] = b.life, v
+	}
+	for f := range w.sc.flows {
+		w.checkOwners(f)
+	}
+}
+
+// checkOwners checks that no two balancers that decide for a bucket have different targets for its flow.
+func (w *world) checkOwners(f int) {
+	first, at := forward.Explanation{}, -1
+	for i, b := range w.hosts {
+		if b.paused || b.fenced {
+			continue
+		}
+		x := b.engine.Explain(w.now, w.sc.flows[f].key)
+		if x.Role != forward.RoleOwner || x.TargetID == 0 {
+			continue
+		}
+		if at >= 0 && first.TargetID != x.TargetID {
+			w.fail(fmt.Sprintf("%s and %s both decide for %s: %v by %s, %v by %s", hostName(at), hostName(i), flowNames[f],
+				first.Target, first.Rule, x.Target, x.Rule))
+		}
+		first, at = x, i
+	}
+}
+
+// fingerprint identifies what can be observed of the state.
+func (w *world) fingerprint() uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, w.now, w.status, w.opened, w.closed, w.highest)
+	for i, b := range w.hosts {
+		fmt.Fprint(h, i, b.life, b.incarnation, b.paused, b.pausedAt, b.fenced, b.joinAt, b.seen, b.known, b.owners.Members(), len(b.sink.changes))
+		states := b.h.States()
+		owned, synced := b.replicator.InSync()
+		fmt.Fprint(h, b.h.Owned(), b.h.Pending(), owned, synced, b.engine.NewestVersion())
+		for f := range w.sc.flows {
+			k := &w.sc.flows[f]
+			copies, complete := b.store.Take(k.bucket)
+			fmt.Fprint(h, states[k.bucket], b.engine.Explain(w.now, k.key), len(copies.Flows), complete, b.store.Source(k.bucket))
+		}
+	}
+	for _, l := range w.sortedLinks() {
+		fmt.Fprint(h, l)
+		for _, m := range w.links[l] {
+			fmt.Fprint(h, m.text, ";")
+		}
+	}
+	for f := range w.deliveries {
+		seen := map[netip.Addr]bool{}
+		for _, d := range w.deliveries[f] {
+			if !seen[d.target] {
+				seen[d.target] = true
+				fmt.Fprint(h, f, d.target)
+			}
+		}
+	}
+	return h.Sum64()
+}
