--- a/internal/explore/balancer.go
+++ b/internal/explore/balancer.go
@@ -24,11 +24,13 @@
 	engine      *forward.Engine
 	sink        sink
 	owners      *ownership.Map
+	states      *[ownership.BucketCount]ownership.BucketState // as published
 	installed   map[ownership.Bucket]bool
 	bases       map[ownership.Bucket]*forward.Base // of the grant that is about to be sent
 	inForce     *bundle.Bundle
 	seen        [hostCount]uint64 // version that probes last showed to be in force at each host
 	known       [hostCount]uint64 // incarnation of each host
+	scoped      [ownership.BucketCount]ownership.BucketState
 	paused      bool
 	pausedAt    time.Duration
 	fenced      bool
@@ -127,7 +129,7 @@
 
 func (b *balancer) published(e ownership.Publish) {
 	b.publish()
-	b.replicator.SetOwnership(b.w.now, b.owners, b.h.States())
+	b.replicator.SetOwnership(b.w.now, b.owners, b.inScope())
 	b.copyInstalled()
 	if e.Quiesce {
 		b.w.push(link{b.i, b.i, internal}, fmt.Sprintf("traffic works under publication %d", e.Number), func(to *balancer) {
@@ -136,16 +138,26 @@
 	}
 }
 
+// inScope returns the states of the buckets of the flows, for the replicator. Copies of thousands of empty buckets would
+// take most of the time of a run.
+func (b *balancer) inScope() *[ownership.BucketCount]ownership.BucketState {
+	b.scoped = [ownership.BucketCount]ownership.BucketState{}
+	for i := range b.w.sc.flows {
+		bucket := b.w.sc.flows[i].bucket
+		b.scoped[bucket] = b.states[bucket]
+	}
+	return &b.scoped
+}
+
 func (b *balancer) copyInstalled() {
 	if len(b.installed) == 0 {
 		return
 	}
-	states := b.h.States()
 	for _, e := range b.engine.Exceptions(func(k ownership.Bucket) bool { return b.installed[k] }) {
 		b.replicator.Add(b.w.now, e)
 	}
 	for k := range b.installed {
-		if states[k].Role == ownership.RoleOwner {
+		if b.states[k].Role == ownership.RoleOwner {
 			delete(b.installed, k)
 		}
 	}
@@ -205,12 +217,11 @@
 // view follows the membership.
 func (b *balancer) view(v view) {
 	previous := b.owners
-	b.owners, b.known = ownership.Build(v.members), v.incarnations
+	b.owners, b.known = v.owners, v.incarnations
 	b.installLostBases(previous)
 	b.handle(ownership.NewMap{Map: b.owners, Reachable: v.reachable})
-	b.replicator.SetOwnership(b.w.now, b.owners, b.h.States())
+	b.replicator.SetOwnership(b.w.now, b.owners, b.inScope())
 	b.store.Prune(b.w.now, b.w.sc.ids[b.i], b.owners)
-	b.publish()
 }
 
 func (b *balancer) installLostBases(previous *ownership.Map) {
@@ -251,12 +262,15 @@
 	b.publish()
 }
 
-func (b *balancer) publish() { b.engine.Publish(b.snapshot(b.inForce)) }
+func (b *balancer) publish() {
+	b.states = b.h.States()
+	b.engine.Publish(b.snapshot(b.inForce))
+}
 
 func (b *balancer) snapshot(of *bundle.Bundle) *forward.Snapshot {
 	s := forward.NewSnapshot(of, dataCentre)
 	s.Self, s.Incarnation, s.Map = b.w.sc.ids[b.i], b.incarnation, b.owners
-	s.Buckets, s.Fenced = b.h.States(), b.fenced
+	s.Buckets, s.Fenced = b.states, b.fenced
 	for i := range hostCount {
 		if i == b.i {
 			continue
@@ -291,6 +305,10 @@
 	for i := range b.w.sc.flows {
 		bucket := b.w.sc.flows[i].bucket
 		if old.Buckets[bucket].Role == ownership.RoleOwner {
+			if s.Buckets == b.states {
+				s.Buckets = new([ownership.BucketCount]ownership.BucketState)
+				*s.Buckets = *b.states
+			}
 			s.Buckets[bucket] = old.Buckets[bucket]
 		}
 	}
@@ -299,7 +317,7 @@
 // releasing reports whether buckets wait for the traffic to quiesce. Those count as owned but have no role.
 func (b *balancer) releasing() bool {
 	owned := 0
-	for _, s := range b.h.States() {
+	for _, s := range b.states {
 		if s.Role == ownership.RoleOwner {
 			owned++
 		}
--- a/internal/explore/rules.go
+++ b/internal/explore/rules.go
@@ -64,13 +64,12 @@
 	fmt.Fprint(h, w.now, w.status, w.opened, w.closed, w.highest)
 	for i, b := range w.hosts {
 		fmt.Fprint(h, i, b.life, b.incarnation, b.paused, b.pausedAt, b.fenced, b.joinAt, b.seen, b.known, b.owners.Members(), len(b.sink.changes))
-		states := b.h.States()
 		owned, synced := b.replicator.InSync()
 		fmt.Fprint(h, b.h.Owned(), b.h.Pending(), owned, synced, b.engine.NewestVersion())
 		for f := range w.sc.flows {
 			k := &w.sc.flows[f]
 			copies, complete := b.store.Take(k.bucket)
-			fmt.Fprint(h, states[k.bucket], b.engine.Explain(w.now, k.key), len(copies.Flows), complete, b.store.Source(k.bucket))
+			fmt.Fprint(h, b.states[k.bucket], b.engine.Explain(w.now, k.key), len(copies.Flows), complete, b.store.Source(k.bucket))
 		}
 	}
 	for _, l := range w.sortedLinks() {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -59,6 +59,7 @@
 }
 
 type view struct {
+	owners             *ownership.Map
 	members, reachable []membership.HostID
 	incarnations       [hostCount]uint64
 }
@@ -105,13 +106,14 @@
 		w.hosts[i].start(1)
 	}
 	// Alone with complete copies, each host takes its buckets over at once. Claims would take most of the time of a run.
+	owners := ownership.Build(sc.ids[:])
 	for i, b := range w.hosts {
-		b.view(view{members: sc.ids[:], reachable: sc.ids[i : i+1]})
+		b.view(view{owners: owners, reachable: sc.ids[i : i+1]})
 	}
 	w.started = true
 	w.spreadView()
-	w.settle(200*time.Millisecond, 1800*time.Millisecond) // until the copies of all buckets are complete
-	w.settle(10*time.Second, 10*time.Second)              // until the takeover of the start no longer counts as recent
+	w.settle(200*time.Millisecond, 600*time.Millisecond) // until the backups have the copies
+	w.settle(10*time.Second, 10*time.Second)             // until the takeover of the start no longer counts as recent
 	w.notes = nil
 	return w
 }
@@ -246,6 +248,7 @@
 			v.reachable = append(v.reachable, id)
 		}
 	}
+	v.owners = ownership.Build(v.members)
 	text := "view"
 	for _, id := range v.members {
 		text += " " + hostName(w.sc.host(id))
