Do not deliver for a sender that takes a restarted balancer for the owner

A balancer that restarts with a newer bundle while a peer still takes it for the owner of a bucket got packets of flows that its earlier life had placed, and delivered them to its default target, without an entry. A non-idempotent request could so reach a second target.

--- a/forward/behind.go
+++ b/forward/behind.go
@@ -97,6 +97,11 @@
 		return decide(SendCaller, ToCaller)
 	}
 	opens := q.p.Protocol == flow.UDP || q.p.Has(SYN)
+	if asked && q.info.VNI != 0 && (!opens || q.p.Protocol == flow.UDP && !sv.Info.Idempotent) {
+		// The sender knows the service, so it would have decided about this packet itself or dropped it. It passes the packet
+		// on because it still takes this balancer, which has restarted, for the owner.
+		return drop(resultcode.PacketNoOwner)
+	}
 	switch {
 	case opens && !sv.eligible(t), opens && q.p.Protocol == flow.UDP && !sv.Info.Idempotent && !asked:
 		return drop(resultcode.PacketNoOwner)
