--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -96,6 +96,16 @@
 	}
 }
 
+// sendCopies sends the copies and acks that are due, every copyInterval.
+func (l *Loop) sendCopies() {
+	if l.now < l.nextCopies {
+		return
+	}
+	l.nextCopies = l.now + copyInterval
+	l.drainExceptions()
+	l.sendBatches()
+}
+
 func (l *Loop) sendBatches() {
 	for _, s := range l.replicator.Tick(l.now) {
 		l.send(s.To, &peer.ExceptionBatch{Epoch: s.Batch.Epoch, Sequence: s.Batch.Sequence, Data: s.Batch.Data})
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -113,6 +113,7 @@
 
 // apply sends the lease requests that are due.
 func (leaseTick) apply(l *Loop) {
+	l.sendCopies()
 	byOwner := make(map[membership.HostID][]limits.Request)
 	for _, s := range l.cfg.Holder.Tick(l.now) {
 		r := s.Request
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -29,6 +29,9 @@
 const (
 	tickInterval  = 50 * time.Millisecond
 	leaseInterval = 10 * time.Millisecond
+	// copyInterval is how often changes of exceptions are passed to the replicator. With ticks of 50 ms an exception would
+	// be sent up to 150 ms after it was placed, and the loss of its owner breaks it until then.
+	copyInterval = 20 * time.Millisecond
 	// pauseLimit is the gap between two turns of the loop from which the process counts as paused.
 	pauseLimit = 500 * time.Millisecond
 	inboxSize  = 4096
@@ -106,6 +109,7 @@
 	platform    platformCalls
 	tables      tableCache
 	nextObserve time.Duration
+	nextCopies  time.Duration
 	dropCopies  time.Duration // when copies that the bundle in force made unnecessary are dropped; 0 for never
 }
 
@@ -211,7 +215,6 @@
 
 // apply lets time pass in every part.
 func (tick) apply(l *Loop) {
-	l.drainExceptions()
 	l.applyMembers(l.members.Handle(l.now, membership.Tick{}))
 	l.applyRollout(l.rollout.Handle(l.now, rollout.Tick{Wall: time.Now()}))
 	l.noticeNewerVersion()
@@ -219,7 +222,6 @@
 	l.applyBuckets(l.handover.Handle(l.now, ownership.Tick{}))
 	l.observeTraffic()
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
-	l.sendBatches()
 	l.tickLedgers()
 	l.readHosts()
 	l.advance()
--- a/internal/explore/balancer.go
+++ b/internal/explore/balancer.go
@@ -12,6 +12,12 @@
 	"github.com/marigoldwood/marigoldwood/ownership"
 )
 
+// Intervals of package internal/control.
+const (
+	tickInterval = 50 * time.Millisecond
+	copyInterval = 20 * time.Millisecond
+)
+
 // balancer wires the decision packages together as package internal/control does, with a reduced form of activation.
 type balancer struct {
 	w           *world
@@ -31,6 +37,8 @@
 	seen        [hostCount]uint64 // version that probes last showed to be in force at each host
 	known       [hostCount]uint64 // incarnation of each host
 	scoped      [ownership.BucketCount]ownership.BucketState
+	nextTick    time.Duration
+	nextCopies  time.Duration
 	paused      bool
 	pausedAt    time.Duration
 	fenced      bool
@@ -189,18 +197,31 @@
 	b.sink.changes = nil
 }
 
-// tick does what the control goroutine and the sweeps do every 50 ms.
-func (b *balancer) tick() {
-	now := b.w.now
-	b.engine.Sweep(now, nil)
-	b.drain()
+const batchText = "copies, batch"
+
+// runTimers does what the control goroutine and the sweeps do at their intervals.
+func (b *balancer) runTimers() {
+	if b.w.now >= b.nextCopies {
+		b.nextCopies = b.w.now + copyInterval
+		b.sendCopies()
+	}
+	if b.w.now < b.nextTick {
+		return
+	}
+	b.nextTick = b.w.now + tickInterval
+	b.engine.Sweep(b.w.now, nil)
 	if b.fenced {
 		b.fenced = false // a peer has answered
 		b.publish()
 	}
 	b.handle(ownership.Tick{})
+}
+
+func (b *balancer) sendCopies() {
+	b.drain()
+	now := b.w.now
 	for _, s := range b.replicator.Tick(now) {
-		b.send(s.To, fmt.Sprintf("copies, batch %d", s.Batch.Sequence), func(to *balancer) {
+		b.send(s.To, fmt.Sprintf("%s %d", batchText, s.Batch.Sequence), func(to *balancer) {
 			// An error tells that the batch cannot be decoded, which an unchanged batch always can.
 			if err := to.store.Apply(b.w.sc.ids[b.i], &s.Batch); err != nil {
 				to.w.fail("batch refused: " + err.Error())
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -18,6 +18,8 @@
 var starts = [][]Step{
 	{},
 	running,
+	{{Op: Packet, Flow: session}, {Op: Restart}},
+	{{Op: Packet, Flow: session}, {Op: Wait}, {Op: Restart}},
 	after(Step{Op: Activate}),
 	after(Step{Op: Activate, Host: 1}),
 	after(Step{Op: Leave}),
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -93,6 +93,7 @@
 	switch s.Op {
 	case Deliver, Lose, Duplicate:
 		if s.Op == Lose {
+			w.batchLost[s.Link.from] = w.batchLost[s.Link.from] || isBatch(w.links[s.Link][0])
 			w.links[s.Link] = w.links[s.Link][1:]
 		} else {
 			w.deliver(s.Link, s.Op == Deliver)
@@ -112,6 +113,7 @@
 		w.status[s.Host] = leaving
 		w.spreadView()
 	case DeclareGone:
+		w.lostOwner(b, b.pausedAt)
 		w.pass(tickTime, detectTime)
 		w.status[s.Host] = gone
 		w.spreadView()
@@ -122,6 +124,7 @@
 	case Settle:
 		w.settle(tickTime, settledTime)
 		w.catchUp()
+		w.batchLost = [hostCount]bool{} // sent again and delivered, unless a host is paused
 	}
 	w.check()
 }
@@ -164,6 +167,13 @@
 
 // restart ends the process of a host and starts it again. Its connections end with it; what it has sent is on its way.
 func (w *world) restart(b *balancer) {
+	if w.status[b.i] == serving {
+		lostAt := w.now
+		if b.paused {
+			lostAt = b.pausedAt
+		}
+		w.lostOwner(b, lostAt)
+	}
 	for l := range w.links {
 		if l.to == b.i && l.channel != data {
 			delete(w.links, l)
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -16,8 +16,8 @@
 
 // Durations of steps.
 const (
-	stepTime     = time.Millisecond // of a step that does not say otherwise
-	tickTime     = 50 * time.Millisecond
+	stepTime     = time.Millisecond      // of a step that does not say otherwise
+	tickTime     = 10 * time.Millisecond // the greatest common divisor of the intervals
 	waitTime     = 100 * time.Millisecond
 	settledTime  = 1100 * time.Millisecond // longer than the second that a restarted balancer waits before it serves
 	detectTime   = 1250 * time.Millisecond // from the first missed probe to the end of suspicion, at least
@@ -91,6 +91,8 @@
 	deliveries [flowCount][]delivery
 	opened     [flowCount]bool // the connection's SYN has reached a target
 	closed     [flowCount]bool // the connection was reset
+	exempt     [flowCount]bool // the flow may change its target, see lostOwner
+	batchLost  [hostCount]bool // a batch of the host was lost, so that it is sent again after a second
 	highest    [hostCount]uint64
 	lives      [hostCount]int
 	started    bool     // every host serves
@@ -184,14 +186,14 @@
 	m.apply(w.hosts[l.to])
 }
 
-// pass lets time pass in steps of a tick at every host that runs.
+// pass lets time pass in steps of a tick, at which the timers run at every host that runs.
 func (w *world) pass(tick, d time.Duration) {
 	for end := w.now + d; w.now < end; {
 		w.now += tick
 		for _, b := range w.hosts {
 			if !b.paused {
 				w.probes(b)
-				b.tick()
+				b.runTimers()
 			}
 		}
 	}
