--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -29,6 +29,9 @@
 const (
 	tickInterval  = 50 * time.Millisecond
 	leaseInterval = 10 * time.Millisecond
+	// copyInterval is how often changes of exceptions are passed to the replicator. With ticks of 50 ms an exception would
+	// be sent up to 150 ms after it was placed, and the loss of its owner breaks it until then.
+	copyInterval = 20 * time.Millisecond
 	// pauseLimit is the gap between two turns of the loop from which the process counts as paused.
 	pauseLimit = 500 * time.Millisecond
 	inboxSize  = 4096
@@ -115,6 +118,7 @@
 	nextObserve time.Duration
 	nextAcks    time.Duration
 	nextPrune   time.Duration
+	nextCopies  time.Duration
 	dropCopies  time.Duration // when copies that the bundle in force made unnecessary are dropped; 0 for never
 }
 
@@ -240,7 +244,6 @@
 
 // apply lets time pass in every part.
 func (tick) apply(l *Loop) {
-	l.drainExceptions()
 	l.applyMembers(l.members.Handle(l.now, membership.Tick{}))
 	l.applyRollout(l.rollout.Handle(l.now, rollout.Tick{Wall: time.Now()}))
 	l.noticeNewerVersion()
@@ -248,7 +251,6 @@
 	l.applyBuckets(l.handover.Handle(l.now, ownership.Tick{}))
 	l.observeTraffic()
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
-	l.sendBatches()
 	l.pruneCopies()
 	l.possiblyDivided()
 	l.tickLedgers()
