--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -133,6 +133,7 @@
 		leases:    newLeases(),
 		owners:    ownership.Build(nil),
 		bases:     newBases(),
+		lost:      make(map[membership.HostID]time.Duration),
 		installed: make(map[ownership.Bucket]bool),
 		retired:   make(map[flow.TargetID]forward.RetiredTarget),
 	}
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -27,8 +28,10 @@
 
 // Guards against a refusal "not run" while a lost member may still decide, and against one that is withheld for ever.
 func TestPossiblyDivided(t *testing.T) {
-	l := &Loop{lost: make(map[membership.HostID]time.Duration)}
-	l.cfg.Self = membership.Member{ID: 1, DataCentre: "regina"}
+	l := New(Config{
+		Self: membership.Member{ID: 1, Name: "h1", DataCentre: "regina", Incarnation: 1}, Monotonic: func() time.Duration { return 0 },
+		Random: rand.New(rand.NewPCG(1, 1)),
+	})
 	change := func(state, previous membership.State) {
 		l.noteLoss(membership.MemberChanged{Member: membership.Member{ID: 2, DataCentre: "regina", State: state}, Previous: previous})
 	}
