--- a/internal/control/buckets.go
+++ b/internal/control/buckets.go
@@ -123,7 +123,7 @@
 	if l.now < l.nextCopies {
 		return
 	}
-	l.nextCopies = l.now + copyInterval
+	l.nextCopies = l.now + copyInterval*3/4 // the turn that is due in copyInterval may come a little early
 	l.drainExceptions()
 	l.sendBatches()
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -172,8 +172,9 @@
 	l.ctx = ctx
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	leaseTicker := time.NewTicker(leaseInterval)
-	defer leaseTicker.Stop()
+	interval := copyInterval
+	fast := time.NewTicker(interval)
+	defer fast.Stop()
 	l.record(timeline.Event{Kind: "balancer-start", Detail: l.cfg.Program})
 	l.turn(nil)
 	for !l.state.done {
@@ -189,13 +190,25 @@
 			l.turnAll(e)
 		case <-ticker.C:
 			l.turn(tick{})
-		case <-leaseTicker.C:
+		case <-fast.C:
 			l.turn(leaseTick{})
 		}
+		if next := l.fastInterval(); next != interval {
+			interval = next
+			fast.Reset(interval)
+		}
 	}
 	return nil
 }
 
+// fastInterval returns how often copies and lease requests are sent. Without slots to lease, the loop wakes less often.
+func (l *Loop) fastInterval() time.Duration {
+	if len(l.leases.owners) > 0 {
+		return leaseInterval
+	}
+	return copyInterval
+}
+
 func (l *Loop) turn(e event) {
 	l.beginTurn()
 	if e != nil {
