--- a/internal/experiment/relay_test.go
+++ b/internal/experiment/relay_test.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -28,8 +27,10 @@
 
 // relayMain is the main function of the relay process.
 func relayMain() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
+	// The handler stays until the process has ended: a second SIGTERM is sent meanwhile, and the race detector delays the
+	// end by a second.
+	terminated := make(chan os.Signal, 2)
+	signal.Notify(terminated, syscall.SIGTERM)
 	r := &relay{}
 	var err error
 	if r.settings, err = settings.Load(os.Args[len(os.Args)-1]); err != nil {
@@ -49,7 +50,7 @@
 	})
 	go func() { _ = http.ListenAndServe(netip.AddrPortFrom(l.Address, l.OperatorPort).String(), mux) }()
 	go r.run()
-	<-ctx.Done()
+	<-terminated
 	return 0
 }
 
