Leave connections alone that may be whole on the other side of a partition

While a member is lost without notice, new flows of services that are not placed again go to their default target, and for a minute packets of connections that are unknown here are dropped instead of reset.

--- a/forward/roles_test.go
+++ b/forward/roles_test.go
@@ -235,3 +235,15 @@
 		expect(t, e.FromCaller(20*time.Second, udp(9)), want, resultcode.RefusedNoSlot)
 	}
 }
+
+// Guards against a reset of a connection that is whole on the other side of a partition, and against one that is left to
+// hang when its owner has died.
+func TestUnknownConnectionAfterLoss(t *testing.T) {
+	for recent, want := range map[bool]Action{true: Drop, false: Reset} {
+		s := testSnapshot(testBundle(t, 1, tcpSession))
+		setRole(s, BucketState{Role: RoleOwner})
+		s.LostRecently = recent
+		e, _ := newTestEngine(s)
+		expect(t, e.FromCaller(20*time.Second, tcp(ACK, 5, 5, 10)), want, resultcode.PacketUnknownFlow)
+	}
+}
--- a/forward/snapshot.go
+++ b/forward/snapshot.go
@@ -64,8 +64,10 @@
 	// PossiblyDivided reports that a member was lost without notice and may still decide on the other side of a partition,
 	// where the fabric hands it packets of the same flows.
 	PossiblyDivided bool
-	Fenced          bool // the view is being refreshed after a pause
-	Stopping        bool // a graceful shutdown is under way
+	// LostRecently reports that such a member was lost within the last minute.
+	LostRecently bool
+	Fenced       bool // the view is being refreshed after a pause
+	Stopping     bool // a graceful shutdown is under way
 }
 
 // NewSnapshot returns a snapshot with the services of a bundle and their targets in a data centre. The targets are
--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -51,6 +51,15 @@
 	return q.st.Buckets[q.bucket].InSync || q.ep.service.Info.Idempotent
 }
 
+// endUnknown ends a connection whose target cannot be known. Soon after a loss its owner may be on the other side of a
+// partition, where the connection is whole: a packet that came to this side is then dropped and sent again.
+func (q *query) endUnknown() Decision {
+	if q.st.LostRecently {
+		return drop(resultcode.PacketUnknownFlow)
+	}
+	return q.reset(resultcode.PacketUnknownFlow)
+}
+
 // adoptFromCaller takes up a running connection on the target t, or resets it. A flow that finds no room is delivered all
 // the same: its target is a pure function of the flow.
 func (e *Engine) adoptFromCaller(q *query, en *flow.Entry, room flow.Room, t *target) (Decision, bool) {
@@ -58,7 +67,7 @@
 		return drop(resultcode.PacketMalformed), false // only targets answer a SYN
 	}
 	if !q.adoptable() {
-		return q.reset(resultcode.PacketUnknownFlow), false
+		return q.endUnknown(), false
 	}
 	if t == nil {
 		return q.reset(resultcode.PacketNoTarget), false
@@ -110,7 +119,8 @@
 func (q *query) request() Request {
 	sv := q.ep.service
 	r := Request{Key: q.key, Hash: q.hash, Service: sv.ServiceState, View: &sv.view}
-	if sv.steady {
+	// Both sides of a partition may get packets of one flow. They agree on its default target, but not on loads.
+	if sv.steady || sv.copied && q.st.PossiblyDivided {
 		if d := sv.defaultTarget(q.hash); sv.eligible(d) {
 			r.View = onlyView{&sv.view, d.position}
 		}
@@ -194,7 +204,7 @@
 	case q.p.Flags&(SYN|RST) != 0:
 		return answer, false // for a flow that was placed without room
 	case !q.adoptable():
-		return q.reset(resultcode.PacketUnknownFlow), false
+		return q.endUnknown(), false
 	case room == flow.NoRoom:
 		return answer, false
 	}
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -48,6 +48,9 @@
 	rounds := experiment.Rounds()
 	rounds.Count = 5
 	claims := experiment.Claims()
+	// Enough slots for all requests at once: a machine that stands still for a moment must not turn into a refusal, which
+	// these tests count as a fault. Refusals for want of slots are measured by the experiments.
+	claims.Limits.SlotsPerTarget = 64
 	orders := claims
 	orders.Name, orders.Protocol = "orders", "tcp"
 	return []experiment.Service{rounds, claims, orders}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -106,6 +106,7 @@
 	installed   map[ownership.Bucket]bool // buckets with installed flows that are not yet looked at for copies
 	bases       bases
 	lost        map[membership.HostID]time.Duration // members lost without notice, and until when they count as possibly alive
+	lostAt      time.Duration                       // when the last one was lost, 0 for none
 	retired     map[flow.TargetID]forward.RetiredTarget
 	hosts       hostList
 	state       lifecycle
@@ -267,6 +268,7 @@
 	l.applyHealth(l.health.Handle(l.now, health.Tick{}))
 	l.pruneCopies()
 	l.possiblyDivided()
+	l.lostRecently()
 	l.tickLedgers()
 	l.readHosts()
 	l.advance()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -56,6 +56,9 @@
 	// divisionTime is how long a lost member counts as possibly alive on the other side of a partition. Partitions last
 	// for minutes.
 	divisionTime = 10 * time.Minute
+	// patienceTime is how long connections of a lost member that are unknown here are left alone. It covers a partition of
+	// 30 s; after it they are reset, so that callers of a member that has died reconnect.
+	patienceTime = time.Minute
 	// reunionTime is how long the balancer stays careful after the last lost member is back: callers repeat requests that
 	// they sent before.
 	reunionTime = 5 * time.Second
@@ -70,6 +73,7 @@
 	switch {
 	case m.State == membership.Gone && e.Previous.Owns():
 		l.lost[m.ID] = l.now + divisionTime
+		l.lostAt = l.now
 	case m.State.Owns():
 		if _, found := l.lost[m.ID]; found {
 			l.lost[m.ID] = l.now + reunionTime
@@ -89,6 +93,15 @@
 	return false
 }
 
+// lostRecently reports whether a member was lost without notice within patienceTime and is not back.
+func (l *Loop) lostRecently() bool {
+	recent := l.lostAt > 0 && l.now-l.lostAt < patienceTime && l.possiblyDivided()
+	if !recent && l.lostAt > 0 {
+		l.lostAt, l.dirty = 0, true
+	}
+	return recent
+}
+
 func (l *Loop) allMembers() []membership.Member {
 	return append(l.members.Members(), l.members.Remote()...)
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -43,6 +43,7 @@
 		TargetAddrs:     make(map[netip.Addr]*bundle.ServiceInfo),
 		Retired:         make(map[flow.TargetID]forward.RetiredTarget, len(l.retired)),
 		PossiblyDivided: l.possiblyDivided(),
+		LostRecently:    l.lostRecently(),
 		Fenced:          l.refreshing, Stopping: l.state.leaving,
 	}
 	for _, m := range l.peers() {
