Drop repeated datagrams whose target may have changed while a lost member may still decide

Cause: a request that is dropped and not refused is repeated for longer than the 5 s after a takeover; a bundle that changed its default target in between gave it a second target.

--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -36,13 +36,12 @@
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
-	if q.st.PossiblyDivided && !sv.eligible(d) {
-		return true
-	}
 	if q.recentTakeover() && e.history.short(q.now) {
 		return true
 	}
-	recent := q.recentTakeover() || e.moves.recent(q.bucket, q.now)
+	// Callers repeat for longer than the window after a takeover, because nothing is refused while a lost member may
+	// still decide.
+	recent := q.recentTakeover() || e.moves.recent(q.bucket, q.now) || q.st.PossiblyDivided
 	return recent && (!sv.eligible(d) || q.earlierTarget() != d || !e.history.sameDefault(sv, q.hash, d.id, q.now))
 }
 
