Place no UDP request on slots of a bucket that was just taken over

Cause: the request may repeat one that the lost owner gave to another target than the default; admission takes any target with a free slot, and the copy of such a flow is lost when its owner dies within 120 ms. Cost: for 5 s after an unplanned loss new UDP requests of non-idempotent services with slots are dropped in its buckets.

--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -36,7 +36,9 @@
 		return false
 	}
 	d := sv.defaultTarget(q.hash)
-	if q.recentTakeover() && e.history.short(q.now) {
+	// With slots, admission takes any target that has a free one, and a copy of the last 100 ms may be lost with its owner.
+	slots := sv.short && sv.Info.Limits.SlotsPerTarget > 0
+	if q.recentTakeover() && (slots || e.history.short(q.now)) {
 		return true
 	}
 	// Callers repeat for longer than the window after a takeover, because nothing is refused while a lost member may
