Drop datagrams that may repeat a lost owner's request for as long as callers repeat

Cause: the drop ended 5 s after the takeover, callers repeat for 10 s, and admission then took another target.

--- a/forward/unknown.go
+++ b/forward/unknown.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/marigoldwood/marigoldwood/flow"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
+// repeatTime is how long callers repeat an unanswered datagram: 10 s, and some time on the way.
+const repeatTime = 12 * time.Second
+
 // unknownFromCaller decides about a packet of a flow that has no entry. It fills in the entry when the flow is to have
 // one.
 func (e *Engine) unknownFromCaller(q *query, en *flow.Entry, room flow.Room) (Decision, bool) {
@@ -22,9 +27,11 @@
 
 // recentTakeover reports whether the bucket was taken over by failure so recently that its earlier owner may have
 // forwarded packets of flows that are not known here.
-func (q *query) recentTakeover() bool {
+func (q *query) recentTakeover() bool { return q.takenOverWithin(takeoverWindow) }
+
+func (q *query) takenOverWithin(d time.Duration) bool {
 	at := q.st.Buckets[q.bucket].TakenOverAt
-	return at != 0 && q.now-at < takeoverWindow
+	return at != 0 && q.now-at < d
 }
 
 // unknownOutcome reports whether a datagram may repeat a request that the earlier owner sent to a target other than the
@@ -38,7 +45,7 @@
 	d := sv.defaultTarget(q.hash)
 	// With slots, admission takes any target that has a free one, and a copy of the last 100 ms may be lost with its owner.
 	slots := sv.short && sv.Info.Limits.SlotsPerTarget > 0
-	if q.recentTakeover() && (slots || e.history.short(q.now)) {
+	if slots && q.takenOverWithin(repeatTime) || q.recentTakeover() && e.history.short(q.now) {
 		return true
 	}
 	// Callers repeat for longer than the window after a takeover, because nothing is refused while a lost member may
