Build the keyring in one place; remove the resource of connections

The daemon built the keyring a second time beside settings.Bundle.Keyring. Connections are divided and not leased, so that nothing called limits.ConnectionsOf any more. Behaviour is unchanged.

--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -66,17 +66,7 @@
 	return timeline.NewRing(s.Host.Name, clock, timelineEvents)
 }
 
-func provideKeyring(s *settings.Settings) (bundle.Keyring, error) {
-	keys := make([]bundle.Key, 0, len(s.Bundle.Keys))
-	for _, k := range s.Bundle.Keys {
-		key, err := bundle.NewKey(k.ID, k.Public, k.NotBefore, k.NotAfter)
-		if err != nil {
-			return nil, err
-		}
-		keys = append(keys, key)
-	}
-	return bundle.NewKeyring(keys...)
-}
+func provideKeyring(s *settings.Settings) (bundle.Keyring, error) { return s.Bundle.Keyring() }
 
 // provideRandom seeds from the host and the incarnation, so that hosts that start together do not act in step.
 func provideRandom(self membership.Member) *rand.Rand {
--- a/limits/message.go
+++ b/limits/message.go
@@ -33,7 +33,7 @@
 	"github.com/marigoldwood/marigoldwood/membership"
 )
 
-// ResourceID identifies what a ledger divides: the slots or the connections of one target address.
+// ResourceID identifies what a ledger divides: the slots of one target address.
 type ResourceID uint64
 
 // SlotsOf returns the resource of the work slots of the target at addr.
@@ -41,11 +41,6 @@
 	return ResourceID(flow.NewTargetID("|slots", dataCentre, addr))
 }
 
-// ConnectionsOf returns the resource of the connections of the target at addr.
-func ConnectionsOf(dataCentre string, addr netip.Addr) ResourceID {
-	return ResourceID(flow.NewTargetID("|connections", dataCentre, addr))
-}
-
 // Class is the class of the work that a lease is for.
 type Class uint8
 
