--- a/cmd/marigoldwood/main.go
+++ b/cmd/marigoldwood/main.go
@@ -23,6 +23,9 @@
 	exitUsage  = 2
 )
 
+// directCommand is the word that selects a balancer whose targets answer callers directly.
+const directCommand = "direct"
+
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file, YAML"`
 	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
@@ -34,6 +37,9 @@
 }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == directCommand {
+		return runDirect(args[1:])
+	}
 	var o options
 	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
 		return usage(err)
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,251 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// retention is how long a removed target stays known for the sake of its open flows: the longest life of a flow.
+	retention = 60 * time.Second
+	// lapseGrace is how long a record may be missing after trouble of the store although its target lives: live targets
+	// are back about 2 s after the store.
+	lapseGrace = 2500 * time.Millisecond
+)
+
+// Presence tells what a snapshot says of a target.
+type Presence uint8
+
+// Presences, from the most to the least usable one.
+const (
+	Ready    Presence = iota // takes new flows
+	Draining                 // keeps its flows and takes no new ones
+	Lapsed                   // its record vanished while the store had trouble; it may live
+	Departed                 // its record was removed; datagrams of its flows are still sent to it
+	Gone                     // has ended for certain: its flows can be reset
+)
+
+var presenceNames = [...]string{"ready", "draining", "lapsed", "departed", "gone"}
+
+// String returns the name used in logs.
+func (p Presence) String() string { return presenceNames[p] }
+
+// record is a target that is or was listed.
+type record struct {
+	target    Target
+	revision  uint64
+	coldUntil time.Duration
+	removed   bool
+	removedAt time.Duration
+}
+
+// Directory collects what was read of the store. One goroutine may use it. Times are those of a monotonic clock.
+type Directory struct {
+	configuration *Configuration
+	records       map[string]*record
+	revision      uint64 // every change up to it is known
+	complete      bool   // the whole list was read once
+	lastAnswer    time.Duration
+	steadySince   time.Duration // start of the present series of answers
+	steady        bool
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{records: map[string]*record{}} }
+
+// Revision returns the revision up to which every change is known.
+func (d *Directory) Revision() uint64 { return d.revision }
+
+// Ready reports whether routes and the whole list of targets have been read.
+func (d *Directory) Ready() bool { return d.complete && d.configuration != nil }
+
+// Configuration returns the newest configuration, or nil.
+func (d *Directory) Configuration() *Configuration { return d.configuration }
+
+// Age returns the time since the store last answered, and false when it never did.
+func (d *Directory) Age(now time.Duration) (time.Duration, bool) {
+	return now - d.lastAnswer, d.complete
+}
+
+// StoreAnswered notes that the store answered.
+func (d *Directory) StoreAnswered(now time.Duration) {
+	d.lastAnswer = now
+	if !d.steady {
+		d.steady, d.steadySince = true, now
+	}
+}
+
+// StoreFailed notes that the store did not answer.
+func (d *Directory) StoreFailed() { d.steady = false }
+
+// Event describes a change of what the directory holds, for the log.
+type Event struct {
+	Kind     EventKind
+	Target   *Target
+	Revision uint64
+	Version  uint64 // of the configuration
+}
+
+// EventKind is the kind of an event.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	TargetListed EventKind = iota
+	TargetChanged
+	TargetRestarted
+	TargetRemoved
+	ConfigurationAccepted
+	ConfigurationStale
+)
+
+var eventNames = [...]string{"target-listed", "target-changed", "target-restarted", "target-removed", "configuration-accepted", "configuration-stale"}
+
+// String returns the name used in logs.
+func (k EventKind) String() string { return eventNames[k] }
+
+// Apply takes over a batch and returns what changed. Records and configurations that are older than what is known are
+// left out, so that batches of several sources may arrive in any order.
+func (d *Directory) Apply(b Batch, now time.Duration) []Event {
+	var events []Event
+	if b.Configuration != nil {
+		events = d.configure(b.Configuration, events)
+	}
+	for i := range b.Changes {
+		events = d.change(&b.Changes[i], now, events)
+	}
+	if b.Complete {
+		events = d.removeUnlisted(&b, now, events)
+		d.complete = true
+	}
+	d.revision = max(d.revision, b.Revision)
+	return events
+}
+
+// configure never goes back to an earlier version: a read may be answered by a replica that is behind.
+func (d *Directory) configure(c *Configuration, events []Event) []Event {
+	if d.configuration != nil && c.Version <= d.configuration.Version {
+		if c.Version < d.configuration.Version {
+			events = append(events, Event{Kind: ConfigurationStale, Version: c.Version, Revision: c.Revision})
+		}
+		return events
+	}
+	d.configuration = c
+	return append(events, Event{Kind: ConfigurationAccepted, Version: c.Version, Revision: c.Revision})
+}
+
+func (d *Directory) change(c *Change, now time.Duration, events []Event) []Event {
+	known := d.records[c.Name]
+	if known != nil && c.Revision <= known.revision {
+		return events
+	}
+	if c.Removed {
+		return d.removal(c, known, now, events)
+	}
+	kind := TargetListed
+	if known != nil && !known.removed {
+		kind = TargetChanged
+		if known.target.StartedMS != c.Target.StartedMS {
+			kind = TargetRestarted
+		}
+	}
+	d.records[c.Name] = &record{target: *c.Target, revision: c.Revision, coldUntil: now + c.Target.ColdFor}
+	return append(events, Event{Kind: kind, Target: c.Target, Revision: c.Revision})
+}
+
+func (d *Directory) removal(c *Change, known *record, now time.Duration, events []Event) []Event {
+	if known == nil {
+		if c.Target == nil {
+			return events // nothing can be open at a target that was never known
+		}
+		known = &record{target: *c.Target}
+		d.records[c.Name] = known
+	}
+	known.revision = c.Revision
+	return d.remove(known, now, events)
+}
+
+func (d *Directory) remove(r *record, now time.Duration, events []Event) []Event {
+	if r.removed {
+		return events
+	}
+	r.removed, r.removedAt = true, now
+	return append(events, Event{Kind: TargetRemoved, Target: &r.target, Revision: r.revision})
+}
+
+// removeUnlisted removes the targets that a complete list lacks, except those that were written after it was read.
+func (d *Directory) removeUnlisted(b *Batch, now time.Duration, events []Event) []Event {
+	listed := make(map[string]bool, len(b.Changes))
+	for i := range b.Changes {
+		listed[b.Changes[i].Name] = !b.Changes[i].Removed
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.records)) {
+		r := d.records[name]
+		if !listed[name] && r.revision <= b.Revision {
+			r.revision = b.Revision
+			events = d.remove(r, now, events)
+		}
+	}
+	return events
+}
+
+// Prune forgets targets that were removed so long ago that no flow of theirs can be open.
+func (d *Directory) Prune(now time.Duration) {
+	maps.DeleteFunc(d.records, func(_ string, r *record) bool { return r.removed && now-r.removedAt > retention })
+}
+
+// presence classifies a record. A removal counts as the end of the target only when the store has answered without
+// a break for long enough that a live target would be listed again.
+func (d *Directory) presence(r *record, now time.Duration) Presence {
+	switch {
+	case !r.removed && r.target.Draining:
+		return Draining
+	case !r.removed:
+		return Ready
+	case d.steady && now-max(d.steadySince, r.removedAt) >= lapseGrace:
+		return Gone
+	case r.target.Draining && d.steady && r.removedAt-d.steadySince >= lapseGrace:
+		return Gone // it announced its end
+	case !r.target.Draining && now-r.removedAt < lapseGrace && (!d.steady || r.removedAt-d.steadySince < lapseGrace):
+		return Lapsed
+	}
+	return Departed
+}
+
+// Known is a target in a snapshot.
+type Known struct {
+	Target
+	Presence  Presence
+	ColdUntil time.Duration
+	Revision  uint64
+	Removed   time.Duration // when its record was removed, 0 for a listed target
+}
+
+// Snapshot is what the directory holds at one moment. It is immutable.
+type Snapshot struct {
+	Configuration *Configuration
+	Targets       []Known // by name
+	Revision      uint64
+	At            time.Duration
+	// Next is when time alone changes the presence of a target, 0 when it does not.
+	Next time.Duration
+}
+
+// Snapshot returns the present state.
+func (d *Directory) Snapshot(now time.Duration) *Snapshot {
+	s := &Snapshot{Configuration: d.configuration, Revision: d.revision, At: now, Targets: make([]Known, 0, len(d.records))}
+	for _, r := range d.records {
+		k := Known{Target: r.target, Presence: d.presence(r, now), ColdUntil: r.coldUntil, Revision: r.revision}
+		if r.removed {
+			k.Removed = r.removedAt
+			if k.Presence != Gone {
+				s.Next = now + lapseGrace/4
+			}
+		}
+		s.Targets = append(s.Targets, k)
+	}
+	slices.SortFunc(s.Targets, func(a, b Known) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
--- /dev/null
+++ b/internal/direct/decisionlog.go
@@ -0,0 +1,73 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/steer"
+)
+
+const (
+	// decisionLines bounds the lines about flows in each interval, so that a flood of flows does not fill the log.
+	decisionLines    = 100
+	decisionInterval = time.Second
+)
+
+// decisionLog writes a line for each decision that opens, refuses or ends a flow, within a bound. Packets that follow a
+// flow's earlier packets are counted by metrics only.
+type decisionLog struct {
+	log     *logrus.Entry
+	started time.Duration
+	lines   int
+	left    int
+}
+
+func newDecisionLog(log *logrus.Entry) *decisionLog { return &decisionLog{log: log} }
+
+func (l *decisionLog) decision(p *steer.Packet, d *steer.Decision, v *steer.View, now time.Duration) {
+	if d.Suspected != nil {
+		l.log.WithFields(logrus.Fields{
+			"event": "target-suspect", "code": resultcode.TargetSuspect, "target": d.Suspected.Name, "service": d.Suspected.Service,
+			"flow": flowName(p),
+		}).Warn("target leaves flows unanswered")
+	}
+	if d.Action == steer.Forward && !d.Placed || !l.room(now) {
+		return
+	}
+	fields := logrus.Fields{"event": "flow-" + d.Action.String(), "flow": flowName(p), "code": d.Code}
+	if d.Placed {
+		fields["event"] = "flow-placed"
+	}
+	if d.Target != nil {
+		fields["target"], fields["presence"] = d.Target.Name, d.Target.Presence
+	}
+	if p.Open {
+		fields["copy"] = p.Acknowledgement
+	}
+	if v != nil {
+		s := v.Snapshot()
+		fields["version"], fields["revision"], fields["view_age"] = v.Version, s.Revision, (now - s.At).Truncate(time.Millisecond)
+	}
+	l.log.WithFields(fields).Info("decision")
+}
+
+// room reports whether another line may be written, and writes how many were left out before.
+func (l *decisionLog) room(now time.Duration) bool {
+	if now-l.started >= decisionInterval {
+		if l.left > 0 {
+			l.log.WithFields(logrus.Fields{"event": "decisions-left-out", "count": l.left}).Info("decision")
+		}
+		l.started, l.lines, l.left = now, 0, 0
+	}
+	if l.lines >= decisionLines {
+		l.left++
+		return false
+	}
+	l.lines++
+	return true
+}
+
+// flowName names a flow as operators do: caller, then endpoint.
+func flowName(p *steer.Packet) string { return p.Caller.String() + ">" + p.Endpoint.String() }
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,84 @@
+// Package direct assembles and runs a balancer whose targets answer callers directly. Packets carry the token of their
+// target, so balancers share no state about flows.
+package direct
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldwood/marigoldwood/internal/buildinfo"
+	"github.com/marigoldwood/marigoldwood/internal/logging"
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+	"github.com/marigoldwood/marigoldwood/platform"
+)
+
+//go:generate go tool wire
+
+// Error is the class of errors of this package.
+var Error = errs.Class("direct")
+
+// balancer holds the parts that run.
+type balancer struct {
+	Settings *settings.Direct
+	Log      *logrus.Entry
+	Control  *Control
+	Traffic  *Traffic
+	Store    *platform.Store
+	Reader   *storeReader
+	Metrics  *metrics
+}
+
+// Run runs the balancer until ctx ends, and then shuts it down gracefully. The log goes to out.
+func Run(ctx context.Context, s *settings.Direct, out io.Writer) error {
+	bounded := logging.NewBounded(out)
+	defer bounded.Close()
+	b, err := newBalancer(s, bounded)
+	if err != nil {
+		return err
+	}
+	return b.run(ctx.Done())
+}
+
+// run starts every part. The control goroutine ends first when stop is closed, and ends the others.
+func (b *balancer) run(stop <-chan struct{}) error {
+	defer b.Store.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for address, handler := range map[netip.AddrPort]http.Handler{
+		b.Settings.Listen.Readiness: readinessHandler(b.Control),
+		b.Settings.Listen.Metrics:   b.Metrics.handler,
+	} {
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		group.Go(func() error { return serveHTTP(ctx, listener, handler) })
+	}
+	group.Go(func() error {
+		defer cancel()
+		return b.Control.Run(ctx, stop)
+	})
+	group.Go(func() error { return b.Traffic.Run(ctx) })
+	group.Go(func() error { return b.Reader.run(ctx) })
+	b.Log.WithFields(logrus.Fields{
+		"event": "start", "version": buildinfo.Version(), "packets": b.Settings.Listen.Packets, "store": b.Settings.Platform.Address,
+		"data_centre": b.Settings.Host.DataCentre, "seeds": b.Settings.Peers.Seeds,
+	}).Info("balancer started")
+	err := group.Wait()
+	b.Log.WithFields(logrus.Fields{"event": "stop"}).WithError(err).Info("balancer stopped")
+	return err
+}
+
+func provideClock() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
--- /dev/null
+++ b/internal/direct/providers.go
@@ -0,0 +1,41 @@
+package direct
+
+import (
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/internal/logging"
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+	"github.com/marigoldwood/marigoldwood/platform"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+func provideLog(s *settings.Direct, out io.Writer) (*logrus.Entry, error) {
+	return logging.New(out, s.Log.Level, s.Host.Name)
+}
+
+func provideTraffic(s *settings.Direct, clock Clock, log *logrus.Entry, m *metrics) (*Traffic, error) {
+	return NewTraffic(s.Listen.Packets, clock, log, m)
+}
+
+func provideStore(s *settings.Direct, log *logrus.Entry) *platform.Store {
+	return platform.NewStore(s.Platform.Address, s.Platform.Timeout, func(err error) {
+		log.WithError(err).WithFields(logrus.Fields{"event": "record-rejected", "code": resultcode.Of(err)}).Warn("record of the store is not used")
+	})
+}
+
+// provideRandom seeds from the host and the process, so that hosts that start together do not act in step.
+func provideRandom(s *settings.Direct) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s.Host.Name)
+	return rand.New(rand.NewPCG(h.Sum64(), uint64(os.Getpid())))
+}
+
+func provideReader(store *platform.Store, random *rand.Rand, clock Clock, c *Control) *storeReader {
+	return &storeReader{source: store, follower: directory.NewFollower(random), clock: clock, results: c.results}
+}
--- /dev/null
+++ b/internal/direct/traffic.go
@@ -0,0 +1,113 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/internal/udpbatch"
+	"github.com/marigoldwood/marigoldwood/platform"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/steer"
+)
+
+// batchPackets is the number of packets that one system call reads or writes at most.
+const batchPackets = 64
+
+// Traffic forwards packets in one goroutine.
+type Traffic struct {
+	conn    *udpbatch.Conn
+	reader  *udpbatch.Reader
+	writer  *udpbatch.Writer
+	engine  *steer.Engine
+	clock   Clock
+	log     *decisionLog
+	metrics *metrics
+	port    uint16 // at which callers receive
+	resets  [batchPackets][platform.HeaderBytes]byte
+
+	view       atomic.Pointer[steer.View]
+	lastPacket atomic.Int64
+}
+
+// NewTraffic opens the socket for callers' packets.
+func NewTraffic(listen netip.AddrPort, clock Clock, log *logrus.Entry, m *metrics) (*Traffic, error) {
+	conn, err := udpbatch.Listen(listen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Traffic{
+		conn:   conn,
+		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
+		writer: udpbatch.NewWriter(conn, batchPackets),
+		engine: steer.NewEngine(), clock: clock, log: newDecisionLog(log), metrics: m, port: listen.Port(),
+	}, nil
+}
+
+// SetView puts a view in force with the next batch of packets.
+func (t *Traffic) SetView(v *steer.View) { t.view.Store(v) }
+
+// View returns the view in force, or nil.
+func (t *Traffic) View() *steer.View { return t.view.Load() }
+
+// LastPacket returns when the last packet arrived.
+func (t *Traffic) LastPacket() time.Duration { return time.Duration(t.lastPacket.Load()) }
+
+// Run forwards packets until the context ends.
+func (t *Traffic) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	for {
+		n, err := t.reader.Read()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		t.batch(n)
+	}
+}
+
+func (t *Traffic) batch(n int) {
+	now := t.clock()
+	t.lastPacket.Store(int64(now))
+	if v := t.view.Load(); v != nil && v != t.engine.View() {
+		t.engine.SetView(v)
+	}
+	for i := range n {
+		t.packet(i, now)
+	}
+	if failed := t.writer.Flush(); failed > 0 {
+		t.metrics.count(steer.Drop, resultcode.PacketSendFailed, uint64(failed))
+	}
+	t.metrics.flows.Store(int64(t.engine.Flows()))
+	t.metrics.batch(n, t.clock()-now)
+}
+
+func (t *Traffic) packet(i int, now time.Duration) {
+	buffer, start, end := t.reader.Buffer(i)
+	var p steer.Packet
+	if code := platform.ParsePacket(buffer[start:end], &p); code != resultcode.OK || t.reader.Truncated(i) {
+		if code == resultcode.OK {
+			code = resultcode.PacketOversized
+		}
+		t.metrics.count(steer.Drop, code, 1)
+		return
+	}
+	d := t.engine.Decide(&p, now)
+	t.metrics.count(d.Action, d.Code, 1)
+	switch d.Action {
+	case steer.Forward:
+		platform.PutToken(buffer[start:end], d.Target.Token)
+		platform.PutTargetPrefix(buffer[:start], d.Target.ID)
+		t.writer.Add(buffer[:end], d.Target.Address)
+	case steer.Refuse, steer.Break:
+		reset := platform.PutReset(t.resets[i][:], &p)
+		t.writer.Add(reset, netip.AddrPortFrom(p.Caller.AddrPort().Addr(), t.port))
+	}
+	t.log.decision(&p, &d, t.engine.View(), now)
+}
--- /dev/null
+++ b/internal/direct/wire.go
@@ -0,0 +1,19 @@
+//go:build wireinject
+
+package direct
+
+import (
+	"io"
+
+	"github.com/google/wire"
+
+	"github.com/marigoldwood/marigoldwood/internal/settings"
+)
+
+func newBalancer(s *settings.Direct, out io.Writer) (*balancer, error) {
+	wire.Build(
+		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, NewControl, newMetrics,
+		wire.Struct(new(balancer), "*"),
+	)
+	return nil, nil
+}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/internal/httpread"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -53,7 +54,7 @@
 		"failing":  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, Answer{}, resultcode.PlatformUnavailable},
 		"redirect": {func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusFound) }, Answer{}, resultcode.PlatformUnavailable},
 		"large header": {func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(revisionHeader, large[:2*maxHeaderBytes])
+			w.Header().Set(revisionHeader, large[:2*httpread.MaxHeaderBytes])
 		}, Answer{}, resultcode.PlatformUnavailable},
 		"silent": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, Answer{}, resultcode.PlatformUnavailable},
 	} {
--- /dev/null
+++ b/internal/settings/direct.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Direct is a checked settings file of a balancer whose targets answer callers directly.
+type Direct struct {
+	Host     Host           `yaml:"host"`
+	Listen   DirectListen   `yaml:"listen"`
+	Peers    DirectPeers    `yaml:"peers"`
+	Platform Platform       `yaml:"platform"`
+	Shutdown DirectShutdown `yaml:"shutdown"`
+	Log      Log            `yaml:"log"`
+}
+
+// DirectListen holds the addresses that the process listens on.
+type DirectListen struct {
+	Packets   netip.AddrPort `yaml:"packets" validate:"required" doc:"UDP address of callers' packets, address:port"`
+	Readiness netip.AddrPort `yaml:"readiness" validate:"required" doc:"TCP address of the readiness check, address:port"`
+	Peers     netip.AddrPort `yaml:"peers" validate:"required" doc:"TCP address of other balancers' reads, address:port"`
+	Metrics   netip.AddrPort `yaml:"metrics" validate:"required" doc:"TCP address of the operator interface and metrics, address:port"`
+}
+
+// DirectPeers names other balancers.
+type DirectPeers struct {
+	Seeds []netip.AddrPort `yaml:"seeds" doc:"peer addresses of hosts to contact first, address:port"`
+}
+
+// DirectShutdown bounds a planned stop.
+type DirectShutdown struct {
+	Grace time.Duration `yaml:"grace" validate:"min=1s,max=10m" default:"6s" doc:"time between the request to stop and the end of the process by force"`
+}
+
+// LoadDirect reads and checks the settings file at path. The error is a *resultcode.Error.
+func LoadDirect(path string) (*Direct, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, resultcode.Errorf(resultcode.SettingsUnreadable, path, "%v", err)
+	}
+	return ParseDirect(data)
+}
+
+// ParseDirect decodes and checks settings and fills in defaults. The error is a *resultcode.Error.
+func ParseDirect(data []byte) (*Direct, error) {
+	s := &Direct{}
+	if err := decode(data, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -61,17 +61,22 @@
 // Parse decodes and checks settings and fills in defaults. It does not look at the files that they name.
 func Parse(data []byte) (*Settings, error) {
 	s := &Settings{}
-	if err := setDefaults(reflect.ValueOf(s).Elem()); err != nil {
+	if err := decode(data, s); err != nil {
 		return nil, err
 	}
+	return s, checkSecurity(s)
+}
+
+// decode fills in defaults, decodes data into the settings struct that s points to and checks the fields.
+func decode(data []byte, s any) error {
+	if err := setDefaults(reflect.ValueOf(s).Elem()); err != nil {
+		return err
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
 	if err := decoder.Decode(s); err != nil {
-		return nil, decodeError(err)
+		return decodeError(err)
 	}
-	if err := checkFields(s); err != nil {
-		return nil, err
-	}
-	return s, checkSecurity(s)
+	return checkFields(s)
 }
 
 func decodeError(err error) error {
@@ -83,7 +88,7 @@
 	return resultcode.Errorf(resultcode.SettingsSyntax, "", "%s", text)
 }
 
-func checkFields(s *Settings) error {
+func checkFields(s any) error {
 	var invalid validator.ValidationErrors
 	if !errors.As(validate.Struct(s), &invalid) {
 		return nil
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -74,16 +74,22 @@
 
 // NewHandler returns the metrics endpoint. It reads the status once for each scrape.
 func NewHandler(read func() status.Status) (http.Handler, error) {
+	meter, handler, err := NewMeter()
+	if err != nil {
+		return nil, err
+	}
+	return handler, Error.Wrap(register(meter, read))
+}
+
+// NewMeter returns a meter and the endpoint that serves its metrics in the Prometheus format.
+func NewMeter() (metric.Meter, http.Handler, error) {
 	registry := prometheus.NewRegistry()
 	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo(), exporter.WithTranslationStrategy(otlptranslator.UnderscoreEscapingWithoutSuffixes))
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, nil, Error.Wrap(err)
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("github.com/marigoldwood/marigoldwood")
-	if err := register(meter, read); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
+	return meter, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
 }
 
 func register(meter metric.Meter, read func() status.Status) error {
--- a/resultcode/codes.go
+++ b/resultcode/codes.go
@@ -107,6 +107,8 @@
 	OutcomeUnknown
 	FlowSilent
 	TargetRefused
+	TargetGone
+	TargetSuspect
 )
 
 var admissionCodes = []Info{
@@ -120,6 +122,8 @@
 	{OutcomeUnknown, "outcome-unknown", "the flow was ended and its request may have run", "expected after an unplanned stop"},
 	{FlowSilent, "flow-silent", "a silent connection was ended", "look at the path between the two ends when the count rises"},
 	{TargetRefused, "target-refused", "a target refused a new connection", "look at the target's state"},
+	{TargetGone, "target-gone", "the target of an open flow has ended, and the flow is reset", "expected after a target ended without closing its flows"},
+	{TargetSuspect, "target-suspect", "a target leaves several flows unanswered and gets no new ones for a moment", "look at the target when it stays suspect"},
 }
 
 // Codes of peer and platform traffic, 500 to 599.
@@ -135,6 +139,10 @@
 	PlatformStale
 	PlatformReadBudget
 	PeerRate
+	PlatformHistoryGone
+	PlatformRecord
+	ConfigurationInvalid
+	ConfigurationStale
 )
 
 var peerCodes = []Info{
@@ -149,6 +157,10 @@
 	{PlatformStale, "platform-stale", "the configuration service offers an older version than the one in force", "check the configuration service"},
 	{PlatformReadBudget, "platform-read-budget", "a read was held back by the token bucket", "none; expected while many hosts restart"},
 	{PeerRate, "peer-rate", "a peer sends faster than allowed", "find the sender"},
+	{PlatformHistoryGone, "platform-history-gone", "the store no longer holds the changes after the last revision read", "none; the list is read anew"},
+	{PlatformRecord, "platform-record", "a record of the store describes no usable target", "find its writer; other records are not affected"},
+	{ConfigurationInvalid, "configuration-invalid", "the operator's configuration cannot be decoded", "correct it; the last one stays in force"},
+	{ConfigurationStale, "configuration-stale", "a read returned an older configuration than the one in force", "none; expected from a replica that is behind"},
 }
 
 // Codes of process life, 600 to 699.
--- /dev/null
+++ b/steer/engine.go
@@ -0,0 +1,168 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+const (
+	// maxFlows bounds the memory for flows at about 100 bytes each.
+	maxFlows = 1 << 17
+	// openingRetention is how long an unanswered opening packet is remembered: callers give up after 1.4 s.
+	openingRetention = 2 * time.Second
+	// flowRetention is how long a flow without packets is remembered. A forgotten flow loses nothing but its part in the
+	// load estimate.
+	flowRetention = 15 * time.Second
+	// sweepBatch is the number of flows looked at for expiry with each opening packet.
+	sweepBatch = 4
+)
+
+// flowState is what is remembered of a flow.
+type flowState struct {
+	token    directory.Token
+	opened   bool          // the caller has answered the target
+	waiting  bool          // for an answer of the target
+	reported bool          // its silence was counted
+	sent     uint32        // end of the caller's data
+	received uint32        // the caller's last acknowledgement
+	since    time.Duration // when the wait began
+	last     time.Duration // last packet
+}
+
+// Engine decides about packets. One goroutine may use it.
+type Engine struct {
+	flows map[FlowKey]flowState
+	order []FlowKey // flows in the order of their opening, for expiry
+	loads map[string]*load
+	view  *View
+}
+
+// NewEngine returns an engine without a view, which drops every packet.
+func NewEngine() *Engine {
+	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}}
+}
+
+// SetView puts a view in force.
+func (e *Engine) SetView(v *View) {
+	e.view = v
+	present := make(map[string]bool, len(v.tokens))
+	for _, t := range v.tokens {
+		present[t.Name] = true
+		l := e.loads[t.Name]
+		if l == nil || l.startedMS != t.StartedMS {
+			l = &load{startedMS: t.StartedMS}
+			e.loads[t.Name] = l
+		}
+		t.load = l
+	}
+	for name := range e.loads {
+		if !present[name] {
+			delete(e.loads, name)
+		}
+	}
+}
+
+// View returns the view in force, or nil.
+func (e *Engine) View() *View { return e.view }
+
+// Flows returns the number of flows that are remembered.
+func (e *Engine) Flows() int { return len(e.flows) }
+
+// Decide returns what is done with a packet.
+func (e *Engine) Decide(p *Packet, now time.Duration) Decision {
+	if e.view == nil {
+		return Decision{Action: Drop, Code: resultcode.NotReady}
+	}
+	if p.Open {
+		return e.open(p, now)
+	}
+	return e.carry(p, now)
+}
+
+// carry forwards a packet of an open flow to the target that its token names, whatever the configuration in force says:
+// a flow stays where it is. The target itself resets a flow that it does not hold.
+func (e *Engine) carry(p *Packet, now time.Duration) Decision {
+	t := e.view.Resolve(p.Token)
+	switch {
+	case p.Token == 0 || t == nil:
+		return Decision{Action: Drop, Code: resultcode.PacketUnknownFlow}
+	case t.Presence == directory.Gone:
+		delete(e.flows, p.Flow())
+		if p.Reset {
+			return Decision{Action: Drop, Code: resultcode.TargetGone}
+		}
+		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
+	}
+	suspected := e.observe(p, t, now)
+	return Decision{Action: Forward, Target: t, Suspected: suspected}
+}
+
+// open places a new flow. A copy of an opening packet follows the first one, because two targets must not both answer.
+func (e *Engine) open(p *Packet, now time.Duration) Decision {
+	e.sweep(now)
+	route := e.view.Route(p.Endpoint)
+	if route == nil {
+		return Decision{Action: Refuse, Code: resultcode.PacketUnknownEndpoint}
+	}
+	key := p.Flow()
+	known, found := e.flows[key]
+	var suspected *Target
+	if found && !known.opened && now-known.since < openingRetention {
+		if t := e.view.Resolve(known.token); t != nil && t.Presence <= directory.Lapsed {
+			if now-known.since >= silenceAfter && !known.reported {
+				known.reported = true
+				e.flows[key] = known
+				suspected = t.load.silent(t, now)
+			}
+			if !t.load.suspect(now) {
+				return Decision{Action: Forward, Target: t, Suspected: suspected}
+			}
+		}
+	}
+	e.forget(key)
+	t := e.view.pick(route, key, now)
+	if t == nil {
+		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
+	}
+	e.remember(key, flowState{token: t.Token, waiting: true, since: now, last: now})
+	t.load.pending++
+	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
+}
+
+func (e *Engine) remember(key FlowKey, f flowState) {
+	if len(e.flows) >= maxFlows {
+		return
+	}
+	e.flows[key] = f
+	e.order = append(e.order, key)
+}
+
+// forget ends what is remembered of a flow.
+func (e *Engine) forget(key FlowKey) {
+	f, found := e.flows[key]
+	if !found {
+		return
+	}
+	delete(e.flows, key)
+	if t := e.view.Resolve(f.token); t != nil {
+		t.load.end(&f)
+	}
+}
+
+// sweep looks at some of the oldest flows and forgets those that are over.
+func (e *Engine) sweep(now time.Duration) {
+	for range min(sweepBatch, len(e.order)) {
+		key := e.order[0]
+		e.order = e.order[1:]
+		f, found := e.flows[key]
+		switch {
+		case !found:
+		case now-f.last > flowRetention, !f.opened && now-f.last > openingRetention:
+			e.forget(key)
+		default:
+			e.order = append(e.order, key)
+		}
+	}
+}
--- /dev/null
+++ b/steer/view.go
@@ -0,0 +1,135 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+)
+
+// Target is a target in a view.
+type Target struct {
+	directory.Known
+	Token directory.Token
+	seed  uint64
+	load  *load // shared by all views, owned by the engine
+}
+
+// View is what packets are decided by. It is immutable.
+type View struct {
+	Version uint64
+	routes  map[directory.Endpoint]*directory.Route
+	tokens  map[directory.Token]*Target
+	pools   map[string]*pool
+	// removed holds endpoints whose route was removed.
+	snapshot *directory.Snapshot
+}
+
+// pool holds the targets of a service that may get new flows.
+type pool struct {
+	local  []*Target // in the data centre of the balancer
+	remote []*Target
+	// lapsed holds targets whose records vanished during trouble of the store.
+	lapsed []*Target
+}
+
+// lapsedShare is the part of a service's targets that must be left before lapsed ones stay unused: when the store loses
+// most records at once, the store and not the targets are the likely cause.
+const lapsedShare = 0.5
+
+// NewView builds a view for a balancer in the data centre.
+func NewView(s *directory.Snapshot, dataCentre string) *View {
+	v := &View{
+		routes: map[directory.Endpoint]*directory.Route{}, tokens: make(map[directory.Token]*Target, len(s.Targets)),
+		pools: map[string]*pool{}, snapshot: s,
+	}
+	if s.Configuration != nil {
+		v.Version = s.Configuration.Version
+		for i := range s.Configuration.Routes {
+			r := &s.Configuration.Routes[i]
+			v.routes[r.Endpoint] = r
+		}
+	}
+	for i := range s.Targets {
+		v.add(&s.Targets[i], dataCentre)
+	}
+	for _, p := range v.pools {
+		p.restoreLapsed(dataCentre)
+	}
+	return v
+}
+
+// add enters a target under its token. Of two targets with the same token the one that started first keeps it, because
+// its flows are open under it; the other gets no flows until the first is forgotten.
+func (v *View) add(k *directory.Known, dataCentre string) {
+	t := &Target{Known: *k, Token: k.Token(), seed: xxhash.Sum64String(k.Name)}
+	if other := v.tokens[t.Token]; other != nil {
+		if !startedBefore(t, other) {
+			return
+		}
+		v.drop(other)
+	}
+	v.tokens[t.Token] = t
+	p := v.pools[t.Service]
+	if p == nil {
+		p = &pool{}
+		v.pools[t.Service] = p
+	}
+	switch {
+	case t.Presence == directory.Lapsed:
+		p.lapsed = append(p.lapsed, t)
+	case t.Presence != directory.Ready:
+	case t.DataCentre == dataCentre:
+		p.local = append(p.local, t)
+	default:
+		p.remote = append(p.remote, t)
+	}
+}
+
+func startedBefore(a, b *Target) bool {
+	if a.StartedMS != b.StartedMS {
+		return a.StartedMS < b.StartedMS
+	}
+	return a.Name < b.Name
+}
+
+func (v *View) drop(t *Target) {
+	p := v.pools[t.Service]
+	for _, list := range []*[]*Target{&p.local, &p.remote, &p.lapsed} {
+		kept := (*list)[:0]
+		for _, other := range *list {
+			if other != t {
+				kept = append(kept, other)
+			}
+		}
+		*list = kept
+	}
+}
+
+// restoreLapsed uses lapsed targets when too few others are left.
+func (p *pool) restoreLapsed(dataCentre string) {
+	ready := len(p.local) + len(p.remote)
+	if float64(ready) >= lapsedShare*float64(ready+len(p.lapsed)) {
+		return
+	}
+	for _, t := range p.lapsed {
+		if t.DataCentre == dataCentre {
+			p.local = append(p.local, t)
+		} else {
+			p.remote = append(p.remote, t)
+		}
+	}
+}
+
+// Snapshot returns what the view was built from.
+func (v *View) Snapshot() *directory.Snapshot { return v.snapshot }
+
+// Route returns the route of an endpoint, or nil.
+func (v *View) Route(e directory.Endpoint) *directory.Route { return v.routes[e] }
+
+// Resolve returns the target with the token, or nil.
+func (v *View) Resolve(t directory.Token) *Target { return v.tokens[t] }
+
+// isCold reports whether the target is still slow after its start.
+func (t *Target) isCold(now time.Duration) bool { return now < t.ColdUntil }
