--- a/directory/directory.go
+++ b/directory/directory.go
@@ -50,6 +50,7 @@
 	lastAnswer    time.Duration
 	steadySince   time.Duration // start of the present series of answers
 	steady        bool
+	forgotten     uint64 // newest revision of a record that was forgotten
 }
 
 // New returns an empty directory.
@@ -80,6 +81,41 @@
 // StoreFailed notes that the store did not answer.
 func (d *Directory) StoreFailed() { d.steady = false }
 
+// StoreHeard notes what another host knows: the store answered it at the given time, after it had answered without a
+// break since steadySince.
+func (d *Directory) StoreHeard(answered, steadySince time.Duration) {
+	if answered <= d.lastAnswer {
+		return
+	}
+	d.lastAnswer = answered
+	if !d.steady || steadySince > d.steadySince {
+		d.steady, d.steadySince = true, steadySince
+	}
+}
+
+// Steady returns for how long the store has answered without a break.
+func (d *Directory) Steady(now time.Duration) time.Duration {
+	if !d.steady {
+		return 0
+	}
+	return now - d.steadySince
+}
+
+// Since returns what has changed after a revision, for another host. Removed targets are part of it, so that their open
+// flows are found there too.
+func (d *Directory) Since(after uint64) Batch {
+	b := Batch{Revision: d.revision, Complete: d.complete && (after == 0 || after < d.forgotten)}
+	if c := d.configuration; c != nil && (c.Revision > after || b.Complete) {
+		b.Configuration = c
+	}
+	for name, r := range d.records {
+		if r.revision > after || b.Complete {
+			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Target: &r.target})
+		}
+	}
+	return b
+}
+
 // Event describes a change of what the directory holds, for the log.
 type Event struct {
 	Kind     EventKind
@@ -193,7 +229,13 @@
 
 // Prune forgets targets that were removed so long ago that no flow of theirs can be open.
 func (d *Directory) Prune(now time.Duration) {
-	maps.DeleteFunc(d.records, func(_ string, r *record) bool { return r.removed && now-r.removedAt > retention })
+	maps.DeleteFunc(d.records, func(_ string, r *record) bool {
+		if !r.removed || now-r.removedAt <= retention {
+			return false
+		}
+		d.forgotten = max(d.forgotten, r.revision)
+		return true
+	})
 }
 
 // presence classifies a record. A removal counts as the end of the target only when the store has answered without
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -71,6 +71,13 @@
 // NewFollower returns a follower that has read nothing.
 func NewFollower(random *rand.Rand) *Follower { return &Follower{random: random} }
 
+// Resume lets the next read be a watch from a revision up to which every change is known from elsewhere.
+func (f *Follower) Resume(after uint64) {
+	if after > f.after {
+		f.listed, f.after = true, after
+	}
+}
+
 // Next returns the next read.
 func (f *Follower) Next(now time.Duration) Read {
 	r := Read{Kind: ReadList, Delay: f.delay()}
--- a/directory/target.go
+++ b/directory/target.go
@@ -41,6 +41,14 @@
 	return 1
 }
 
+// Load is what a balancer, or several, have seen of a target.
+type Load struct {
+	Token   Token
+	Pending uint16 // flows and requests that wait for an answer
+	Open    uint16 // flows
+	Suspect bool   // it leaves flows unanswered
+}
+
 // Change is one record of the store, as it was written or removed.
 type Change struct {
 	Name     string
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +11,7 @@
 	"github.com/marigoldwood/marigoldwood/chart"
 	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
-	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/steer"
 )
 
@@ -37,24 +38,45 @@
 	log       *logrus.Entry
 	clock     Clock
 	directory *directory.Directory
+	follower  *directory.Follower
+	fleet     *relay.Fleet
 	chart     *chart.Chart
-	results   chan readResult
+	reader    *storeReader
+	exchange  *Exchange
 	traffic   *Traffic
 	metrics   *metrics
 
 	state        string
 	published    atomic.Pointer[string] // state, for the readiness check
+	reading      bool                   // a read of the store is under way
+	isRelay      bool
 	storeFailing bool
+	reported     time.Duration // when reports were last due
 	leaveStarted time.Duration
 	pruned       time.Duration
 	next         time.Duration // when time alone changes the view, 0 for never
 }
 
+// controlParts groups what the control goroutine works with.
+type controlParts struct {
+	Settings *settings.Direct
+	Log      *logrus.Entry
+	Clock    Clock
+	Random   *rand.Rand
+	Reader   *storeReader
+	Exchange *Exchange
+	Traffic  *Traffic
+	Metrics  *metrics
+}
+
 // NewControl returns the control goroutine's state.
-func NewControl(s *settings.Direct, log *logrus.Entry, clock Clock, t *Traffic, m *metrics) *Control {
+func NewControl(p controlParts) *Control {
+	s := p.Settings
+	self := relay.Host{Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Listen.Peers, Weight: s.Host.Weight}
 	c := &Control{
-		settings: s, log: log, clock: clock, directory: directory.New(), chart: newLifecycle(),
-		results: make(chan readResult), traffic: t, metrics: m,
+		settings: s, log: p.Log, clock: p.Clock, directory: directory.New(), follower: directory.NewFollower(p.Random),
+		fleet: relay.NewFleet(self, s.Peers.Seeds), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange,
+		traffic: p.Traffic, metrics: p.Metrics,
 	}
 	c.enter(c.chart.Initial())
 	return c
@@ -71,12 +93,19 @@
 	timer := time.NewTimer(pruneInterval)
 	defer timer.Stop()
 	for c.state != stateStopped {
+		c.readStore()
 		timer.Reset(c.untilNext())
 		select {
-		case r := <-c.results:
-			c.handle(r)
+		case r := <-c.reader.results:
+			c.storeRead(r)
+		case in := <-c.exchange.inbound:
+			in.reply <- c.reply(in.report)
+		case r := <-c.exchange.results:
+			c.replied(r)
+		case to := <-c.exchange.stopped:
+			c.exchange.Forget(to)
 		case <-timer.C:
-			c.tick()
+			c.tick(ctx)
 		case <-stop:
 			stop = nil
 			c.fire(eventStopRequested)
@@ -89,9 +118,9 @@
 }
 
 func (c *Control) untilNext() time.Duration {
-	d := pruneInterval
+	d := max(c.reported+c.fleet.Interval()-c.clock(), time.Millisecond)
 	if c.next > 0 {
-		d = max(c.next-c.clock(), time.Millisecond)
+		d = min(d, max(c.next-c.clock(), time.Millisecond))
 	}
 	if c.leaveStarted > 0 {
 		d = min(d, leaveCheck)
@@ -99,8 +128,11 @@
 	return d
 }
 
-func (c *Control) tick() {
+func (c *Control) tick(ctx context.Context) {
 	now := c.clock()
+	if now-c.reported >= c.fleet.Interval() {
+		c.report(ctx, now)
+	}
 	if now-c.pruned >= pruneInterval {
 		c.directory.Prune(now)
 		c.pruned = now
@@ -139,24 +171,11 @@
 	c.published.Store(&state)
 }
 
-func (c *Control) handle(r readResult) {
-	now := c.clock()
-	c.metrics.read(r)
-	if r.err != nil {
-		c.readFailed(r)
-		return
-	}
-	c.directory.StoreAnswered(now)
-	if c.storeFailing {
-		c.storeFailing = false
-		c.log.WithFields(logrus.Fields{"event": "store-regained", "read": r.read.Kind}).Info("store answers again")
-	}
-	if !r.apply {
-		return
-	}
-	events := c.directory.Apply(r.batch, now)
+// apply takes over what a source told, and puts the result in force.
+func (c *Control) apply(b directory.Batch, source string, now time.Duration) {
+	events := c.directory.Apply(b, now)
 	for i := range events {
-		c.logChange(&events[i], r.read.Kind)
+		c.logChange(&events[i], source)
 	}
 	if len(events) > 0 || c.traffic.View() == nil {
 		c.publish(now)
@@ -166,23 +185,8 @@
 	}
 }
 
-func (c *Control) readFailed(r readResult) {
-	if resultcode.Of(r.err) == resultcode.PlatformHistoryGone {
-		c.log.WithError(r.err).WithFields(logrus.Fields{"event": "history-gone", "code": resultcode.Of(r.err), "after": r.read.After}).Info("store is listed anew")
-		return
-	}
-	c.directory.StoreFailed()
-	if !c.storeFailing {
-		c.storeFailing = true
-		age, _ := c.directory.Age(c.clock())
-		c.log.WithError(r.err).WithFields(logrus.Fields{
-			"event": "store-lost", "read": r.read.Kind, "code": resultcode.Of(r.err), "age": age, "revision": c.directory.Revision(),
-		}).Warn("store does not answer")
-	}
-}
-
-func (c *Control) logChange(e *directory.Event, kind directory.ReadKind) {
-	fields := logrus.Fields{"event": e.Kind, "revision": e.Revision, "read": kind}
+func (c *Control) logChange(e *directory.Event, source string) {
+	fields := logrus.Fields{"event": e.Kind, "revision": e.Revision, "source": source}
 	if e.Target != nil {
 		fields["target"], fields["service"], fields["address"] = e.Target.Name, e.Target.Service, e.Target.Address
 		fields["draining"], fields["cold"] = e.Target.Draining, e.Target.ColdFor
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -33,6 +33,7 @@
 	Traffic  *Traffic
 	Store    *platform.Store
 	Reader   *storeReader
+	Exchange *Exchange
 	Metrics  *metrics
 }
 
@@ -63,6 +64,11 @@
 		}
 		group.Go(func() error { return serveHTTP(ctx, listener, handler) })
 	}
+	peers, err := net.Listen("tcp", b.Settings.Listen.Peers.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	group.Go(func() error { return b.Exchange.Serve(ctx, peers) })
 	group.Go(func() error {
 		defer cancel()
 		return b.Control.Run(ctx, stop)
@@ -73,7 +79,7 @@
 		"event": "start", "version": buildinfo.Version(), "packets": b.Settings.Listen.Packets, "store": b.Settings.Platform.Address,
 		"data_centre": b.Settings.Host.DataCentre, "seeds": b.Settings.Peers.Seeds,
 	}).Info("balancer started")
-	err := group.Wait()
+	err = group.Wait()
 	b.Log.WithFields(logrus.Fields{"event": "stop"}).WithError(err).Info("balancer stopped")
 	return err
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -7,32 +7,38 @@
 	"github.com/marigoldwood/marigoldwood/directory"
 )
 
-// readResult is the outcome of a read of the store or of a peer.
+// readResult is the outcome of a read of the store.
 type readResult struct {
 	read  directory.Read
 	batch directory.Batch
 	err   error
 	took  time.Duration
-	apply bool
 }
 
-// storeReader reads the store as its follower decides, and hands the results to the control goroutine.
+// storeReader carries out the reads that the control goroutine asks for, one at a time.
 type storeReader struct {
-	source   directory.Source
-	follower *directory.Follower
-	clock    Clock
-	results  chan<- readResult
+	source  directory.Source
+	clock   Clock
+	reads   chan directory.Read
+	results chan readResult
+}
+
+func newStoreReader(source directory.Source, clock Clock) *storeReader {
+	return &storeReader{source: source, clock: clock, reads: make(chan directory.Read, 1), results: make(chan readResult)}
 }
 
 func (r *storeReader) run(ctx context.Context) error {
 	for {
-		next := r.follower.Next(r.clock())
-		if !sleep(ctx, next.Delay) {
-			return nil
-		}
-		result := r.read(ctx, next)
 		select {
-		case r.results <- result:
+		case next := <-r.reads:
+			if !sleep(ctx, next.Delay) {
+				return nil
+			}
+			select {
+			case r.results <- r.read(ctx, next):
+			case <-ctx.Done():
+				return nil
+			}
 		case <-ctx.Done():
 			return nil
 		}
@@ -47,9 +53,7 @@
 	} else {
 		result.batch, result.err = r.source.List(ctx, next.Kind == directory.ReadAudit)
 	}
-	now := r.clock()
-	result.took = now - started
-	result.apply = r.follower.Done(now, next, result.batch, result.err)
+	result.took = r.clock() - started
 	return result
 }
 
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/internal/logging"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/platform"
@@ -36,6 +35,10 @@
 	return rand.New(rand.NewPCG(h.Sum64(), uint64(os.Getpid())))
 }
 
-func provideReader(store *platform.Store, random *rand.Rand, clock Clock, c *Control) *storeReader {
-	return &storeReader{source: store, follower: directory.NewFollower(random), clock: clock, results: c.results}
+func provideReader(store *platform.Store, clock Clock) *storeReader {
+	return newStoreReader(store, clock)
+}
+
+func provideExchange(s *settings.Direct, log *logrus.Entry) *Exchange {
+	return NewExchange(s.Host.Name, s.Host.DataCentre, log)
 }
--- /dev/null
+++ b/internal/direct/sources.go
@@ -0,0 +1,135 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/marigoldwood/marigoldwood/relay"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// sourceStore names the store in the log; a peer is named by its host.
+const sourceStore = "store"
+
+// readStore starts the next read of the store if this host is the relay of its data centre, or if no relay keeps it up
+// to date.
+func (c *Control) readStore() {
+	now := c.clock()
+	if c.reading || !c.mustRead(now) {
+		return
+	}
+	if c.directory.Ready() {
+		c.follower.Resume(c.directory.Revision())
+	}
+	c.reading = true
+	c.reader.reads <- c.follower.Next(now)
+}
+
+func (c *Control) mustRead(now time.Duration) bool {
+	if !c.directory.Ready() {
+		return true
+	}
+	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, c.isFresh(now), c.leaving(), now)
+	own := host.Name == c.settings.Host.Name
+	if own != c.isRelay {
+		c.isRelay = own
+		c.log.WithFields(logrus.Fields{"event": "relay", "relay": host.Name, "own": own}).Info("relay of the data centre")
+	}
+	return own || !c.isFresh(now)
+}
+
+// isFresh reports whether the store, or a host that reads it, has answered a moment ago.
+func (c *Control) isFresh(now time.Duration) bool {
+	age, known := c.directory.Age(now)
+	return known && age < c.fleet.StaleAfter()
+}
+
+func (c *Control) leaving() bool { return c.leaveStarted > 0 }
+
+// storeRead takes in the outcome of a read of the store.
+func (c *Control) storeRead(r readResult) {
+	now := c.clock()
+	c.reading = false
+	c.metrics.read(r)
+	apply := c.follower.Done(now, r.read, r.batch, r.err)
+	if r.err != nil {
+		c.readFailed(r)
+		return
+	}
+	c.directory.StoreAnswered(now)
+	if c.storeFailing {
+		c.storeFailing = false
+		c.log.WithFields(logrus.Fields{"event": "store-regained", "read": r.read.Kind}).Info("store answers again")
+	}
+	if apply {
+		c.apply(r.batch, sourceStore, now)
+	}
+}
+
+func (c *Control) readFailed(r readResult) {
+	fields := logrus.Fields{"read": r.read.Kind, "code": resultcode.Of(r.err), "after": r.read.After}
+	if resultcode.Of(r.err) == resultcode.PlatformHistoryGone {
+		fields["event"] = "history-gone"
+		c.log.WithError(r.err).WithFields(fields).Info("store is listed anew")
+		return
+	}
+	c.directory.StoreFailed()
+	if !c.storeFailing {
+		c.storeFailing = true
+		age, _ := c.directory.Age(c.clock())
+		fields["event"], fields["age"], fields["revision"] = "store-lost", age, c.directory.Revision()
+		c.log.WithError(r.err).WithFields(fields).Warn("store does not answer")
+	}
+}
+
+// report tells the relay, or as a relay the others, what this host knows.
+func (c *Control) report(ctx context.Context, now time.Duration) {
+	c.reported = now
+	for _, to := range c.fleet.Ask(c.isFresh(now), c.leaving(), now) {
+		c.exchange.Ask(ctx, to, &relay.Report{
+			Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now),
+			Loads: c.fleet.LoadsOf(to, c.traffic.Loads(), now),
+		})
+	}
+	c.traffic.SetOthers(c.fleet.Others(now))
+}
+
+func (c *Control) freshness(now time.Duration) relay.Freshness {
+	age, known := c.directory.Age(now)
+	return relay.Freshness{Known: known, Age: age, Steady: c.directory.Steady(now), Revision: c.directory.Revision()}
+}
+
+// reply answers the report of another host with what it does not know yet.
+func (c *Control) reply(r *relay.Report) *relay.Reply {
+	now := c.clock()
+	c.fleet.Reported(r, now)
+	reply := &relay.Reply{
+		Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now), Hosts: c.fleet.Members(r.Host.Name, now),
+		Loads: c.fleet.LoadsFor(r.Host.Name, r.Host.DataCentre, c.traffic.Loads(), now),
+	}
+	if r.Freshness.Revision < c.directory.Revision() && c.directory.Ready() {
+		reply.Changes = c.directory.Since(r.Freshness.Revision)
+	}
+	return reply
+}
+
+// replied takes in the reply of another host.
+func (c *Control) replied(r replyResult) {
+	now := c.clock()
+	if r.err != nil {
+		c.fleet.Failed(r.to, now)
+		c.log.WithError(r.err).WithFields(logrus.Fields{"event": "peer-lost", "peer": r.to, "code": resultcode.Of(r.err)}).Info("peer does not answer")
+		return
+	}
+	reply := r.reply
+	c.fleet.Replied(reply, now)
+	if len(reply.Changes.Changes) > 0 || reply.Changes.Configuration != nil {
+		c.apply(reply.Changes, reply.Host.Name, now)
+	}
+	// What the other host knows counts as the store's answer only when nothing of it is missing here.
+	if f := reply.Freshness; f.Known && f.Revision <= c.directory.Revision() {
+		c.directory.StoreHeard(now-f.Age, now-f.Steady)
+	}
+}
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/internal/udpbatch"
 	"github.com/marigoldwood/marigoldwood/platform"
 	"github.com/marigoldwood/marigoldwood/resultcode"
@@ -17,6 +18,9 @@
 // batchPackets is the number of packets that one system call reads or writes at most.
 const batchPackets = 64
 
+// loadInterval is how often loads are collected for other balancers. It is below the time between two reports.
+const loadInterval = 100 * time.Millisecond
+
 // Traffic forwards packets in one goroutine.
 type Traffic struct {
 	conn    *udpbatch.Conn
@@ -30,6 +34,10 @@
 	resets  [batchPackets][platform.HeaderBytes]byte
 
 	view       atomic.Pointer[steer.View]
+	own        atomic.Pointer[[]directory.Load] // loads that the engine has seen
+	others     atomic.Pointer[[]directory.Load] // loads that other balancers have seen
+	taken      *[]directory.Load                // others that the engine has taken in
+	reported   time.Duration                    // when own was written
 	lastPacket atomic.Int64
 }
 
@@ -56,6 +64,17 @@
 // LastPacket returns when the last packet arrived.
 func (t *Traffic) LastPacket() time.Duration { return time.Duration(t.lastPacket.Load()) }
 
+// Loads returns what the engine has seen of targets, at most loadInterval ago while packets arrive.
+func (t *Traffic) Loads() []directory.Load {
+	if own := t.own.Load(); own != nil {
+		return *own
+	}
+	return nil
+}
+
+// SetOthers passes on what other balancers have seen of targets.
+func (t *Traffic) SetOthers(loads []directory.Load) { t.others.Store(&loads) }
+
 // Run forwards packets until the context ends.
 func (t *Traffic) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
@@ -78,12 +97,21 @@
 	if v := t.view.Load(); v != nil && v != t.engine.View() {
 		t.engine.SetView(v)
 	}
+	if others := t.others.Load(); others != t.taken {
+		t.taken = others
+		t.engine.SetOthers(*others)
+	}
 	for i := range n {
 		t.packet(i, now)
 	}
 	if failed := t.writer.Flush(); failed > 0 {
 		t.metrics.count(steer.Drop, resultcode.PacketSendFailed, uint64(failed))
 	}
+	if now-t.reported >= loadInterval {
+		own := t.engine.Loads(now)
+		t.own.Store(&own)
+		t.reported = now
+	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
 	t.metrics.batch(n, t.clock()-now)
 }
--- a/internal/direct/wire.go
+++ b/internal/direct/wire.go
@@ -12,8 +12,8 @@
 
 func newBalancer(s *settings.Direct, out io.Writer) (*balancer, error) {
 	wire.Build(
-		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, NewControl, newMetrics,
-		wire.Struct(new(balancer), "*"),
+		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, provideExchange,
+		NewControl, newMetrics, wire.Struct(new(controlParts), "*"), wire.Struct(new(balancer), "*"),
 	)
 	return nil, nil
 }
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -23,6 +23,10 @@
 		return nil, err
 	}
 	clock := provideClock()
+	rand := provideRandom(s)
+	store := provideStore(s, entry)
+	directStoreReader := provideReader(store, clock)
+	directExchange := provideExchange(s, entry)
 	directMetrics, err := newMetrics()
 	if err != nil {
 		return nil, err
@@ -31,10 +35,17 @@
 	if err != nil {
 		return nil, err
 	}
-	control := NewControl(s, entry, clock, traffic, directMetrics)
-	store := provideStore(s, entry)
-	rand := provideRandom(s)
-	directStoreReader := provideReader(store, rand, clock, control)
+	directControlParts := controlParts{
+		Settings: s,
+		Log:      entry,
+		Clock:    clock,
+		Random:   rand,
+		Reader:   directStoreReader,
+		Exchange: directExchange,
+		Traffic:  traffic,
+		Metrics:  directMetrics,
+	}
+	control := NewControl(directControlParts)
 	directBalancer := &balancer{
 		Settings: s,
 		Log:      entry,
@@ -42,6 +53,7 @@
 		Traffic:  traffic,
 		Store:    store,
 		Reader:   directStoreReader,
+		Exchange: directExchange,
 		Metrics:  directMetrics,
 	}
 	return directBalancer, nil
--- /dev/null
+++ b/internal/peer/ask.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+const (
+	// askIdle ends a connection on which nothing was asked for so long.
+	askIdle = 10 * time.Second
+	// maxAskers bounds the connections that an answerer serves at a time.
+	maxAskers = 512
+)
+
+// Asker sends messages to one peer and waits for each answer, over a connection that is kept. One goroutine may use it.
+type Asker struct {
+	identity *Identity
+	to       netip.AddrPort
+	timeout  time.Duration
+	conn     net.Conn
+}
+
+// NewAsker returns an asker of the peer at the address. An answer that takes longer than timeout is a failure, also on a
+// connection that has gone silent.
+func NewAsker(identity *Identity, to netip.AddrPort, timeout time.Duration) *Asker {
+	return &Asker{identity: identity, to: to, timeout: timeout}
+}
+
+// Ask sends m and returns the answer. The error is a *resultcode.Error; the connection is then closed.
+func (a *Asker) Ask(ctx context.Context, m Message) (Message, error) {
+	answer, err := a.ask(ctx, m)
+	if err == nil {
+		return answer, nil
+	}
+	a.Close()
+	return nil, resultcode.Errorf(codeOf(err), a.to.String(), "%v", err)
+}
+
+func (a *Asker) ask(ctx context.Context, m Message) (Message, error) {
+	if a.conn == nil {
+		conn, err := (&net.Dialer{Timeout: a.timeout}).DialContext(ctx, "tcp", a.to.String())
+		if err != nil {
+			return nil, err
+		}
+		a.conn = conn
+	}
+	if err := a.conn.SetDeadline(time.Now().Add(a.timeout)); err != nil {
+		return nil, err
+	}
+	if err := writeMessage(a.conn, a.identity, m); err != nil {
+		return nil, err
+	}
+	f, err := ReadFrame(a.conn, nil)
+	if err != nil {
+		return nil, unexpected(err)
+	}
+	return f.Decode()
+}
+
+// Close closes the connection. The next Ask opens another one.
+func (a *Asker) Close() {
+	if a.conn != nil {
+		_ = a.conn.Close()
+		a.conn = nil
+	}
+}
+
+func writeMessage(w io.Writer, identity *Identity, m Message) error {
+	f, err := identity.frame(m)
+	if err != nil {
+		return err
+	}
+	b, err := identity.encode(f)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// Answerer answers messages of peers.
+type Answerer struct {
+	Identity *Identity
+	// Answer returns the answer to a message. It is called from several goroutines. An error ends the connection.
+	Answer func(context.Context, Message) (Message, error)
+	// Refused is told of what was not accepted. It is called from several goroutines.
+	Refused func(Refusal)
+}
+
+// Serve answers on the listener until the context ends.
+func (s *Answerer) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	places := make(chan struct{}, maxAskers)
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			_ = conn.Close()
+			s.Refused(Refusal{Code: resultcode.PeerRate, Remote: remoteOf(conn), Err: errors.New("too many connections")})
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-places }()
+			if err := s.serve(ctx, conn); err != nil && ctx.Err() == nil {
+				s.Refused(Refusal{Code: codeOf(err), Remote: remoteOf(conn), Err: err})
+			}
+		}()
+	}
+}
+
+func remoteOf(conn net.Conn) netip.AddrPort { return conn.RemoteAddr().(*net.TCPAddr).AddrPort() }
+
+// serve answers on one connection until the peer closes it or has asked nothing for a while.
+func (s *Answerer) serve(ctx context.Context, conn net.Conn) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer conn.Close()
+	for {
+		if err := conn.SetDeadline(time.Now().Add(askIdle)); err != nil {
+			return err
+		}
+		f, err := ReadFrame(conn, nil)
+		if errors.Is(err, io.EOF) || isTimeout(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		m, err := f.Decode()
+		if err != nil {
+			return err
+		}
+		answer, err := s.Answer(ctx, m)
+		if err != nil {
+			return err
+		}
+		if err := writeMessage(conn, s.Identity, answer); err != nil {
+			return err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,6 +8,7 @@
 	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
+	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/rollout"
 )
@@ -31,11 +32,14 @@
 	TypeHealthReport
 	TypeHostNotices
 	TypeBucketBase
+	TypeRelayReport
+	TypeRelayReply
 )
 
 var typeNames = [...]string{
 	"", "hello", "bucket-claim", "bucket-grant", "exception-batch", "exception-ack", "announcement",
 	"bundle-request", "bundle-data", "bundle-activate", "lease-request", "lease-grant", "health-report", "host-notices", "bucket-base",
+	"relay-report", "relay-reply",
 }
 
 // String returns the name of the type.
@@ -47,7 +51,7 @@
 }
 
 func (t Type) limit() int {
-	if t == TypeBundleData {
+	if t == TypeBundleData || t == TypeRelayReply {
 		return MaxChunkBytes
 	}
 	return MaxFrameBytes
@@ -155,6 +159,18 @@
 	Recent   [][]forward.BaseService
 }
 
+// RelayReport is what a balancer tells a relay.
+type RelayReport struct{ relay.Report }
+
+// RelayReply answers a RelayReport.
+type RelayReply struct{ relay.Reply }
+
+// Type returns TypeRelayReport.
+func (*RelayReport) Type() Type { return TypeRelayReport }
+
+// Type returns TypeRelayReply.
+func (*RelayReply) Type() Type { return TypeRelayReply }
+
 // Type returns TypeHello.
 func (*Hello) Type() Type { return TypeHello }
 
@@ -212,6 +228,8 @@
 	TypeHealthReport:   func() Message { return new(HealthReport) },
 	TypeHostNotices:    func() Message { return new(HostNotices) },
 	TypeBucketBase:     func() Message { return new(BucketBase) },
+	TypeRelayReport:    func() Message { return new(RelayReport) },
+	TypeRelayReply:     func() Message { return new(RelayReply) },
 }
 
 // Decode decodes the body of a frame.
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -10,7 +10,7 @@
 
 // Direct is a checked settings file of a balancer whose targets answer callers directly.
 type Direct struct {
-	Host     Host           `yaml:"host"`
+	Host     DirectHost     `yaml:"host"`
 	Listen   DirectListen   `yaml:"listen"`
 	Peers    DirectPeers    `yaml:"peers"`
 	Platform Platform       `yaml:"platform"`
@@ -18,6 +18,13 @@
 	Log      Log            `yaml:"log"`
 }
 
+// DirectHost identifies the process.
+type DirectHost struct {
+	Name       string  `yaml:"name" validate:"required,max=63,hostname_rfc1123" doc:"name of this host, unique in the fleet"`
+	DataCentre string  `yaml:"data_centre" validate:"required,max=63" doc:"data centre of this host"`
+	Weight     float64 `yaml:"weight" validate:"gt=0" default:"1" doc:"relative speed of this host; the heaviest one of a data centre reads the platform for the others"`
+}
+
 // DirectListen holds the addresses that the process listens on.
 type DirectListen struct {
 	Packets   netip.AddrPort `yaml:"packets" validate:"required" doc:"UDP address of callers' packets, address:port"`
--- /dev/null
+++ b/relay/message.go
@@ -0,0 +1,54 @@
+// Package relay decides from whom a balancer learns of the store's changes and of other balancers' load. In each data
+// centre one balancer, the relay, reads the store for the others, so that the calls to the store do not grow with the
+// fleet. Any balancer can be the relay, and reads the store itself when no relay keeps up. The package does no I/O.
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+)
+
+// Host is a balancer.
+type Host struct {
+	Name       string
+	DataCentre string
+	Address    netip.AddrPort // where it answers reports
+	Weight     float64        // speed of its processor; a heavier host is the better relay
+}
+
+// Freshness tells how well the sender of a message knows the store.
+type Freshness struct {
+	Known    bool          // it has read the store, or heard from one that has
+	Age      time.Duration // since the store's last answer
+	Steady   time.Duration // since the last break in the store's answers
+	Revision uint64        // up to which every change is known
+}
+
+// Report is what a balancer tells a relay.
+type Report struct {
+	Host      Host
+	Leaving   bool
+	Freshness Freshness
+	// Loads are the sender's, or those of its whole data centre when the receiver is in another one.
+	Loads []directory.Load
+}
+
+// Reply answers a report.
+type Reply struct {
+	Host      Host
+	Leaving   bool
+	Freshness Freshness
+	Changes   directory.Batch // after the revision of the report
+	Hosts     []Member
+	Loads     []directory.Load // of all balancers but the one that asked
+}
+
+// Member is what the sender of a reply knows of a balancer.
+type Member struct {
+	Host    Host
+	Heard   time.Duration // since it last reported
+	Fresh   bool          // it knows the store well enough to be the relay
+	Leaving bool
+}
--- a/steer/load.go
+++ b/steer/load.go
@@ -1,7 +1,10 @@
 package steer
 
 import (
+	"math"
 	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
 )
 
 const (
@@ -23,6 +26,7 @@
 	answered  time.Duration
 	failed    int // flows that went unanswered since the last answer
 	until     time.Duration
+	others    directory.Load // what other balancers have seen
 }
 
 // alive notes an answer of the target.
@@ -33,15 +37,49 @@
 // silent notes that a flow went unanswered. It returns the target when that makes it suspect.
 func (l *load) silent(t *Target, now time.Duration) *Target {
 	l.failed++
-	if l.failed < silentFlows || l.suspect(now) || now-l.answered < silenceAfter {
+	if l.failed < silentFlows || now < l.until || now-l.answered < silenceAfter {
 		return nil
 	}
 	l.until = now + suspicion
 	return t
 }
 
-// suspect reports whether the target gets no new flows because it does not answer.
-func (l *load) suspect(now time.Duration) bool { return now < l.until }
+// suspect reports whether the target gets no new flows because it does not answer here or at another balancer.
+func (l *load) suspect(now time.Duration) bool {
+	return now < l.until || l.others.Suspect && now-l.answered >= silenceAfter
+}
+
+// Loads returns what this balancer has seen of the targets that it uses or suspects.
+func (e *Engine) Loads(now time.Duration) []directory.Load {
+	if e.view == nil {
+		return nil
+	}
+	loads := make([]directory.Load, 0, len(e.view.tokens))
+	for token, t := range e.view.tokens {
+		l := directory.Load{Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.until}
+		if l.Pending > 0 || l.Open > 0 || l.Suspect {
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
+
+func saturate(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
+
+// SetOthers takes in what other balancers have seen of the targets.
+func (e *Engine) SetOthers(loads []directory.Load) {
+	for _, l := range e.loads {
+		l.others = directory.Load{}
+	}
+	if e.view == nil {
+		return
+	}
+	for _, l := range loads {
+		if t := e.view.Resolve(l.Token); t != nil {
+			t.load.others = l
+		}
+	}
+}
 
 // end notes that a flow is over.
 func (l *load) end(f *flowState) {
--- a/steer/place.go
+++ b/steer/place.go
@@ -14,10 +14,8 @@
 const (
 	// coldWeight is the weight of a target that is slow after its start.
 	coldWeight = 0.5
-	// yieldLoad is by how many waiting requests for each slot the first choice must be above the second one before the
-	// second is taken. Smaller differences would give the copies of an opening packet that reach two balancers to two
-	// targets.
-	yieldLoad = 0.5
+	// openFlowLoad is the part of a slot that an open flow takes on average between its requests.
+	openFlowLoad = 0.05
 )
 
 // hash spreads flows over targets. It is the same on every balancer.
@@ -65,27 +63,33 @@
 	return r.Services[0].Name
 }
 
-// choose ranks the targets by weighted rendezvous hashing and takes the first, unless it is clearly more loaded than
-// the second.
+// choose takes the least loaded target. Rendezvous hashing decides between equal loads.
 func choose(targets []*Target, hash uint64, now time.Duration, suspects bool) *Target {
-	var first, second *Target
-	best, next := math.Inf(-1), math.Inf(-1)
+	var best *Target
+	least, rank := math.Inf(1), 0.0
 	for _, t := range targets {
 		if !suspects && t.load.suspect(now) {
 			continue
 		}
-		switch s := t.score(hash, now); {
-		case s > best:
-			second, next = first, best
-			first, best = t, s
-		case s > next:
-			second, next = t, s
+		load := t.cost(now)
+		if load > least {
+			continue
+		}
+		if s := t.score(hash, now); load < least || s > rank {
+			best, least, rank = t, load, s
 		}
 	}
-	if second != nil && first.waiting() > second.waiting()+yieldLoad {
-		return second
+	return best
+}
+
+// cost is the load of the target for each slot, as far as the balancers have told each other.
+func (t *Target) cost(now time.Duration) float64 {
+	capacity := float64(t.Capacity)
+	if t.isCold(now) {
+		capacity *= coldWeight
 	}
-	return first
+	pending, open := float64(t.load.pending)+float64(t.load.others.Pending), float64(t.load.open)+float64(t.load.others.Open)
+	return (pending + openFlowLoad*open) / capacity
 }
 
 // score is the rank of the target for a flow, weighted by its capacity.
@@ -97,6 +101,3 @@
 	uniform := (float64(flow.Mix(hash, t.seed)>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(uniform)
 }
-
-// waiting is the number of waiting requests for each slot, as far as this balancer has seen them.
-func (t *Target) waiting() float64 { return float64(t.load.pending) / float64(t.Capacity) }
