--- a/cmd/marigoldwood/direct.go
+++ b/cmd/marigoldwood/direct.go
@@ -41,7 +41,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := direct.Run(ctx, s, os.Stdout); err != nil {
+	if err := direct.Run(ctx, o.Settings, s, os.Stdout); err != nil {
 		return failed(err)
 	}
 	return exitOK
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -43,6 +43,7 @@
 	chart     *chart.Chart
 	reader    *storeReader
 	exchange  *Exchange
+	watch     *settingsWatch
 	traffic   *Traffic
 	metrics   *metrics
 
@@ -65,6 +66,7 @@
 	Random   *rand.Rand
 	Reader   *storeReader
 	Exchange *Exchange
+	Watch    *settingsWatch
 	Traffic  *Traffic
 	Metrics  *metrics
 }
@@ -76,7 +78,7 @@
 	c := &Control{
 		settings: s, log: p.Log, clock: p.Clock, directory: directory.New(), follower: directory.NewFollower(p.Random),
 		fleet: relay.NewFleet(self, s.Peers.Seeds), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange,
-		traffic: p.Traffic, metrics: p.Metrics,
+		watch: p.Watch, traffic: p.Traffic, metrics: p.Metrics,
 	}
 	c.enter(c.chart.Initial())
 	return c
@@ -104,6 +106,8 @@
 			c.replied(r)
 		case to := <-c.exchange.stopped:
 			c.exchange.Forget(to)
+		case s := <-c.watch.changed:
+			c.reload(s)
 		case <-timer.C:
 			c.tick(ctx)
 		case <-stop:
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -34,14 +34,19 @@
 	Store    *platform.Store
 	Reader   *storeReader
 	Exchange *Exchange
+	Watch    *settingsWatch
 	Metrics  *metrics
 }
 
-// Run runs the balancer until ctx ends, and then shuts it down gracefully. The log goes to out.
-func Run(ctx context.Context, s *settings.Direct, out io.Writer) error {
+// settingsPath is the path of the settings file.
+type settingsPath string
+
+// Run runs the balancer with the settings that were read from path until ctx ends, and then shuts it down gracefully. The
+// log goes to out.
+func Run(ctx context.Context, path string, s *settings.Direct, out io.Writer) error {
 	bounded := logging.NewBounded(out)
 	defer bounded.Close()
-	b, err := newBalancer(s, bounded)
+	b, err := newBalancer(settingsPath(path), s, bounded)
 	if err != nil {
 		return err
 	}
@@ -75,6 +80,7 @@
 	})
 	group.Go(func() error { return b.Traffic.Run(ctx) })
 	group.Go(func() error { return b.Reader.run(ctx) })
+	group.Go(func() error { return b.Watch.run(ctx) })
 	b.Log.WithFields(logrus.Fields{
 		"event": "start", "version": buildinfo.Version(), "packets": b.Settings.Listen.Packets, "store": b.Settings.Platform.Address,
 		"data_centre": b.Settings.Host.DataCentre, "seeds": b.Settings.Peers.Seeds,
--- a/internal/direct/wire.go
+++ b/internal/direct/wire.go
@@ -10,9 +10,9 @@
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 )
 
-func newBalancer(s *settings.Direct, out io.Writer) (*balancer, error) {
+func newBalancer(path settingsPath, s *settings.Direct, out io.Writer) (*balancer, error) {
 	wire.Build(
-		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, provideExchange,
+		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, provideExchange, newSettingsWatch,
 		NewControl, newMetrics, wire.Struct(new(controlParts), "*"), wire.Struct(new(balancer), "*"),
 	)
 	return nil, nil
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -17,7 +17,7 @@
 
 // Injectors from wire.go:
 
-func newBalancer(s *settings.Direct, out io.Writer) (*balancer, error) {
+func newBalancer(path settingsPath, s *settings.Direct, out io.Writer) (*balancer, error) {
 	entry, err := provideLog(s, out)
 	if err != nil {
 		return nil, err
@@ -27,6 +27,7 @@
 	store := provideStore(s, entry)
 	directStoreReader := provideReader(store, clock)
 	directExchange := provideExchange(s, entry)
+	directSettingsWatch := newSettingsWatch(path, entry)
 	directMetrics, err := newMetrics()
 	if err != nil {
 		return nil, err
@@ -42,6 +43,7 @@
 		Random:   rand,
 		Reader:   directStoreReader,
 		Exchange: directExchange,
+		Watch:    directSettingsWatch,
 		Traffic:  traffic,
 		Metrics:  directMetrics,
 	}
@@ -54,6 +56,7 @@
 		Store:    store,
 		Reader:   directStoreReader,
 		Exchange: directExchange,
+		Watch:    directSettingsWatch,
 		Metrics:  directMetrics,
 	}
 	return directBalancer, nil
--- a/steer/place.go
+++ b/steer/place.go
@@ -68,23 +68,27 @@
 	return r.Services[0].Name
 }
 
-// choose takes the least loaded target. Rendezvous hashing decides between equal loads.
+// choose takes the less loaded of the first two targets by rendezvous hashing. Loads that other balancers reported are
+// old by the time between two reports; taking the least loaded of all would send every balancer's flows to the same target.
 func choose(targets []*Target, hash uint64, now time.Duration, suspects bool) *Target {
-	var best *Target
-	least, rank := math.Inf(1), 0.0
+	var first, second *Target
+	best, next := math.Inf(-1), math.Inf(-1)
 	for _, t := range targets {
 		if !suspects && t.load.suspect(now) {
 			continue
 		}
-		load := t.cost(now)
-		if load > least {
-			continue
-		}
-		if s := t.score(hash, now); load < least || s > rank {
-			best, least, rank = t, load, s
+		switch s := t.score(hash, now); {
+		case s > best:
+			second, next = first, best
+			first, best = t, s
+		case s > next:
+			second, next = t, s
 		}
 	}
-	return best
+	if second != nil && second.cost(now) < first.cost(now) {
+		return second
+	}
+	return first
 }
 
 // cost is the load of the target for each slot, as far as the balancers have told each other.
