--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -10,9 +11,12 @@
 
 	"github.com/marigoldwood/marigoldwood/chart"
 	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/internal/logging"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/relay"
+	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/steer"
+	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
 const (
@@ -37,6 +41,8 @@
 	settings  *settings.Direct
 	log       *logrus.Entry
 	clock     Clock
+	ring      *timeline.Ring
+	questions chan func()
 	directory *directory.Directory
 	follower  *directory.Follower
 	fleet     *relay.Fleet
@@ -52,7 +58,9 @@
 	reading      bool                   // a read of the store is under way
 	isRelay      bool
 	storeFailing bool
-	reported     time.Duration // when reports were last due
+	calls        uint64                  // reads of the store
+	lostPeers    map[netip.AddrPort]bool // peers that did not answer the last report
+	reported     time.Duration           // when reports were last due
 	leaveStarted time.Duration
 	pruned       time.Duration
 	next         time.Duration // when time alone changes the view, 0 for never
@@ -64,6 +72,7 @@
 	Log      *logrus.Entry
 	Clock    Clock
 	Random   *rand.Rand
+	Ring     *timeline.Ring
 	Reader   *storeReader
 	Exchange *Exchange
 	Watch    *settingsWatch
@@ -76,7 +85,7 @@
 	s := p.Settings
 	self := relay.Host{Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Listen.Peers, Weight: s.Host.Weight}
 	c := &Control{
-		settings: s, log: p.Log, clock: p.Clock, directory: directory.New(), follower: directory.NewFollower(p.Random),
+		settings: s, log: p.Log, clock: p.Clock, ring: p.Ring, questions: make(chan func()), lostPeers: map[netip.AddrPort]bool{}, directory: directory.New(), follower: directory.NewFollower(p.Random),
 		fleet: relay.NewFleet(self, s.Peers.Seeds), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange,
 		watch: p.Watch, traffic: p.Traffic, metrics: p.Metrics,
 	}
@@ -84,12 +93,6 @@
 	return c
 }
 
-// Serving reports whether new flows may be sent here, and the state.
-func (c *Control) Serving() (bool, string) {
-	state := *c.published.Load()
-	return state == stateServing, state
-}
-
 // Run handles events until the balancer has stopped. stop asks for a graceful end.
 func (c *Control) Run(ctx context.Context, stop <-chan struct{}) error {
 	timer := time.NewTimer(pruneInterval)
@@ -108,6 +111,8 @@
 			c.exchange.Forget(to)
 		case s := <-c.watch.changed:
 			c.reload(s)
+		case question := <-c.questions:
+			question()
 		case <-timer.C:
 			c.tick(ctx)
 		case <-stop:
@@ -166,7 +171,7 @@
 		c.log.WithError(err).Error("lifecycle")
 		return
 	}
-	c.log.WithFields(logrus.Fields{"event": event, "from": c.state, "to": next}).Info("lifecycle")
+	c.record(logrus.InfoLevel, timeline.Event{Kind: "lifecycle", Detail: c.state + " to " + next + ": " + event}, nil)
 	c.enter(next)
 }
 
@@ -179,7 +184,7 @@
 func (c *Control) apply(b directory.Batch, source string, now time.Duration) {
 	events := c.directory.Apply(b, now)
 	for i := range events {
-		c.logChange(&events[i], source)
+		c.recordChange(&events[i], source)
 	}
 	if len(events) > 0 || c.traffic.View() == nil {
 		c.publish(now)
@@ -189,15 +194,22 @@
 	}
 }
 
-func (c *Control) logChange(e *directory.Event, source string) {
-	fields := logrus.Fields{"event": e.Kind, "revision": e.Revision, "source": source}
+// record writes an event to the time line and, with the values that it was decided by, to the log.
+func (c *Control) record(level logrus.Level, e timeline.Event, inputs logrus.Fields) {
+	logging.EventWith(c.log, level, c.ring.Add(e), inputs)
+}
+
+func (c *Control) recordChange(e *directory.Event, source string) {
+	inputs := logrus.Fields{"revision": e.Revision, "source": source}
+	event := timeline.Event{Kind: e.Kind.String(), Version: e.Version}
 	if e.Target != nil {
-		fields["target"], fields["service"], fields["address"] = e.Target.Name, e.Target.Service, e.Target.Address
-		fields["draining"], fields["cold"] = e.Target.Draining, e.Target.ColdFor
-	} else {
-		fields["version"] = e.Version
+		event.Target, event.Service = e.Target.Name, e.Target.Service
+		inputs["address"], inputs["draining"], inputs["cold"] = e.Target.Address, e.Target.Draining, e.Target.ColdFor
+	}
+	if e.Kind == directory.ConfigurationStale {
+		event.Code = uint16(resultcode.ConfigurationStale)
 	}
-	c.log.WithFields(fields).Info("directory")
+	c.record(logrus.InfoLevel, event, inputs)
 }
 
 // publish puts a view of the present state in force.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -16,6 +16,7 @@
 
 	"github.com/marigoldwood/marigoldwood/internal/buildinfo"
 	"github.com/marigoldwood/marigoldwood/internal/logging"
+	"github.com/marigoldwood/marigoldwood/internal/operator"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/platform"
 )
@@ -35,7 +36,7 @@
 	Reader   *storeReader
 	Exchange *Exchange
 	Watch    *settingsWatch
-	Metrics  *metrics
+	Operator *operator.Server
 }
 
 // settingsPath is the path of the settings file.
@@ -60,14 +61,14 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	for address, handler := range map[netip.AddrPort]http.Handler{
-		b.Settings.Listen.Readiness: readinessHandler(b.Control),
-		b.Settings.Listen.Metrics:   b.Metrics.handler,
+		b.Settings.Listen.Readiness: b.Operator.ReadinessHandler(),
+		b.Settings.Listen.Metrics:   b.Operator.Handler(),
 	} {
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		group.Go(func() error { return serveHTTP(ctx, listener, handler) })
+		group.Go(func() error { return Error.Wrap(operator.Serve(ctx, listener, handler)) })
 	}
 	peers, err := net.Listen("tcp", b.Settings.Listen.Peers.String())
 	if err != nil {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -102,6 +102,18 @@
 	m.other.Add(n)
 }
 
+// counters returns the packets by action and result code name.
+func (m *metrics) counters() map[string]uint64 {
+	out := map[string]uint64{}
+	for k, n := range m.packets {
+		out[k.action.String()] += n.Load()
+		if k.code != resultcode.OK {
+			out[k.code.String()] += n.Load()
+		}
+	}
+	return out
+}
+
 // batchSample is the share of batches whose time is recorded.
 const batchSample = 16
 
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -5,13 +5,16 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/marigoldwood/marigoldwood/internal/logging"
+	"github.com/marigoldwood/marigoldwood/internal/operator"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/platform"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
 func provideLog(s *settings.Direct, out io.Writer) (*logrus.Entry, error) {
@@ -42,3 +45,14 @@
 func provideExchange(s *settings.Direct, log *logrus.Entry) *Exchange {
 	return NewExchange(s.Host.Name, s.Host.DataCentre, log)
 }
+
+// timelineEvents is the number of events that a process keeps, at about 200 bytes each.
+const timelineEvents = 2048
+
+func provideRing(s *settings.Direct) *timeline.Ring {
+	return timeline.NewRing(s.Host.Name, timeline.NewClock(time.Now), timelineEvents)
+}
+
+func provideOperator(c *Control, ring *timeline.Ring, m *metrics) *operator.Server {
+	return operator.NewServer(c, ring, m.handler)
+}
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
 // settingsInterval is how often the settings file is compared with what was read: it may change without a signal.
@@ -88,5 +89,5 @@
 	if level, err := logrus.ParseLevel(s.Log.Level); err == nil { // the settings were checked
 		c.log.Logger.SetLevel(level)
 	}
-	c.log.WithFields(logrus.Fields{"event": "reload", "seeds": s.Peers.Seeds, "level": s.Log.Level, "needs_restart": restart}).Info("settings changed")
+	c.record(logrus.InfoLevel, timeline.Event{Kind: "reload"}, logrus.Fields{"seeds": s.Peers.Seeds, "level": s.Log.Level, "needs_restart": restart})
 }
--- /dev/null
+++ b/internal/direct/report.go
@@ -0,0 +1,141 @@
+package direct
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/flow"
+	"github.com/marigoldwood/marigoldwood/internal/buildinfo"
+	"github.com/marigoldwood/marigoldwood/internal/operator"
+	"github.com/marigoldwood/marigoldwood/internal/status"
+	"github.com/marigoldwood/marigoldwood/steer"
+)
+
+// questionTimeout is how long an operator's question waits for the control goroutine.
+const questionTimeout = 2 * time.Second
+
+// ruleNoAnswer is reported when the control goroutine is busy or has ended.
+const ruleNoAnswer = "the control goroutine does not answer"
+
+// question runs fn on the control goroutine. It returns false when that takes too long.
+func (c *Control) question(fn func()) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), questionTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	select {
+	case c.questions <- func() { fn(); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	<-done
+	return true
+}
+
+// Ready implements operator.Provider.
+func (c *Control) Ready() (ready bool, reason string) {
+	state := *c.published.Load()
+	return state == stateServing, state
+}
+
+// Status implements operator.Provider.
+func (c *Control) Status() status.Status {
+	s := status.Status{Host: c.settings.Host.Name, Reason: ruleNoAnswer}
+	c.question(func() { s = c.status() })
+	return s
+}
+
+func (c *Control) status() status.Status {
+	now := c.clock()
+	ready, state := c.Ready()
+	age, known := c.directory.Age(now)
+	s := status.Status{
+		Host: c.settings.Host.Name, DataCentre: c.settings.Host.DataCentre, Program: buildinfo.Version(), State: state, Ready: ready,
+		UptimeMS: now.Milliseconds(), Bundle: status.Bundle{PlatformAgeMS: -1, PlatformCalls: c.calls},
+		Flows: status.Flows{Open: int(c.metrics.flows.Load()), Capacity: steer.MaxFlows}, Counters: c.metrics.counters(),
+	}
+	if known {
+		s.Bundle.PlatformAgeMS = age.Milliseconds()
+	}
+	if configuration := c.directory.Configuration(); configuration != nil {
+		s.Bundle.InForce = configuration.Version
+	}
+	for _, m := range c.fleet.Members("", now) {
+		s.Members = append(s.Members, status.Member{Name: m.Host.Name, DataCentre: m.Host.DataCentre, State: memberState(m.Leaving)})
+	}
+	s.Services = services(c.directory.Snapshot(now), c.traffic.Loads())
+	return s
+}
+
+func memberState(leaving bool) string {
+	if leaving {
+		return "leaving"
+	}
+	return stateServing
+}
+
+// services lists the targets by service, with the flows that this balancer carries to them.
+func services(s *directory.Snapshot, loads []directory.Load) []status.Service {
+	open := make(map[directory.Token]directory.Load, len(loads))
+	for _, l := range loads {
+		open[l.Token] = l
+	}
+	byName := map[string]*status.Service{}
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		service := byName[t.Service]
+		if service == nil {
+			service = &status.Service{Name: t.Service}
+			byName[t.Service] = service
+		}
+		load := open[t.Token()]
+		service.Targets = append(service.Targets, status.Target{
+			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect,
+			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: load.Suspect,
+		})
+	}
+	out := make([]status.Service, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
+// Explain implements operator.Provider. It tells where a new flow goes; an open flow is found by its decision lines.
+func (c *Control) Explain(a operator.FlowAddr) status.Explanation {
+	x := status.Explanation{Host: c.settings.Host.Name, Flow: a.String(), Rule: ruleNoAnswer}
+	if a.Protocol != flow.UDP || !a.Caller.Addr().Is4() || !a.Endpoint.Addr().Is4() {
+		x.Rule = "flows of this balancer are named udp,CALLER:PORT,ENDPOINT:PORT with IPv4 addresses"
+		return x
+	}
+	c.question(func() { c.explain(a, &x) })
+	return x
+}
+
+func (c *Control) explain(a operator.FlowAddr, x *status.Explanation) {
+	view := c.traffic.View()
+	if view == nil {
+		x.Rule = "no view of routes and targets yet"
+		return
+	}
+	x.Version, x.Role = view.Version, "any"
+	key := steer.FlowKey{
+		Caller:   directory.Endpoint{Address: a.Caller.Addr().As4(), Port: a.Caller.Port()},
+		Endpoint: directory.Endpoint{Address: a.Endpoint.Addr().As4(), Port: a.Endpoint.Port()},
+	}
+	ranking := view.Rank(key, c.clock())
+	x.Service = ranking.Service
+	switch {
+	case !ranking.Routed:
+		x.Rule = "no route for the endpoint: a new flow is refused"
+	case ranking.First == nil:
+		x.Rule = "no ready target: a new flow is refused"
+	default:
+		x.Default, x.Rule = ranking.First.Name, "a new flow goes to the default target"
+		if ranking.Second != nil {
+			x.Rule += ", or to " + ranking.Second.Name + " while that is less loaded"
+		}
+	}
+}
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
 // sourceStore names the store in the log; a peer is named by its host.
@@ -24,6 +25,7 @@
 		c.follower.Resume(c.directory.Revision())
 	}
 	c.reading = true
+	c.calls++
 	c.reader.reads <- c.follower.Next(now)
 }
 
@@ -35,7 +37,7 @@
 	own := host.Name == c.settings.Host.Name
 	if own != c.isRelay {
 		c.isRelay = own
-		c.log.WithFields(logrus.Fields{"event": "relay", "relay": host.Name, "own": own}).Info("relay of the data centre")
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": c.isFresh(now)})
 	}
 	return own || !c.isFresh(now)
 }
@@ -61,7 +63,7 @@
 	c.directory.StoreAnswered(now)
 	if c.storeFailing {
 		c.storeFailing = false
-		c.log.WithFields(logrus.Fields{"event": "store-regained", "read": r.read.Kind}).Info("store answers again")
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.took})
 	}
 	if apply {
 		c.apply(r.batch, sourceStore, now)
@@ -69,18 +71,18 @@
 }
 
 func (c *Control) readFailed(r readResult) {
-	fields := logrus.Fields{"read": r.read.Kind, "code": resultcode.Of(r.err), "after": r.read.After}
-	if resultcode.Of(r.err) == resultcode.PlatformHistoryGone {
-		fields["event"] = "history-gone"
-		c.log.WithError(r.err).WithFields(fields).Info("store is listed anew")
+	code := resultcode.Of(r.err)
+	inputs := logrus.Fields{"read": r.read.Kind, "after": r.read.After, "took": r.took, "error": r.err}
+	if code == resultcode.PlatformHistoryGone {
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "history-gone", Code: uint16(code)}, inputs)
 		return
 	}
 	c.directory.StoreFailed()
 	if !c.storeFailing {
 		c.storeFailing = true
-		age, _ := c.directory.Age(c.clock())
-		fields["event"], fields["age"], fields["revision"] = "store-lost", age, c.directory.Revision()
-		c.log.WithError(r.err).WithFields(fields).Warn("store does not answer")
+		inputs["age"], _ = c.directory.Age(c.clock())
+		inputs["revision"] = c.directory.Revision()
+		c.record(logrus.WarnLevel, timeline.Event{Kind: "store-lost", Code: uint16(code)}, inputs)
 	}
 }
 
@@ -120,10 +122,17 @@
 	now := c.clock()
 	if r.err != nil {
 		c.fleet.Failed(r.to, now)
-		c.log.WithError(r.err).WithFields(logrus.Fields{"event": "peer-lost", "peer": r.to, "code": resultcode.Of(r.err)}).Info("peer does not answer")
+		if !c.lostPeers[r.to] {
+			c.lostPeers[r.to] = true
+			c.record(logrus.InfoLevel, timeline.Event{Kind: "peer-lost", Code: uint16(resultcode.Of(r.err))}, logrus.Fields{"peer": r.to, "error": r.err})
+		}
 		return
 	}
 	reply := r.reply
+	if c.lostPeers[r.to] {
+		delete(c.lostPeers, r.to)
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "peer-regained", Member: reply.Host.Name}, logrus.Fields{"peer": r.to})
+	}
 	c.fleet.Replied(reply, now)
 	if len(reply.Changes.Changes) > 0 || reply.Changes.Configuration != nil {
 		c.apply(reply.Changes, reply.Host.Name, now)
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -24,6 +24,7 @@
 	}
 	clock := provideClock()
 	rand := provideRandom(s)
+	ring := provideRing(s)
 	store := provideStore(s, entry)
 	directStoreReader := provideReader(store, clock)
 	directExchange := provideExchange(s, entry)
@@ -41,6 +42,7 @@
 		Log:      entry,
 		Clock:    clock,
 		Random:   rand,
+		Ring:     ring,
 		Reader:   directStoreReader,
 		Exchange: directExchange,
 		Watch:    directSettingsWatch,
@@ -48,6 +50,7 @@
 		Metrics:  directMetrics,
 	}
 	control := NewControl(directControlParts)
+	server := provideOperator(control, ring, directMetrics)
 	directBalancer := &balancer{
 		Settings: s,
 		Log:      entry,
@@ -57,7 +60,7 @@
 		Reader:   directStoreReader,
 		Exchange: directExchange,
 		Watch:    directSettingsWatch,
-		Metrics:  directMetrics,
+		Operator: server,
 	}
 	return directBalancer, nil
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"maps"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,8 +24,12 @@
 }
 
 // Event writes an event of the time line to the log.
-func Event(log *logrus.Entry, e timeline.Event) {
+func Event(log *logrus.Entry, e timeline.Event) { EventWith(log, logrus.InfoLevel, e, nil) }
+
+// EventWith writes an event of the time line to the log, with the values that it was decided by.
+func EventWith(log *logrus.Entry, level logrus.Level, e timeline.Event, inputs logrus.Fields) {
 	fields := logrus.Fields{"event": e.Kind}
+	maps.Copy(fields, inputs)
 	add := func(key, value string) {
 		if value != "" {
 			fields[key] = value
@@ -41,5 +46,5 @@
 	if e.Code != 0 {
 		fields["code"] = e.Code
 	}
-	log.WithFields(fields).Info(e.Kind)
+	log.WithFields(fields).Log(level, e.Kind)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -62,10 +62,23 @@
 	return mux
 }
 
-// Serve answers requests on the listener until the context ends.
+// ReadinessHandler returns the HTTP handler of a port that answers health and readiness checks alone.
+func (s *Server) ReadinessHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	return mux
+}
+
+// Serve answers requests to the operator port on the listener until the context ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	return Serve(ctx, listener, s.Handler())
+}
+
+// Serve answers requests on the listener until the context ends.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, WriteTimeout: maxFollow + readHeaderTimeout,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxFlows bounds the memory for flows at about 100 bytes each.
-	maxFlows = 1 << 17
+	// MaxFlows bounds the memory for flows at about 100 bytes each.
+	MaxFlows = 1 << 17
 	// openingRetention is how long an unanswered opening packet is remembered: callers give up after 1.4 s.
 	openingRetention = 2 * time.Second
 	// flowRetention is how long a flow without packets is remembered. A forgotten flow loses nothing but its part in the
@@ -132,7 +132,7 @@
 }
 
 func (e *Engine) remember(key FlowKey, f flowState) {
-	if len(e.flows) >= maxFlows {
+	if len(e.flows) >= MaxFlows {
 		return
 	}
 	e.flows[key] = f
--- a/steer/place.go
+++ b/steer/place.go
@@ -68,13 +68,47 @@
 	return r.Services[0].Name
 }
 
+// Ranking tells which targets a new flow may go to, whatever their load.
+type Ranking struct {
+	Routed        bool // there is a route for the endpoint
+	Service       string
+	First, Second *Target // nil when there is none
+}
+
+// Rank returns the ranking of a flow in this view.
+func (v *View) Rank(key FlowKey, now time.Duration) Ranking {
+	route := v.Route(key.Endpoint)
+	if route == nil {
+		return Ranking{}
+	}
+	hash := key.hash()
+	r := Ranking{Routed: true, Service: service(route, hash)}
+	p := v.pools[r.Service]
+	if p == nil {
+		return r
+	}
+	if r.First, r.Second = firstTwo(p.local, hash, now, nil); r.First == nil {
+		r.First, r.Second = firstTwo(p.remote, hash, now, nil)
+	}
+	return r
+}
+
 // choose takes the less loaded of the first two targets by rendezvous hashing. Loads that other balancers reported are
 // old by the time between two reports; taking the least loaded of all would send every balancer's flows to the same target.
 func choose(targets []*Target, hash uint64, now time.Duration, suspects bool) *Target {
-	var first, second *Target
+	first, second := firstTwo(targets, hash, now, func(t *Target) bool { return suspects || !t.load.suspect(now) })
+	if second != nil && second.cost(now) < first.cost(now) {
+		return second
+	}
+	return first
+}
+
+// firstTwo returns the first two targets of the flow's ranking by weighted rendezvous hashing, of those that usable
+// accepts; nil accepts all.
+func firstTwo(targets []*Target, hash uint64, now time.Duration, usable func(*Target) bool) (first, second *Target) {
 	best, next := math.Inf(-1), math.Inf(-1)
 	for _, t := range targets {
-		if !suspects && t.load.suspect(now) {
+		if usable != nil && !usable(t) {
 			continue
 		}
 		switch s := t.score(hash, now); {
@@ -85,10 +119,7 @@
 			second, next = t, s
 		}
 	}
-	if second != nil && second.cost(now) < first.cost(now) {
-		return second
-	}
-	return first
+	return first, second
 }
 
 // cost is the load of the target for each slot, as far as the balancers have told each other.
