--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -83,7 +83,7 @@
 // NewControl returns the control goroutine's state.
 func NewControl(p controlParts) *Control {
 	s := p.Settings
-	self := relay.Host{Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Listen.Peers, Weight: s.Host.Weight}
+	self := relay.Host{Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Address(), Weight: s.Host.Weight}
 	c := &Control{
 		settings: s, log: p.Log, clock: p.Clock, ring: p.Ring, questions: make(chan func()), lostPeers: map[netip.AddrPort]bool{}, directory: directory.New(), follower: directory.NewFollower(p.Random),
 		fleet: relay.NewFleet(self, s.Peers.Seeds), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange,
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -36,6 +36,16 @@
 // DirectPeers names other balancers.
 type DirectPeers struct {
 	Seeds []netip.AddrPort `yaml:"seeds" doc:"peer addresses of hosts to contact first, address:port"`
+	// Advertise is the peer address that other balancers use, for example of a forwarder.
+	Advertise netip.AddrPort `yaml:"advertise" doc:"peer address under which others reach this host, address:port; empty means listen.peers"`
+}
+
+// Address returns the peer address that others use.
+func (s *Direct) Address() netip.AddrPort {
+	if s.Peers.Advertise.IsValid() {
+		return s.Peers.Advertise
+	}
+	return s.Listen.Peers
 }
 
 // DirectShutdown bounds a planned stop.
