--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -143,6 +143,8 @@
 			h.signal(syscall.SIGKILL)
 			<-h.done
 		}
+		// Callers' packets to a host that ended too early are lost until it is out of rotation.
+		d.eventually("the host is out of rotation", 5*time.Second, func() bool { return d.inRotation() == len(d.hosts)-1 })
 		d.start(h)
 		d.eventually("the host is back", 5*time.Second, func() bool { return d.inRotation() == len(d.hosts) })
 	}
@@ -201,6 +203,7 @@
 	h := d.hosts[2]
 	h.signal(syscall.SIGKILL)
 	<-h.done
+	d.eventually("the host is out of rotation", 5*time.Second, func() bool { return d.inRotation() == len(d.hosts)-1 })
 	d.start(h)
 	d.eventually("the host is back", 5*time.Second, func() bool { return d.inRotation() == len(d.hosts) })
 	tr := d.startTraffic(10, 2)
@@ -213,7 +216,7 @@
 func TestDirectStoreRefusesOneHost(t *testing.T) {
 	t.Parallel()
 	d := startDirect(t, 3, 6)
-	d.proxy.Set("store-1", d.address(balancers, 1, 0).Addr(), proxy.Both{Forward: proxy.Faults{ResetConns: true}})
+	d.proxy.Set("store-1", netip.Addr{}, proxy.Both{Forward: proxy.Faults{ResetConns: true}})
 	time.Sleep(time.Second)
 	d.setPorts(443, 8443, 9443)
 	d.eventually("a new route is served everywhere", inForceBound, func() bool { return d.servedBy(9443) == len(d.hosts) })
@@ -239,14 +242,14 @@
 	silent := proxy.Both{Back: proxy.Faults{Cut: true}}
 	for _, h := range d.hosts {
 		for _, link := range []string{"store-", "peer-"} {
-			d.proxy.Set(fmt.Sprint(link, h.number), d.address(balancers, h.number, 0).Addr(), silent)
+			d.proxy.Set(fmt.Sprint(link, h.number), netip.Addr{}, silent)
 		}
 	}
 	time.Sleep(2 * time.Second)
 	for _, h := range d.hosts {
-		d.proxy.Set(fmt.Sprint("peer-", h.number), d.address(balancers, h.number, 0).Addr(), proxy.Both{})
+		d.proxy.Set(fmt.Sprint("peer-", h.number), netip.Addr{}, proxy.Both{})
 	}
-	d.proxy.Set("store-2", d.address(balancers, 2, 0).Addr(), proxy.Both{}) // one host alone reaches the store again
+	d.proxy.Set("store-2", netip.Addr{}, proxy.Both{}) // one host alone reaches the store again
 	d.setPorts(443, 8443, 9443)
 	// The silence ends with the watch and its timeout, 2 s; then the bound begins.
 	d.eventually("a new route is served everywhere", 2*time.Second+inForceBound, func() bool { return d.servedBy(9443) == len(d.hosts) })
