--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -39,6 +40,9 @@
 	peerLinks
 )
 
+// firstBlock lets several runs share a machine: a deployment takes the next 127.BLOCK.0.0/16 from here.
+var firstBlock = flag.Int("direct.block", 60, "first address block of direct deployments")
+
 // directBlocks numbers the address blocks that tests use.
 var directBlocks atomic.Int32
 
@@ -83,7 +87,7 @@
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	d := &direct{t: t, block: byte(60 + directBlocks.Add(1)), dir: t.TempDir(), ledger: standin.NewLedger(), targets: map[string]*standin.Target{}, ports: []uint16{443, 8443}}
+	d := &direct{t: t, block: byte(*firstBlock + int(directBlocks.Add(1))), dir: t.TempDir(), ledger: standin.NewLedger(), targets: map[string]*standin.Target{}, ports: []uint16{443, 8443}}
 	var err error
 	if d.store, err = standin.NewStore(d.address(stores, 1, storePort)); err != nil {
 		t.Fatal(err)
--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -27,6 +27,8 @@
 	broken                            atomic.Int64
 	mu                                sync.Mutex
 	moved                             []string
+	ledger                            *standin.Ledger // to look for resets of flows whose target lives; nil for not
+	brokenWhileHeld                   []string
 	unsafeNumber                      atomic.Int64
 	sessionInterval, requestsInterval time.Duration
 }
@@ -71,6 +73,11 @@
 		for n := 0; !tr.stopped(tr.sessionInterval); n++ {
 			target, err := f.Request(fmt.Sprintf("feed-%d-%d", number, n), 2*time.Second)
 			tr.count(err)
+			if errors.Is(err, standin.ErrBroken) && tr.ledger != nil && f.Held(tr.ledger) {
+				tr.mu.Lock()
+				tr.brokenWhileHeld = append(tr.brokenWhileHeld, fmt.Sprintf("%s session %d was reset while its target %s lives", time.Now().Format("05.000"), number, first))
+				tr.mu.Unlock()
+			}
 			if err != nil && !errors.Is(err, standin.ErrTimeout) {
 				break
 			}
