--- a/cmd/marigoldwood/main.go
+++ b/cmd/marigoldwood/main.go
@@ -23,11 +23,8 @@
 	exitUsage  = 2
 )
 
-// directCommand is the word that selects a balancer whose targets answer callers directly.
-const directCommand = "direct"
-
 type options struct {
-	Settings string `long:"settings" value-name:"FILE" description:"settings file, YAML"`
+	Settings string `long:"settings" value-name:"FILE" env:"MARIGOLDWOOD_SETTINGS" description:"settings file, YAML"`
 	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
@@ -40,8 +37,19 @@
 	if len(args) > 0 && args[0] == directCommand {
 		return runDirect(args[1:])
 	}
+	return runDaemon("marigoldwood", args, settings.Load, func(ctx context.Context, _ string, s *settings.Settings) error {
+		return daemon.Run(ctx, s, os.Stderr)
+	})
+}
+
+// runDaemon reads the command line and the settings, and runs a daemon with them until a signal asks it to stop.
+func runDaemon[S any](name string, args []string, load func(path string) (S, error), run func(ctx context.Context, path string, s S) error) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		return failed(err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
 		return usage(err)
 	}
 	if o.Version {
@@ -51,7 +59,7 @@
 	if o.Settings == "" {
 		return usage(errors.New("--settings FILE is required"))
 	}
-	s, err := settings.Load(o.Settings)
+	s, err := load(o.Settings)
 	if err != nil {
 		return failed(fmt.Errorf("%s: %w", o.Settings, err))
 	}
@@ -61,7 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := daemon.Run(ctx, s, os.Stderr); err != nil {
+	if err := run(ctx, o.Settings, s); err != nil {
 		return failed(err)
 	}
 	return exitOK
--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -67,7 +67,6 @@
 type directHost struct {
 	number int
 	cmd    *exec.Cmd
-	log    *os.File
 	misses int
 	done   chan struct{}
 }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -158,7 +158,9 @@
 	return []proxy.Both{
 		{Forward: proxy.Faults{ResetConns: true}, Back: proxy.Faults{ResetConns: true}},
 		{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}},
-		{Back: proxy.Faults{Cut: true}}, {Forward: proxy.Faults{Cut: true}}, {Forward: slow, Back: slow},
+		{Back: proxy.Faults{Cut: true}},
+		{Forward: proxy.Faults{Cut: true}},
+		{Forward: slow, Back: slow},
 	}[s.random.IntN(5)]
 }
 
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -39,6 +39,9 @@
 	Operator *operator.Server
 }
 
+// logOutput is where the log goes.
+type logOutput io.Writer
+
 // settingsPath is the path of the settings file.
 type settingsPath string
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -69,6 +69,9 @@
 	if !ok {
 		return nil, resultcode.Errorf(resultcode.PeerFrame, m.Type().String(), "not a report")
 	}
+	if err := report.Validate(); err != nil {
+		return nil, err
+	}
 	in := inbound{report: &report.Report, reply: make(chan *relay.Reply, 1)}
 	select {
 	case x.inbound <- in:
@@ -135,5 +138,8 @@
 	if !ok {
 		return replyResult{to: to, err: resultcode.Errorf(resultcode.PeerFrame, answer.Type().String(), "not a reply")}
 	}
+	if err := reply.Validate(); err != nil {
+		return replyResult{to: to, err: err}
+	}
 	return replyResult{to: to, reply: &reply.Reply}
 }
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -26,8 +26,11 @@
 	packets map[counterKey]*atomic.Uint64 // fixed after construction
 	other   atomic.Uint64
 	flows   atomic.Int64
+	version atomic.Uint64
+	age     atomic.Int64 // ms
 	batches metric.Float64Histogram
 	reads   metric.Float64Histogram
+	answers metric.Float64Histogram
 }
 
 // outcomes lists the decisions that are counted.
@@ -57,39 +60,58 @@
 		return nil, err
 	}
 	m := &metrics{handler: handler, packets: make(map[counterKey]*atomic.Uint64, len(outcomes))}
+	m.age.Store(-1)
 	for _, k := range outcomes {
 		m.packets[k] = &atomic.Uint64{}
 	}
-	m.batches, err = meter.Float64Histogram("marigoldwood_batch_seconds", metric.WithUnit("s"),
-		metric.WithDescription("time to decide about and forward one batch of packets"), metric.WithExplicitBucketBoundaries(batchBounds...))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	m.reads, err = meter.Float64Histogram("marigoldwood_store_read_seconds", metric.WithUnit("s"),
-		metric.WithDescription("time of reads of the store, by kind and result"), metric.WithExplicitBucketBoundaries(readBounds...))
-	if err != nil {
-		return nil, Error.Wrap(err)
+	for _, h := range []struct {
+		into       *metric.Float64Histogram
+		instrument telemetry.Instrument
+		bounds     []float64
+	}{
+		{&m.batches, telemetry.DirectBatches, batchBounds},
+		{&m.reads, telemetry.DirectReads, readBounds},
+		{&m.answers, telemetry.DirectAnswers, readBounds},
+	} {
+		*h.into, err = meter.Float64Histogram(h.instrument.Name, metric.WithUnit(h.instrument.Unit),
+			metric.WithDescription(h.instrument.Help), metric.WithExplicitBucketBoundaries(h.bounds...))
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
 	}
 	return m, m.observe(meter)
 }
 
 func (m *metrics) observe(meter metric.Meter) error {
-	packets, err := meter.Int64ObservableCounter("marigoldwood_packets", metric.WithDescription("packets from callers by action and result code"))
+	packets, err := meter.Int64ObservableCounter(telemetry.DirectPackets.Name, metric.WithDescription(telemetry.DirectPackets.Help))
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	flows, err := meter.Int64ObservableGauge("marigoldwood_flows_open", metric.WithDescription("flows that this balancer remembers"))
-	if err != nil {
-		return Error.Wrap(err)
+	observables := []metric.Observable{packets}
+	gauges := map[telemetry.Instrument]func() int64{
+		telemetry.DirectFlows:   m.flows.Load,
+		telemetry.DirectAge:     m.age.Load,
+		telemetry.DirectVersion: func() int64 { return int64(m.version.Load()) },
+	}
+	observed := map[metric.Int64ObservableGauge]func() int64{}
+	for instrument, value := range gauges {
+		g, err := meter.Int64ObservableGauge(instrument.Name, metric.WithUnit(instrument.Unit), metric.WithDescription(instrument.Help))
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		observed[g] = value
+		observables = append(observables, g)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for k, n := range m.packets {
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
 		}
 		o.ObserveInt64(packets, int64(m.other.Load()), metric.WithAttributes(attribute.String("action", "other")))
-		o.ObserveInt64(flows, m.flows.Load())
+		for g, value := range observed {
+			o.ObserveInt64(g, value())
+		}
 		return nil
-	}, packets, flows)
+	}, observables...)
 	return Error.Wrap(err)
 }
 
@@ -114,11 +136,11 @@
 	return out
 }
 
-// batchSample is the share of batches whose time is recorded.
+// batchSample is the part of the batches whose time is recorded, since recording costs more than a packet.
 const batchSample = 16
 
-func (m *metrics) batch(packets int, took time.Duration) {
-	if packets > 0 && m.flows.Load()%batchSample == 0 {
+func (m *metrics) batch(number uint64, took time.Duration) {
+	if number%batchSample == 0 {
 		m.batches.Record(context.Background(), took.Seconds())
 	}
 }
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -17,7 +17,7 @@
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
-func provideLog(s *settings.Direct, out io.Writer) (*logrus.Entry, error) {
+func provideLog(s *settings.Direct, out logOutput) (*logrus.Entry, error) {
 	return logging.New(out, s.Log.Level, s.Host.Name)
 }
 
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -95,6 +95,12 @@
 		c.exchange.Ask(ctx, to, report)
 	}
 	c.traffic.SetOthers(c.fleet.Others(now))
+	if age, known := c.directory.Age(now); known {
+		c.metrics.age.Store(age.Milliseconds())
+	}
+	if configuration := c.directory.Configuration(); configuration != nil {
+		c.metrics.version.Store(configuration.Version)
+	}
 }
 
 func (c *Control) freshness(now time.Duration) relay.Freshness {
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -38,6 +38,7 @@
 	others     atomic.Pointer[[]directory.Load] // loads that other balancers have seen
 	taken      *[]directory.Load                // others that the engine has taken in
 	reported   time.Duration                    // when own was written
+	batches    uint64
 	lastPacket atomic.Int64
 }
 
@@ -113,7 +114,8 @@
 		t.reported = now
 	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
-	t.metrics.batch(n, t.clock()-now)
+	t.batches++
+	t.metrics.batch(t.batches, t.clock()-now)
 }
 
 func (t *Traffic) packet(i int, now time.Duration) {
@@ -128,6 +130,9 @@
 	}
 	d := t.engine.Decide(&p, now)
 	t.metrics.count(d.Action, d.Code, 1)
+	if d.Opened > 0 {
+		t.metrics.answers.Record(context.Background(), d.Opened.Seconds())
+	}
 	switch d.Action {
 	case steer.Forward:
 		platform.PutToken(buffer[start:end], d.Target.Token)
--- a/internal/direct/wire.go
+++ b/internal/direct/wire.go
@@ -3,14 +3,12 @@
 package direct
 
 import (
-	"io"
-
 	"github.com/google/wire"
 
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 )
 
-func newBalancer(path settingsPath, s *settings.Direct, out io.Writer) (*balancer, error) {
+func newBalancer(path settingsPath, s *settings.Direct, out logOutput) (*balancer, error) {
 	wire.Build(
 		provideClock, provideLog, provideRandom, provideTraffic, provideStore, provideReader, provideExchange, newSettingsWatch,
 		provideRing, provideOperator,
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"github.com/marigoldwood/marigoldwood/internal/settings"
-	"io"
 )
 
 import (
@@ -17,7 +16,7 @@
 
 // Injectors from wire.go:
 
-func newBalancer(path settingsPath, s *settings.Direct, out io.Writer) (*balancer, error) {
+func newBalancer(path settingsPath, s *settings.Direct, out logOutput) (*balancer, error) {
 	entry, err := provideLog(s, out)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,61 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Guards against a process that stands still, or grows, because nobody reads its log, and against lines that are lost
+// without a word.
+func TestBoundedNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	b := NewBounded(out)
+	done := make(chan struct{})
+	const lines = 100_000
+	go func() {
+		defer close(done)
+		for i := range lines {
+			fmt.Fprintf(b, "line=%d\n", i)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writes block")
+	}
+	close(out.release)
+	b.Close()
+	got := out.got.String()
+	if len(got) > 2*pendingBytes || !strings.Contains(got, "line=0\n") || !strings.Contains(got, "event=log-lines-dropped") {
+		t.Errorf("%d bytes written", len(got))
+	}
+}
+
+// Guards against the last lines of a process that are lost when it ends.
+func TestBoundedWritesAtClose(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBounded(&out)
+	fmt.Fprintln(b, "last")
+	b.Close()
+	if out.String() != "last\n" {
+		t.Errorf("got %q", out.String())
+	}
+}
--- /dev/null
+++ b/internal/peer/ask_test.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/relay"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+func listenLoopback(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a peer that has gone silent on an open connection and holds up its asker, and against an asker that does
+// not come back afterwards.
+func TestAskSilentPeer(t *testing.T) {
+	listener, address := listenLoopback(t)
+	var silent atomic.Bool
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	answerer := Answerer{
+		Identity: NewIdentity("b", "x", 1),
+		Answer: func(ctx context.Context, m Message) (Message, error) {
+			if silent.Load() {
+				<-ctx.Done()
+			}
+			return &RelayReply{Reply: relay.Reply{Count: int(m.(*RelayReport).Freshness.Revision)}}, nil
+		},
+		Refused: func(r Refusal) { t.Error(r.Err) },
+	}
+	served := make(chan error)
+	go func() { served <- answerer.Serve(ctx, listener) }()
+	asker := NewAsker(NewIdentity("a", "x", 1), address, 200*time.Millisecond)
+	defer asker.Close()
+	ask := func(n uint64) (Message, error) {
+		return asker.Ask(ctx, &RelayReport{Report: relay.Report{Freshness: relay.Freshness{Revision: n}}})
+	}
+	for n := range uint64(3) {
+		if m, err := ask(n); err != nil || m.(*RelayReply).Count != int(n) {
+			t.Fatalf("got %v, %v", m, err)
+		}
+	}
+	silent.Store(true)
+	started := time.Now()
+	if _, err := ask(9); resultcode.Of(err) != resultcode.PeerUnreachable || time.Since(started) > 2*time.Second {
+		t.Fatalf("got %v after %v", err, time.Since(started))
+	}
+	silent.Store(false)
+	if _, err := ask(9); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a server that takes memory or ends for bytes that are no message.
+func TestAnswererRefusesGarbage(t *testing.T) {
+	listener, address := listenLoopback(t)
+	refused := make(chan resultcode.Code, 8)
+	answerer := Answerer{
+		Identity: NewIdentity("b", "x", 1), Refused: func(r Refusal) { refused <- r.Code },
+		Answer: func(context.Context, Message) (Message, error) {
+			return nil, resultcode.Errorf(resultcode.PeerFrame, "", "must not be called")
+		},
+	}
+	go func() { _ = answerer.Serve(t.Context(), listener) }()
+	for _, b := range [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), {0xff, 0xff, 0xff, 0xff, 0x96, 1, 16}, {0, 0, 0, 9, 0x96, 1, 99, 0, 0, 0, 0, 0, 0}} {
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(b); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case code := <-refused:
+			if code != resultcode.PeerFrame && code != resultcode.PeerFrameTooLarge && code != resultcode.PeerVersion {
+				t.Errorf("%q: code %v", b, code)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%q: not refused", b)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -6,12 +6,22 @@
 	"reflect"
 )
 
-// WriteReference writes the settings reference as a Markdown table, from the tags that the checks use.
+// WriteReference writes the settings reference as Markdown tables, from the tags that the checks use.
 func WriteReference(w io.Writer) error {
+	if err := writeTable(w, reflect.TypeFor[Settings]()); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprint(w, "\n## `marigoldwood direct`\n\n"); err != nil {
+		return err
+	}
+	return writeTable(w, reflect.TypeFor[Direct]())
+}
+
+func writeTable(w io.Writer, t reflect.Type) error {
 	if _, err := fmt.Fprintln(w, "| setting | type | default | allowed | meaning |\n|---|---|---|---|---|"); err != nil {
 		return err
 	}
-	return writeFields(w, "", reflect.TypeFor[Settings]())
+	return writeFields(w, "", t)
 }
 
 func writeFields(w io.Writer, prefix string, t reflect.Type) error {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -141,6 +141,16 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "| `marigoldwood_events{kind}` | events | %s |\n| `marigoldwood_target_flows{service,target}` | flow | %s |\n", eventsHelp, targetsHelp)
-	return err
+	if _, err := fmt.Fprintf(w, "| `marigoldwood_events{kind}` | events | %s |\n| `marigoldwood_target_flows{service,target}` | flow | %s |\n", eventsHelp, targetsHelp); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprint(w, "\n## `marigoldwood direct`\n\n| metric | unit | meaning |\n|---|---|---|\n"); err != nil {
+		return err
+	}
+	for _, i := range DirectInstruments() {
+		if _, err := fmt.Fprintf(w, "| `%s` | %s | %s |\n", i.Name, strings.Trim(i.Unit, "{}"), i.Help); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -1,15 +1,12 @@
 package relay
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/marigoldwood/marigoldwood/directory"
 )
 
 const (
@@ -32,10 +29,6 @@
 	staleAfter = 2200 * time.Millisecond
 	// deadAfter is how long a host is known after its last report, beside the time that news of it takes over a relay.
 	deadAfter = 3 * time.Second
-	// loadAge is how long reported loads count, beside the time between two reports.
-	loadAge = time.Second
-	// maxLoads bounds the loads of one message to the busiest targets.
-	maxLoads = 256
 )
 
 // member is what is known of another host.
@@ -50,12 +43,6 @@
 	total   loads         // of all other hosts, by the replies of the relay of this data centre
 }
 
-// loads were told at a time.
-type loads struct {
-	list []directory.Load
-	at   time.Duration
-}
-
 // answers reports whether the host was heard of since it last did not answer.
 func (m *member) answers() bool { return m.failed == 0 || m.heard > m.failed }
 
@@ -102,8 +89,6 @@
 // deadAfter returns how long a host is known after its last report. News of a host reach others within two intervals.
 func (f *Fleet) deadAfter() time.Duration { return deadAfter + 2*f.Interval() }
 
-func (f *Fleet) loadAge() time.Duration { return loadAge + f.Interval() }
-
 // StaleAfter returns the age of the store's last answer at which this host reads the store itself.
 func (f *Fleet) StaleAfter() time.Duration { return staleAfter + f.Interval() }
 
@@ -321,88 +306,3 @@
 	}
 	return slices.Insert(list, i, m)[:min(len(list)+1, most)]
 }
-
-// LoadsFor returns the loads for the reply to a host of the data centre. own are the loads of this host.
-func (f *Fleet) LoadsFor(name, dataCentre string, own []directory.Load, now time.Duration) []directory.Load {
-	if !f.isRelay() {
-		return nil
-	}
-	var sum loadSum
-	sum.add(own)
-	f.addCentre(&sum, name, now)
-	if dataCentre == f.self.DataCentre {
-		f.addOthers(&sum, now)
-	}
-	return sum.list()
-}
-
-// LoadsOf returns the loads to report to a host, and whether they are those of the whole data centre.
-func (f *Fleet) LoadsOf(to netip.AddrPort, own []directory.Load, now time.Duration) (list []directory.Load, centre bool) {
-	for _, m := range f.members {
-		if m.host.Address == to && m.host.DataCentre != f.self.DataCentre && f.isRelay() {
-			return f.LoadsFor(m.host.Name, m.host.DataCentre, own, now), true
-		}
-	}
-	return own, false
-}
-
-// Others returns the loads that all other hosts have seen.
-func (f *Fleet) Others(now time.Duration) []directory.Load {
-	if m := f.members[f.relay]; m != nil && !f.isRelay() {
-		if now-m.total.at > f.loadAge() {
-			return nil
-		}
-		return m.total.list
-	}
-	var sum loadSum
-	f.addCentre(&sum, "", now)
-	f.addOthers(&sum, now)
-	return sum.list()
-}
-
-// addCentre adds what hosts of this data centre have reported here, but for the one called except.
-func (f *Fleet) addCentre(sum *loadSum, except string, now time.Duration) {
-	for _, m := range f.members {
-		if m.host.Name != except && now-m.own.at <= f.loadAge() {
-			sum.add(m.own.list)
-		}
-	}
-}
-
-// addOthers adds the newest loads of each other data centre.
-func (f *Fleet) addOthers(sum *loadSum, now time.Duration) {
-	newest := map[string]loads{}
-	for _, m := range f.members {
-		if m.centre.at > newest[m.host.DataCentre].at && now-m.centre.at <= f.loadAge() {
-			newest[m.host.DataCentre] = m.centre
-		}
-	}
-	for _, l := range newest {
-		sum.add(l.list)
-	}
-}
-
-// loadSum adds up loads by target.
-type loadSum map[directory.Token]directory.Load
-
-func (s *loadSum) add(loads []directory.Load) {
-	if *s == nil {
-		*s = make(loadSum, len(loads))
-	}
-	for _, l := range loads {
-		have := (*s)[l.Token]
-		(*s)[l.Token] = directory.Load{
-			Token: l.Token, Pending: saturate(have.Pending, l.Pending), Open: saturate(have.Open, l.Open), Suspect: have.Suspect || l.Suspect,
-		}
-	}
-}
-
-func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
-
-// list returns the busiest targets first, within the bound of a message.
-func (s *loadSum) list() []directory.Load {
-	loads := slices.SortedFunc(maps.Values(*s), func(a, b directory.Load) int {
-		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
-	})
-	return loads[:min(len(loads), maxLoads)]
-}
--- /dev/null
+++ b/relay/loads.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+)
+
+const (
+	// loadAge is how long reported loads count, beside the time between two reports.
+	loadAge = time.Second
+	// maxLoads bounds the loads of one message to the busiest targets.
+	maxLoads = 256
+)
+
+// loads were told at a time.
+type loads struct {
+	list []directory.Load
+	at   time.Duration
+}
+
+func (f *Fleet) loadAge() time.Duration { return loadAge + f.Interval() }
+
+// LoadsFor returns the loads for the reply to a host of the data centre. own are the loads of this host.
+func (f *Fleet) LoadsFor(name, dataCentre string, own []directory.Load, now time.Duration) []directory.Load {
+	if !f.isRelay() {
+		return nil
+	}
+	var sum loadSum
+	sum.add(own)
+	f.addCentre(&sum, name, now)
+	if dataCentre == f.self.DataCentre {
+		f.addOthers(&sum, now)
+	}
+	return sum.list()
+}
+
+// LoadsOf returns the loads to report to a host, and whether they are those of the whole data centre.
+func (f *Fleet) LoadsOf(to netip.AddrPort, own []directory.Load, now time.Duration) (list []directory.Load, centre bool) {
+	for _, m := range f.members {
+		if m.host.Address == to && m.host.DataCentre != f.self.DataCentre && f.isRelay() {
+			return f.LoadsFor(m.host.Name, m.host.DataCentre, own, now), true
+		}
+	}
+	return own, false
+}
+
+// Others returns the loads that all other hosts have seen.
+func (f *Fleet) Others(now time.Duration) []directory.Load {
+	if m := f.members[f.relay]; m != nil && !f.isRelay() {
+		if now-m.total.at > f.loadAge() {
+			return nil
+		}
+		return m.total.list
+	}
+	var sum loadSum
+	f.addCentre(&sum, "", now)
+	f.addOthers(&sum, now)
+	return sum.list()
+}
+
+// addCentre adds what hosts of this data centre have reported here, but for the one called except.
+func (f *Fleet) addCentre(sum *loadSum, except string, now time.Duration) {
+	for _, m := range f.members {
+		if m.host.Name != except && now-m.own.at <= f.loadAge() {
+			sum.add(m.own.list)
+		}
+	}
+}
+
+// addOthers adds the newest loads of each other data centre.
+func (f *Fleet) addOthers(sum *loadSum, now time.Duration) {
+	newest := map[string]loads{}
+	for _, m := range f.members {
+		if m.centre.at > newest[m.host.DataCentre].at && now-m.centre.at <= f.loadAge() {
+			newest[m.host.DataCentre] = m.centre
+		}
+	}
+	for _, l := range newest {
+		sum.add(l.list)
+	}
+}
+
+// loadSum adds up loads by target.
+type loadSum map[directory.Token]directory.Load
+
+func (s *loadSum) add(loads []directory.Load) {
+	if *s == nil {
+		*s = make(loadSum, len(loads))
+	}
+	for _, l := range loads {
+		have := (*s)[l.Token]
+		(*s)[l.Token] = directory.Load{
+			Token: l.Token, Pending: saturate(have.Pending, l.Pending), Open: saturate(have.Open, l.Open), Suspect: have.Suspect || l.Suspect,
+		}
+	}
+}
+
+func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
+
+// list returns the busiest targets first, within the bound of a message.
+func (s *loadSum) list() []directory.Load {
+	loads := slices.SortedFunc(maps.Values(*s), func(a, b directory.Load) int {
+		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+	})
+	return loads[:min(len(loads), maxLoads)]
+}
--- /dev/null
+++ b/relay/validate.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"math"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// Bounds of what a message may hold.
+const (
+	maxNameBytes = 63
+	maxMembers   = 1024
+)
+
+// Validate checks a report from the network. The error carries the code PeerFrame.
+func (r *Report) Validate() error {
+	switch {
+	case !r.Host.valid():
+		return invalid("host %q", r.Host.Name)
+	case !r.Freshness.valid():
+		return invalid("freshness %+v", r.Freshness)
+	case len(r.Loads) > maxLoads:
+		return invalid("%d loads", len(r.Loads))
+	}
+	return nil
+}
+
+// Validate checks a reply from the network. The error carries the code PeerFrame.
+func (r *Reply) Validate() error {
+	report := Report{Host: r.Host, Freshness: r.Freshness, Loads: r.Loads}
+	if err := report.Validate(); err != nil {
+		return err
+	}
+	if len(r.Hosts) > maxMembers || r.Count < 0 {
+		return invalid("%d hosts, count %d", len(r.Hosts), r.Count)
+	}
+	for i := range r.Hosts {
+		if !r.Hosts[i].Host.valid() || r.Hosts[i].Heard < 0 {
+			return invalid("member %q", r.Hosts[i].Host.Name)
+		}
+	}
+	for i := range r.Changes.Changes {
+		if !validChange(&r.Changes.Changes[i]) {
+			return invalid("change of %q", r.Changes.Changes[i].Name)
+		}
+	}
+	return nil
+}
+
+func (h *Host) valid() bool {
+	return h.Name != "" && len(h.Name) <= maxNameBytes && h.DataCentre != "" && len(h.DataCentre) <= maxNameBytes &&
+		h.Address.IsValid() && h.Address.Port() != 0 && h.Weight > 0 && !math.IsInf(h.Weight, 0)
+}
+
+func (k *Freshness) valid() bool { return k.Age >= 0 && k.Steady >= 0 }
+
+// validChange reports whether a change describes a target, or the removal of one that was or was not known.
+func validChange(c *directory.Change) bool {
+	if c.Target == nil {
+		return c.Removed && c.Name != ""
+	}
+	t := c.Target
+	return c.Name != "" && t.Name == c.Name && t.Service != "" && t.Capacity > 0 && t.Address.IsValid() && t.ColdFor >= 0
+}
+
+func invalid(format string, args ...any) error {
+	return resultcode.Errorf(resultcode.PeerFrame, "relay", format, args...)
+}
--- /dev/null
+++ b/relay/validate_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+func validReply() Reply {
+	host := Host{Name: "h", DataCentre: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Weight: 1}
+	target := &directory.Target{Name: "i-1", ID: 1, Service: "s", Address: netip.MustParseAddrPort("127.0.0.2:1"), Capacity: 1}
+	return Reply{
+		Host: host, Freshness: Freshness{Known: true, Revision: 5}, Hosts: []Member{{Host: host}}, Count: 2,
+		Loads: []directory.Load{{Token: 1}},
+		Changes: directory.Batch{Revision: 5, Changes: []directory.Change{
+			{Name: "i-1", Revision: 4, Target: target}, {Name: "i-2", Revision: 5, Removed: true},
+		}},
+	}
+}
+
+// Guards against a message of a faulty host that ends the process or changes what it believes: the peer port is open to
+// every host.
+func TestValidate(t *testing.T) {
+	for name, spoil := range map[string]func(*Reply){
+		"no name":                   func(r *Reply) { r.Host.Name = "" },
+		"no address":                func(r *Reply) { r.Host.Address = netip.AddrPort{} },
+		"no weight":                 func(r *Reply) { r.Host.Weight = 0 },
+		"answer from the future":    func(r *Reply) { r.Freshness.Age = -time.Second },
+		"member from the future":    func(r *Reply) { r.Hosts[0].Heard = -1 },
+		"target without a record":   func(r *Reply) { r.Changes.Changes[0].Target = nil },
+		"target under another name": func(r *Reply) { r.Changes.Changes[0].Name = "i-9" },
+		"target without capacity":   func(r *Reply) { r.Changes.Changes[0].Target.Capacity = 0 },
+		"too many loads":            func(r *Reply) { r.Loads = make([]directory.Load, maxLoads+1) },
+	} {
+		r := validReply()
+		if err := r.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		spoil(&r)
+		if err := r.Validate(); resultcode.Of(err) != resultcode.PeerFrame {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against bytes that pass the checks and then end the process when they are taken in.
+func FuzzReply(f *testing.F) {
+	r := validReply()
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r Reply
+		if msgpack.Unmarshal(b, &r) != nil || r.Validate() != nil {
+			return
+		}
+		d := directory.New()
+		d.Apply(r.Changes, time.Second)
+		d.Snapshot(2 * time.Second)
+		fleet := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
+		fleet.Replied(&r, time.Second)
+		fleet.Ask(true, false, 2*time.Second)
+		fleet.Others(2 * time.Second)
+	})
+}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -95,8 +95,9 @@
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
 	}
-	suspected := e.observe(p, t, now)
-	return Decision{Action: Forward, Target: t, Suspected: suspected}
+	d := Decision{Action: Forward, Target: t}
+	e.observe(p, &d, now)
+	return d
 }
 
 // open places a new flow. A copy of an opening packet follows the first one, because two targets must not both answer.
--- a/steer/load.go
+++ b/steer/load.go
@@ -91,29 +91,25 @@
 	}
 }
 
-// observe follows the progress of an open flow by its sequence numbers. It returns the target when the packet is the
-// evidence that makes it suspect.
-func (e *Engine) observe(p *Packet, t *Target, now time.Duration) *Target {
-	key := p.Flow()
+// observe follows the progress of an open flow by its sequence numbers, and completes the decision with what the packet
+// shows about the target.
+func (e *Engine) observe(p *Packet, d *Decision, now time.Duration) {
+	t, key := d.Target, p.Flow()
 	f, found := e.flows[key]
-	if p.Reset || p.Finish {
+	switch {
+	case p.Reset || p.Finish:
 		if found {
 			t.load.alive(now)
 			e.forget(key)
 		}
-		return nil
-	}
-	end := p.Sequence + uint32(p.Payload)
-	switch {
+		return
 	case !found && p.Payload == 0:
-		return nil // an acknowledgement says nothing of a flow that is not known here
+		return // an acknowledgement says nothing of a flow that is not known here
 	case !found || f.token != p.Token:
-		// Another balancer carried the flow so far.
-		e.forget(key)
-		e.remember(key, flowState{token: p.Token, opened: true, sent: end, received: p.Acknowledgement, since: now, last: now})
-		t.load.open++
-		return nil
+		e.adopt(p, t, now)
+		return
 	case !f.opened:
+		d.Opened = now - f.since
 		f.opened, f.waiting, f.reported = true, false, false
 		f.sent, f.received = p.Sequence, p.Acknowledgement
 		t.load.pending = max(t.load.pending-1, 0)
@@ -121,27 +117,50 @@
 		t.load.alive(now)
 	}
 	f.last = now
-	var suspected *Target
-	if p.Acknowledges && int32(p.Acknowledgement-f.received) > 0 {
-		f.received = p.Acknowledgement
-		t.load.alive(now)
-		if f.waiting {
-			f.waiting, f.reported = false, false
-			t.load.pending = max(t.load.pending-1, 0)
-		}
+	f.acknowledged(p, t, now)
+	d.Suspected = f.data(p, t, now)
+	e.flows[key] = f
+}
+
+// adopt remembers a flow that another balancer carried so far.
+func (e *Engine) adopt(p *Packet, t *Target, now time.Duration) {
+	e.forget(p.Flow())
+	e.remember(p.Flow(), flowState{
+		token: p.Token, opened: true, sent: p.end(), received: p.Acknowledgement, since: now, last: now,
+	})
+	t.load.open++
+}
+
+// acknowledged takes in what the caller has received of the target.
+func (f *flowState) acknowledged(p *Packet, t *Target, now time.Duration) {
+	if !p.Acknowledges || int32(p.Acknowledgement-f.received) <= 0 {
+		return
 	}
+	f.received = p.Acknowledgement
+	t.load.alive(now)
+	if f.waiting {
+		f.waiting, f.reported = false, false
+		t.load.pending = max(t.load.pending-1, 0)
+	}
+}
+
+// data takes in data of the caller: new data starts a wait for the target, repeated data shows that it does not answer.
+// It returns the target when that makes it suspect.
+func (f *flowState) data(p *Packet, t *Target, now time.Duration) *Target {
 	switch {
 	case p.Payload == 0:
-	case int32(end-f.sent) > 0: // new data: a request begins or goes on
-		f.sent = end
+	case int32(p.end()-f.sent) > 0:
+		f.sent = p.end()
 		if !f.waiting {
 			f.waiting, f.since = true, now
 			t.load.pending++
 		}
-	case f.waiting && !f.reported && now-f.since >= silenceAfter: // the caller repeats data that was not acknowledged
+	case f.waiting && !f.reported && now-f.since >= silenceAfter:
 		f.reported = true
-		suspected = t.load.silent(t, now)
+		return t.load.silent(t, now)
 	}
-	e.flows[key] = f
-	return suspected
+	return nil
 }
+
+// end returns the sequence after the last byte of the packet.
+func (p *Packet) end() uint32 { return p.Sequence + uint32(p.Payload) }
