--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -13,6 +13,9 @@
 	// decisionLines bounds the lines about flows in each interval, so that a flood of flows does not fill the log.
 	decisionLines    = 100
 	decisionInterval = time.Second
+	// slowOpening is how long a target may take to open a flow before that is worth a line: callers repeat their opening
+	// packet after 200 ms.
+	slowOpening = 150 * time.Millisecond
 )
 
 // decisionLog writes a line for each decision that opens, refuses or ends a flow, within a bound. Packets that follow a
@@ -33,12 +36,13 @@
 			"flow": flowName(p),
 		}).Warn("target leaves flows unanswered")
 	}
-	if d.Action == steer.Forward && !d.Placed || !l.room(now) {
+	event := eventOf(d)
+	if event == "" || !l.room(now) {
 		return
 	}
-	fields := logrus.Fields{"event": "flow-" + d.Action.String(), "flow": flowName(p), "code": d.Code}
-	if d.Placed {
-		fields["event"] = "flow-placed"
+	fields := logrus.Fields{"event": event, "flow": flowName(p), "code": d.Code}
+	if d.Opened > 0 {
+		fields["took"] = d.Opened
 	}
 	if d.Target != nil {
 		fields["target"], fields["presence"] = d.Target.Name, d.Target.Presence
@@ -53,6 +57,21 @@
 	l.log.WithFields(fields).Info("decision")
 }
 
+// eventOf names the event that a decision is logged as, or returns "" for a packet that follows an earlier decision.
+func eventOf(d *steer.Decision) string {
+	switch {
+	case d.Placed:
+		return "flow-placed"
+	case d.Adopted:
+		return "flow-adopted"
+	case d.Opened >= slowOpening:
+		return "flow-opened-late"
+	case d.Action == steer.Forward:
+		return ""
+	}
+	return "flow-" + d.Action.String()
+}
+
 // room reports whether another line may be written, and writes how many were left out before.
 func (l *decisionLog) room(now time.Duration) bool {
 	if now-l.started >= decisionInterval {
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against a flow that moves to another balancer, or opens late, without a trace in the log.
+func TestDecisionTellsOfAdoptionAndOpening(t *testing.T) {
+	e := engine(five(local)...)
+	d := e.Decide(opening(1), time.Second)
+	d = e.Decide(&Packet{Caller: caller(1), Endpoint: endpoint, Acknowledges: true, Acknowledgement: 7, Token: d.Target.Token}, 2*time.Second)
+	if d.Opened != time.Second || d.Adopted {
+		t.Errorf("opened after %v, adopted %v", d.Opened, d.Adopted)
+	}
+	if d = e.Decide(data(2, d.Target.Token, 1), 2*time.Second); !d.Adopted || d.Opened != 0 {
+		t.Errorf("opened after %v, adopted %v", d.Opened, d.Adopted)
+	}
+	if d = e.Decide(data(2, d.Target.Token, 101), 2*time.Second); d.Adopted {
+		t.Error("adopted twice")
+	}
+}
+
 // Guards against two targets that answer the same opening packet: its copies go to the target of the first one, at the
 // same balancer and, while loads are equal, at any other.
 func TestCopiesFollowOpening(t *testing.T) {
--- a/steer/load.go
+++ b/steer/load.go
@@ -106,6 +106,7 @@
 	case !found && p.Payload == 0:
 		return // an acknowledgement says nothing of a flow that is not known here
 	case !found || f.token != p.Token:
+		d.Adopted = true
 		e.adopt(p, t, now)
 		return
 	case !f.opened:
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -52,6 +52,8 @@
 	Target *Target         // of a packet that is forwarded
 	// Placed reports that the packet opens a flow that was placed now.
 	Placed bool
+	// Adopted reports that another balancer carried the flow so far.
+	Adopted bool
 	// Opened is how long the target took to answer the opening packet, when this packet shows that it did; else 0.
 	Opened time.Duration
 	// Suspected reports that the packet is evidence that made its target suspect.
