Take a removed target for ended only by an answer of the store that was asked for late enough

The record of the target lapsed, the host stood still for 2.5 s, and at waking the time without any answer counted as time in which the store had answered. Ruled out: the store's answers themselves (the record was back before the reset, with a higher revision), relays (the host had heard none since the pause). Now the last read that was sent and answered counts, also for what a relay tells. TestPauseIsNoProofOfEnd fails without it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,6 +48,7 @@
 	revision      uint64 // every change up to it is known
 	complete      bool   // the whole list was read once
 	lastAnswer    time.Duration
+	confirmed     time.Duration // when the last read was sent that was answered
 	steadySince   time.Duration // start of the present series of answers
 	steady        bool
 	forgotten     uint64 // newest revision of a record that was forgotten
@@ -70,35 +71,37 @@
 	return now - d.lastAnswer, d.complete
 }
 
-// StoreAnswered notes that the store answered.
-func (d *Directory) StoreAnswered(now time.Duration) {
-	d.lastAnswer = now
+// StoreAnswered notes that the store answered a read that was sent at asked.
+func (d *Directory) StoreAnswered(now, asked time.Duration) {
 	if !d.steady {
 		d.steady, d.steadySince = true, now
 	}
+	d.lastAnswer, d.confirmed = max(d.lastAnswer, now), max(d.confirmed, asked)
 }
 
 // StoreFailed notes that the store did not answer.
 func (d *Directory) StoreFailed() { d.steady = false }
 
-// StoreHeard notes what another host knows: the store answered it at the given time, after it had answered without a
-// break since steadySince.
-func (d *Directory) StoreHeard(answered, steadySince time.Duration) {
-	if answered <= d.lastAnswer {
+// StoreHeard notes what another host knows: the store answered it last at the time answered, a read that was sent at
+// confirmed, after it had answered without a break for steady before that.
+func (d *Directory) StoreHeard(answered, confirmed, steady time.Duration) {
+	d.lastAnswer = max(d.lastAnswer, answered)
+	if confirmed <= d.confirmed {
 		return
 	}
-	d.lastAnswer = answered
-	if !d.steady || steadySince > d.steadySince {
-		d.steady, d.steadySince = true, steadySince
+	d.confirmed = confirmed
+	if since := confirmed - steady; !d.steady || since > d.steadySince {
+		d.steady, d.steadySince = true, since
 	}
 }
 
-// Steady returns for how long the store has answered without a break.
-func (d *Directory) Steady(now time.Duration) time.Duration {
+// Confirmed returns the time since the last read was sent that the store answered, and for how long it had answered
+// without a break before that.
+func (d *Directory) Confirmed(now time.Duration) (age, steady time.Duration) {
 	if !d.steady {
-		return 0
+		return now - d.confirmed, 0
 	}
-	return now - d.steadySince
+	return now - d.confirmed, max(d.confirmed-d.steadySince, 0)
 }
 
 // Since returns what has changed after a revision, for another host. Removed targets are part of it, so that their open
@@ -239,14 +242,15 @@
 }
 
 // presence classifies a record. A removal counts as the end of the target only when the store has answered without
-// a break for long enough that a live target would be listed again.
+// a break for long enough that a live target would be listed again, and a read that was sent after that has been answered:
+// time alone proves nothing, since this process may have stood still.
 func (d *Directory) presence(r *record, now time.Duration) Presence {
 	switch {
 	case !r.removed && r.target.Draining:
 		return Draining
 	case !r.removed:
 		return Ready
-	case d.steady && now-max(d.steadySince, r.removedAt) >= lapseGrace:
+	case d.steady && d.confirmed-max(d.steadySince, r.removedAt) >= lapseGrace:
 		return Gone
 	case r.target.Draining && d.steady && r.removedAt-d.steadySince >= lapseGrace:
 		return Gone // it announced its end
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -31,7 +31,7 @@
 // filled returns a directory that has read the targets a, b, c and d at time 0, with a store that has answered since then.
 func filled() *Directory {
 	d := New()
-	d.StoreAnswered(0)
+	d.StoreAnswered(0, 0)
 	d.Apply(Batch{
 		Complete: true, Revision: 4, Configuration: &Configuration{Version: 3, Revision: 1},
 		Changes: []Change{listed("a", 1), listed("b", 2), listed("c", 3), listed("d", 4)},
@@ -68,16 +68,20 @@
 // what a removal means depends on how the store fared before and after it.
 func TestPresenceAfterRemoval(t *testing.T) {
 	const gone = 10 * time.Second
+	answering := func(d *Directory) {
+		d.StoreAnswered(gone+lapseGrace+time.Millisecond, gone+lapseGrace)
+	}
 	for name, tt := range map[string]struct {
 		before, after func(*Directory) // store events around the removal
 		change        Change
 		early, late   Presence
 	}{
-		"crash, store steady":        {nil, nil, removed("a", 9), Departed, Gone},
+		"crash, store steady":        {nil, answering, removed("a", 9), Departed, Gone},
 		"announced end":              {func(d *Directory) { d.Apply(Batch{Changes: []Change{draining("a", 8)}}, time.Second) }, nil, removed("a", 9), Gone, Gone},
-		"lapse in an outage":         {func(d *Directory) { d.StoreFailed(); d.StoreAnswered(gone) }, nil, removed("a", 9), Lapsed, Gone},
-		"store lost after a removal": {nil, (*Directory).StoreFailed, removed("a", 9), Lapsed, Departed},
-		"unusable record":            {nil, nil, Change{Name: "a", Revision: 9, Removed: true}, Departed, Gone},
+		"lapse in an outage":         {func(d *Directory) { d.StoreFailed(); d.StoreAnswered(gone, gone) }, answering, removed("a", 9), Lapsed, Gone},
+		"store lost after a removal": {nil, (*Directory).StoreFailed, removed("a", 9), Departed, Departed},
+		"no answer after a removal":  {nil, nil, removed("a", 9), Departed, Departed},
+		"unusable record":            {nil, answering, Change{Name: "a", Revision: 9, Removed: true}, Departed, Gone},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := filled()
@@ -85,12 +89,12 @@
 				tt.before(d)
 			}
 			d.Apply(Batch{Changes: []Change{tt.change}}, gone)
-			if tt.after != nil {
-				tt.after(d)
-			}
 			if got := presenceOf(t, d, "a", gone+100*time.Millisecond); got != tt.early {
 				t.Errorf("soon after: %v, want %v", got, tt.early)
 			}
+			if tt.after != nil {
+				tt.after(d)
+			}
 			if got := presenceOf(t, d, "a", gone+lapseGrace+time.Millisecond); got != tt.late {
 				t.Errorf("after the grace time: %v, want %v", got, tt.late)
 			}
@@ -98,6 +102,32 @@
 	}
 }
 
+// Replays a host that stood still: the record of a target lapsed before, and came back while the host did not run. Guards
+// against flows of the living target that are reset at waking, because the time without answers counts as steady.
+func TestPauseIsNoProofOfEnd(t *testing.T) {
+	d := filled()
+	d.Apply(Batch{Changes: []Change{removed("a", 9)}}, 10*time.Second)
+	d.StoreAnswered(11*time.Second, 10900*time.Millisecond)
+	const woken = 20 * time.Second
+	if got := presenceOf(t, d, "a", woken); got == Gone {
+		t.Errorf("without an answer since: %v", got)
+	}
+	// An answer that waited in a buffer during the pause was asked for before it.
+	d.StoreAnswered(woken, 11*time.Second)
+	if got := presenceOf(t, d, "a", woken); got == Gone {
+		t.Errorf("with an answer from before the pause: %v", got)
+	}
+	// So was what a relay told.
+	d.StoreHeard(woken, 11*time.Second, 0)
+	if got := presenceOf(t, d, "a", woken); got == Gone {
+		t.Errorf("with a reply from before the pause: %v", got)
+	}
+	d.StoreAnswered(woken, woken-time.Millisecond)
+	if got := presenceOf(t, d, "a", woken); got != Gone {
+		t.Errorf("with a fresh answer: %v", got)
+	}
+}
+
 // Guards against a complete list that leaves targets listed which it does not hold, and one that removes a target which
 // was written after the list was read.
 func TestCompleteList(t *testing.T) {
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -29,6 +29,7 @@
 // replyResult is the outcome of a report to another balancer.
 type replyResult struct {
 	to    netip.AddrPort
+	asked time.Duration // when the report was sent
 	reply *relay.Reply
 	err   error
 }
@@ -37,6 +38,7 @@
 type Exchange struct {
 	identity *peer.Identity
 	log      *logrus.Entry
+	clock    Clock
 	inbound  chan inbound
 	results  chan replyResult
 	stopped  chan netip.AddrPort
@@ -48,9 +50,9 @@
 const exchangeIncarnation = 1
 
 // NewExchange returns an exchange that is not connected to anyone.
-func NewExchange(host, dataCentre string, log *logrus.Entry) *Exchange {
+func NewExchange(host, dataCentre string, clock Clock, log *logrus.Entry) *Exchange {
 	return &Exchange{
-		identity: peer.NewIdentity(host, dataCentre, exchangeIncarnation), log: log,
+		identity: peer.NewIdentity(host, dataCentre, exchangeIncarnation), log: log, clock: clock,
 		inbound: make(chan inbound), results: make(chan replyResult), stopped: make(chan netip.AddrPort),
 		askers: map[netip.AddrPort]chan *relay.Report{},
 	}
@@ -111,7 +113,7 @@
 		var result replyResult
 		select {
 		case report := <-reports:
-			result = exchange(ctx, asker, to, report)
+			result = x.exchange(ctx, asker, to, report)
 		case <-time.After(askerIdle):
 			select {
 			case x.stopped <- to:
@@ -129,17 +131,18 @@
 	}
 }
 
-func exchange(ctx context.Context, asker *peer.Asker, to netip.AddrPort, report *relay.Report) replyResult {
+func (x *Exchange) exchange(ctx context.Context, asker *peer.Asker, to netip.AddrPort, report *relay.Report) replyResult {
+	result := replyResult{to: to, asked: x.clock()}
 	answer, err := asker.Ask(ctx, &peer.RelayReport{Report: *report})
 	if err != nil {
-		return replyResult{to: to, err: err}
+		result.err = err
+		return result
 	}
 	reply, ok := answer.(*peer.RelayReply)
 	if !ok {
-		return replyResult{to: to, err: resultcode.Errorf(resultcode.PeerFrame, answer.Type().String(), "not a reply")}
+		result.err = resultcode.Errorf(resultcode.PeerFrame, answer.Type().String(), "not a reply")
+		return result
 	}
-	if err := reply.Validate(); err != nil {
-		return replyResult{to: to, err: err}
-	}
-	return replyResult{to: to, reply: &reply.Reply}
+	result.reply, result.err = &reply.Reply, reply.Validate()
+	return result
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -12,6 +12,7 @@
 	read  directory.Read
 	batch directory.Batch
 	err   error
+	asked time.Duration // when it was sent
 	took  time.Duration
 }
 
@@ -47,7 +48,7 @@
 
 func (r *storeReader) read(ctx context.Context, next directory.Read) readResult {
 	started := r.clock()
-	result := readResult{read: next}
+	result := readResult{read: next, asked: started}
 	if next.Kind == directory.ReadWatch {
 		result.batch, result.err = r.source.Watch(ctx, next.After, next.Wait)
 	} else {
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -42,8 +42,8 @@
 	return newStoreReader(store, clock)
 }
 
-func provideExchange(s *settings.Direct, log *logrus.Entry) *Exchange {
-	return NewExchange(s.Host.Name, s.Host.DataCentre, log)
+func provideExchange(s *settings.Direct, clock Clock, log *logrus.Entry) *Exchange {
+	return NewExchange(s.Host.Name, s.Host.DataCentre, clock, log)
 }
 
 // timelineEvents is the number of events that a process keeps, at about 200 bytes each.
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -60,7 +60,7 @@
 		c.readFailed(r)
 		return
 	}
-	c.directory.StoreAnswered(now)
+	c.directory.StoreAnswered(now, r.asked)
 	if c.storeFailing {
 		c.storeFailing = false
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.took})
@@ -105,7 +105,8 @@
 
 func (c *Control) freshness(now time.Duration) relay.Freshness {
 	age, known := c.directory.Age(now)
-	return relay.Freshness{Known: known, Age: age, Steady: c.directory.Steady(now), Revision: c.directory.Revision()}
+	confirmed, steady := c.directory.Confirmed(now)
+	return relay.Freshness{Known: known, Age: age, Confirmed: confirmed, Steady: steady, Revision: c.directory.Revision()}
 }
 
 // reply answers the report of another host with what it does not know yet.
@@ -143,8 +144,9 @@
 	if len(reply.Changes.Changes) > 0 || reply.Changes.Configuration != nil {
 		c.apply(reply.Changes, reply.Host.Name, now)
 	}
-	// What the other host knows counts as the store's answer only when nothing of it is missing here.
+	// What the other host knows counts as the store's answer only when nothing of it is missing here. It is as old as the
+	// report that was answered: this process may have stood still since.
 	if f := reply.Freshness; f.Known && f.Revision <= c.directory.Revision() {
-		c.directory.StoreHeard(now-f.Age, now-f.Steady)
+		c.directory.StoreHeard(r.asked-f.Age, r.asked-f.Confirmed, f.Steady)
 	}
 }
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -26,7 +26,7 @@
 	ring := provideRing(s)
 	store := provideStore(s, entry)
 	directStoreReader := provideReader(store, clock)
-	directExchange := provideExchange(s, entry)
+	exchange := provideExchange(s, clock, entry)
 	directSettingsWatch := newSettingsWatch(path, entry)
 	directMetrics, err := newMetrics()
 	if err != nil {
@@ -43,7 +43,7 @@
 		Random:   rand,
 		Ring:     ring,
 		Reader:   directStoreReader,
-		Exchange: directExchange,
+		Exchange: exchange,
 		Watch:    directSettingsWatch,
 		Traffic:  traffic,
 		Metrics:  directMetrics,
@@ -57,7 +57,7 @@
 		Traffic:  traffic,
 		Store:    store,
 		Reader:   directStoreReader,
-		Exchange: directExchange,
+		Exchange: exchange,
 		Watch:    directSettingsWatch,
 		Operator: server,
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -20,10 +20,12 @@
 
 // Freshness tells how well the sender of a message knows the store.
 type Freshness struct {
-	Known    bool          // it has read the store, or heard from one that has
-	Age      time.Duration // since the store's last answer
-	Steady   time.Duration // since the last break in the store's answers
-	Revision uint64        // up to which every change is known
+	Known bool          // it has read the store, or heard from one that has
+	Age   time.Duration // since the store's last answer
+	// Confirmed is the time since the last read was sent that the store answered, and Steady for how long it had answered
+	// without a break before that.
+	Confirmed, Steady time.Duration
+	Revision          uint64 // up to which every change is known
 }
 
 // Report is what a balancer tells a relay.
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -53,7 +53,7 @@
 		h.Address.IsValid() && h.Address.Port() != 0 && h.Weight > 0 && !math.IsInf(h.Weight, 0)
 }
 
-func (k *Freshness) valid() bool { return k.Age >= 0 && k.Steady >= 0 }
+func (k *Freshness) valid() bool { return k.Age >= 0 && k.Confirmed >= 0 && k.Steady >= 0 }
 
 // validChange reports whether a change describes a target, or the removal of one that was or was not known.
 func validChange(c *directory.Change) bool {
