--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -98,6 +98,7 @@
 	timer := time.NewTimer(pruneInterval)
 	defer timer.Stop()
 	for c.state != stateStopped {
+		c.traffic.Turn(c.clock())
 		c.readStore()
 		timer.Reset(c.untilNext())
 		select {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -42,6 +42,7 @@
 	{steer.Drop, resultcode.TargetGone},
 	{steer.Drop, resultcode.PacketUnknownFlow},
 	{steer.Drop, resultcode.NotReady},
+	{steer.Drop, resultcode.PacketFenced},
 	{steer.Drop, resultcode.PacketTruncated},
 	{steer.Drop, resultcode.PacketMalformed},
 	{steer.Drop, resultcode.PacketOversized},
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -21,6 +21,10 @@
 // loadInterval is how often loads are collected for other balancers. It is below the time between two reports.
 const loadInterval = 100 * time.Millisecond
 
+// pauseLimit is the age of the control goroutine's last turn at which this process counts as having stood still: callers
+// give up opening a flow after 1.4 s.
+const pauseLimit = 1400 * time.Millisecond
+
 // Traffic forwards packets in one goroutine.
 type Traffic struct {
 	conn    *udpbatch.Conn
@@ -40,6 +44,7 @@
 	reported   time.Duration                    // when own was written
 	batches    uint64
 	lastPacket atomic.Int64
+	lastTurn   atomic.Int64 // of the control goroutine
 }
 
 // NewTraffic opens the socket for callers' packets.
@@ -65,6 +70,9 @@
 // LastPacket returns when the last packet arrived.
 func (t *Traffic) LastPacket() time.Duration { return time.Duration(t.lastPacket.Load()) }
 
+// Turn notes that the control goroutine runs.
+func (t *Traffic) Turn(now time.Duration) { t.lastTurn.Store(int64(now)) }
+
 // Loads returns what the engine has seen of targets, at most loadInterval ago while packets arrive.
 func (t *Traffic) Loads() []directory.Load {
 	if own := t.own.Load(); own != nil {
@@ -95,6 +103,7 @@
 func (t *Traffic) batch(n int) {
 	now := t.clock()
 	t.lastPacket.Store(int64(now))
+	t.engine.SetFenced(now-time.Duration(t.lastTurn.Load()) > pauseLimit)
 	if v := t.view.Load(); v != nil && v != t.engine.View() {
 		t.engine.SetView(v)
 	}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -37,6 +37,8 @@
 	order []FlowKey // flows in the order of their opening, for expiry
 	loads map[string]*load
 	view  *View
+	// fenced drops opening packets, because this process stood still and may act on an old view.
+	fenced bool
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
@@ -64,6 +66,10 @@
 	}
 }
 
+// SetFenced tells whether the process stood still for so long that waiting opening packets are of no use: their callers have
+// given up or sent copies elsewhere. Packets of open flows are forwarded all the same.
+func (e *Engine) SetFenced(fenced bool) { e.fenced = fenced }
+
 // View returns the view in force, or nil.
 func (e *Engine) View() *View { return e.view }
 
@@ -75,10 +81,13 @@
 	if e.view == nil {
 		return Decision{Action: Drop, Code: resultcode.NotReady}
 	}
-	if p.Open {
-		return e.open(p, now)
+	switch {
+	case !p.Open:
+		return e.carry(p, now)
+	case e.fenced:
+		return Decision{Action: Drop, Code: resultcode.PacketFenced}
 	}
-	return e.carry(p, now)
+	return e.open(p, now)
 }
 
 // carry forwards a packet of an open flow to the target that its token names, whatever the configuration in force says:
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -118,6 +118,24 @@
 	}
 }
 
+// Guards against opening packets that waited while the process stood still and are placed although their callers have
+// given up or opened the flow elsewhere, and against packets of open flows that are lost with them.
+func TestFencedAfterPause(t *testing.T) {
+	e := engine(five(local)...)
+	token := e.Decide(opening(1), 0).Target.Token
+	e.SetFenced(true)
+	if d := e.Decide(opening(2), 5*time.Second); d.Action != Drop || d.Code != resultcode.PacketFenced {
+		t.Errorf("opening packet: %v, %v", d.Action, d.Code)
+	}
+	if d := e.Decide(data(1, token, 1), 5*time.Second); d.Action != Forward {
+		t.Errorf("packet of an open flow: %v, %v", d.Action, d.Code)
+	}
+	e.SetFenced(false)
+	if d := e.Decide(opening(2), 5*time.Second); d.Action != Forward {
+		t.Errorf("after the pause: %v, %v", d.Action, d.Code)
+	}
+}
+
 // Guards against two targets that answer the same opening packet: its copies go to the target of the first one, at the
 // same balancer and, while loads are equal, at any other.
 func TestCopiesFollowOpening(t *testing.T) {
