--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 BIN ?= bin
 OUT ?= out
 SEED ?= 1
+SEEDS ?= 10
 NAME ?= replace
 
-.PHONY: build test race demo bench experiment capacity generate lint fuzz clean
+.PHONY: build test race soak demo bench experiment capacity generate lint fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -19,6 +20,10 @@
 race:
 	go test -race -timeout 30m -skip '$(SKIP)' ./...
 
+# Faults injected into real processes; the seeds that failed once come first.
+soak:
+	go test -count=1 -timeout 0 ./integration -run 'TestSoak$$' -soak.regressions -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 demo: build
 	$(BIN)/marigoldwood-experiment demo --bin $(BIN) --out $(OUT) --seed $(SEED)
 
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -37,6 +37,7 @@
 	port    uint16 // at which callers receive
 	resets  [batchPackets][platform.HeaderBytes]byte
 
+	first      chan struct{} // closed with the first view
 	view       atomic.Pointer[steer.View]
 	own        atomic.Pointer[[]directory.Load] // loads that the engine has seen
 	others     atomic.Pointer[[]directory.Load] // loads that other balancers have seen
@@ -58,11 +59,16 @@
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
 		engine: steer.NewEngine(), clock: clock, log: newDecisionLog(log), metrics: m, port: listen.Port(),
+		first: make(chan struct{}),
 	}, nil
 }
 
-// SetView puts a view in force with the next batch of packets.
-func (t *Traffic) SetView(v *steer.View) { t.view.Store(v) }
+// SetView puts a view in force with the next batch of packets. Only the control goroutine may call it.
+func (t *Traffic) SetView(v *steer.View) {
+	if t.view.Swap(v) == nil {
+		close(t.first)
+	}
+}
 
 // View returns the view in force, or nil.
 func (t *Traffic) View() *steer.View { return t.view.Load() }
@@ -88,6 +94,7 @@
 func (t *Traffic) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
 	defer stop()
+	t.awaitView(ctx)
 	for {
 		n, err := t.reader.Read()
 		if ctx.Err() != nil {
@@ -100,6 +107,17 @@
 	}
 }
 
+// awaitView lets packets wait in the socket for the first view, as long as that is of use to their callers.
+func (t *Traffic) awaitView(ctx context.Context) {
+	timer := time.NewTimer(pauseLimit)
+	defer timer.Stop()
+	select {
+	case <-t.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (t *Traffic) batch(n int) {
 	now := t.clock()
 	t.lastPacket.Store(int64(now))
