List the store page by page, and go on with the page that failed

Before, one refused call began the whole list anew, which never ends when many hosts start before a store that limits calls. TestListGoesOnAfterRefusedCalls fails without it. A host also waits up to 3 s for its relay's list when the list has many pages.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -11,12 +11,19 @@
 // Source is a store that can be listed and watched. Errors are of type *resultcode.Error; PlatformHistoryGone tells
 // that a watch cannot go on from the revision that it was given.
 type Source interface {
-	// List reads every record. A read that may be stale is cheaper, and may miss the changes of some seconds.
-	List(ctx context.Context, stale bool) (Batch, error)
+	// List reads the records of one page. The first page is the one after "". A read that may be stale is cheaper, and may
+	// miss the changes of some seconds.
+	List(ctx context.Context, page string, stale bool) (Page, error)
 	// Watch waits up to wait for changes after the revision and returns them, or none.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
+// Page is a part of a list.
+type Page struct {
+	Batch        // of a list that is complete when it has one page
+	Next  string // the page after this one, "" after the last
+}
+
 const (
 	// watchWait is the longest wait of one watch. A connection that has gone silent is noticed after it and the timeout
 	// of the client.
@@ -49,6 +56,7 @@
 // Read is the next read of the store.
 type Read struct {
 	Kind  ReadKind
+	Page  string        // of a list or an audit
 	After uint64        // of a watch
 	Wait  time.Duration // of a watch
 	Delay time.Duration // before the read
@@ -66,6 +74,9 @@
 	failures int
 	audited  time.Duration
 	pause    bool
+	page     string // next page of the list or audit that is under way, "" for none
+	auditing bool
+	pages    Batch // of the list that is under way
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -74,21 +85,25 @@
 // Resume lets the next read be a watch from a revision up to which every change is known from elsewhere.
 func (f *Follower) Resume(after uint64) {
 	if after > f.after {
-		f.listed, f.after = true, after
+		f.listed, f.after, f.pages = true, after, Batch{}
+		f.page, f.auditing = "", false
 	}
 }
 
-// Next returns the next read.
+// Paging reports whether a list is under way that has further pages.
+func (f *Follower) Paging() bool { return f.page != "" && !f.auditing }
+
+// Next returns the next read. A list that failed goes on with the page that failed.
 func (f *Follower) Next(now time.Duration) Read {
-	r := Read{Kind: ReadList, Delay: f.delay()}
-	if !f.listed {
-		return r
+	delay := f.delay()
+	switch {
+	case !f.listed:
+		return Read{Kind: ReadList, Page: f.page, Delay: delay}
+	case f.auditing || now-f.audited >= auditInterval:
+		f.auditing = true
+		return Read{Kind: ReadAudit, Page: f.page, Delay: delay}
 	}
-	if now-f.audited >= auditInterval {
-		f.audited = now
-		return Read{Kind: ReadAudit, Delay: r.Delay}
-	}
-	return Read{Kind: ReadWatch, After: f.after, Wait: watchWait, Delay: r.Delay}
+	return Read{Kind: ReadWatch, After: f.after, Wait: watchWait, Delay: delay}
 }
 
 // delay doubles with each failure up to retryMax; half of it is random, so that hosts do not read in step.
@@ -103,30 +118,65 @@
 	return d/2 + time.Duration(f.random.Int64N(int64(d/2)+1))
 }
 
-// Done notes the outcome of a read. The result reports whether the batch is to be applied.
-func (f *Follower) Done(now time.Duration, r Read, b Batch, err error) (apply bool) {
+// Done notes the outcome of a read. It returns the batch to apply, and false when there is none. The page of a watch has
+// no next one.
+func (f *Follower) Done(now time.Duration, r Read, p Page, err error) (Batch, bool) {
 	f.pause = false
 	if err != nil {
-		f.failures++
-		if resultcode.Of(err) == resultcode.PlatformHistoryGone {
-			f.listed, f.failures = false, 0
-		}
-		return false
+		f.failed(now, r, err)
+		return Batch{}, false
 	}
 	f.failures = 0
 	switch r.Kind {
 	case ReadList:
-		f.listed, f.after, f.audited = true, b.Revision, now
-	case ReadWatch:
-		f.after = max(f.after, b.Revision)
-		f.pause = len(b.Changes) > 0 || b.Configuration != nil
+		return f.listPage(now, r, p)
 	case ReadAudit:
-		if newest(b) > f.after {
-			f.listed = false // the watch has missed a change
-		}
-		return false
+		f.auditPage(now, p)
+		return Batch{}, false
+	}
+	f.after = max(f.after, p.Revision)
+	f.pause = len(p.Changes) > 0 || p.Configuration != nil
+	return p.Batch, true
+}
+
+func (f *Follower) failed(now time.Duration, r Read, err error) {
+	f.failures++
+	if resultcode.Of(err) == resultcode.PlatformHistoryGone {
+		f.listed, f.failures = false, 0
+	}
+	if r.Kind == ReadAudit { // the next audit starts anew
+		f.auditing, f.page, f.audited = false, "", now
+	}
+}
+
+// listPage collects the pages of a list. The revision of the first one counts, because pages are no snapshot: changes that
+// were made meanwhile come with the watch.
+func (f *Follower) listPage(now time.Duration, r Read, p Page) (Batch, bool) {
+	if r.Page == "" {
+		f.pages = Batch{Complete: true, Revision: p.Revision}
+	}
+	f.pages.Changes = append(f.pages.Changes, p.Changes...)
+	if p.Configuration != nil {
+		f.pages.Configuration = p.Configuration
+	}
+	if f.page = p.Next; f.page != "" {
+		return Batch{}, false
+	}
+	batch := f.pages
+	f.pages = Batch{}
+	f.listed, f.after, f.audited = true, batch.Revision, now
+	return batch, true
+}
+
+// auditPage compares a page with what is known, and starts a list when the watch has missed a change.
+func (f *Follower) auditPage(now time.Duration, p Page) {
+	f.page = p.Next
+	if newest(p.Batch) > f.after {
+		f.listed, f.page = false, ""
+	}
+	if f.page == "" {
+		f.auditing, f.audited = false, now
 	}
-	return true
 }
 
 // newest returns the highest revision of the records in a batch.
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -1,7 +1,10 @@
 package directory
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +17,8 @@
 	changes  []Change
 	dropped  uint64 // history up to it is gone
 	deaf     bool   // watches hear nothing
+	pageSize int    // records of a page, 0 for all
+	failing  int    // calls that fail from now on
 }
 
 func (s *fakeStore) write(name string) {
@@ -21,14 +26,18 @@
 	s.changes = append(s.changes, listed(name, s.revision))
 }
 
-func (s *fakeStore) answer(r Read) (Batch, error) {
+func (s *fakeStore) answer(r Read) (Page, error) {
+	if s.failing > 0 {
+		s.failing--
+		return Page{}, resultcode.Errorf(resultcode.PlatformUnavailable, "", "too many calls")
+	}
 	if r.Kind != ReadWatch {
-		return Batch{Complete: true, Revision: s.revision, Changes: s.changes}, nil
+		return s.list(r.Page), nil
 	}
 	if r.After < s.dropped {
-		return Batch{}, resultcode.Errorf(resultcode.PlatformHistoryGone, "watch", "gone")
+		return Page{}, resultcode.Errorf(resultcode.PlatformHistoryGone, "watch", "gone")
 	}
-	var b Batch
+	var b Page
 	if s.deaf {
 		return b, nil
 	}
@@ -40,6 +49,26 @@
 	return b, nil
 }
 
+// list returns a page of the newest record of each name.
+func (s *fakeStore) list(page string) Page {
+	newest := map[string]Change{}
+	for _, c := range s.changes {
+		newest[c.Name] = c
+	}
+	p := Page{Batch: Batch{Complete: true, Revision: s.revision}}
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		if name <= page {
+			continue
+		}
+		if s.pageSize > 0 && len(p.Changes) == s.pageSize {
+			p.Next = p.Changes[len(p.Changes)-1].Name
+			break
+		}
+		p.Changes = append(p.Changes, newest[name])
+	}
+	return p
+}
+
 // reader plays a follower against a fake store.
 type reader struct {
 	f     *Follower
@@ -47,6 +76,8 @@
 	now   time.Duration
 	known uint64
 	reads int
+	// listed is the number of records of the last batch.
+	listed int
 }
 
 func newReader() *reader {
@@ -62,7 +93,8 @@
 	}
 	r.now += 4 * time.Millisecond
 	r.reads++
-	if r.f.Done(r.now, next, b, err) {
+	if b, ok := r.f.Done(r.now, next, b, err); ok {
+		r.listed = len(b.Changes)
 		for _, c := range b.Changes {
 			r.known = max(r.known, c.Revision)
 		}
@@ -120,7 +152,7 @@
 			t.Fatalf("pause %v before read %d", r.Delay, reads)
 		}
 		now += r.Delay
-		f.Done(now, r, Batch{}, failed)
+		f.Done(now, r, Page{}, failed)
 	}
 	if now < 100*retryMax/2*9/10 {
 		t.Fatalf("100 reads in %v", now)
@@ -141,3 +173,36 @@
 		t.Fatalf("%d reads in %v", n, r.now-started)
 	}
 }
+
+// Replays the start of many hosts at once before a store that limits calls. Guards against a list that begins anew after each
+// call that was refused and so never ends, and against one that is taken for complete before its last page.
+func TestListGoesOnAfterRefusedCalls(t *testing.T) {
+	r := newReader()
+	r.store.pageSize = 10
+	for i := range 95 {
+		r.store.write(fmt.Sprintf("t-%02d", i))
+	}
+	pages := 0
+	for ; r.known == 0; pages++ {
+		if pages%2 == 1 {
+			r.store.failing = 1 // every second call is refused
+		}
+		if pages > 25 {
+			t.Fatal("the list does not end")
+		}
+		r.read()
+	}
+	if r.listed != 95 || pages < 10 {
+		t.Errorf("%d records after %d calls", r.listed, pages)
+	}
+	for range 20 { // an audit of many pages finds nothing, and watches go on
+		r.read()
+	}
+	r.store.write("t-00")
+	for reads := 0; r.known < r.store.revision; reads++ {
+		if reads > 20 {
+			t.Fatal("a change is not noticed")
+		}
+		r.read()
+	}
+}
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -10,7 +10,7 @@
 // readResult is the outcome of a read of the store.
 type readResult struct {
 	read  directory.Read
-	batch directory.Batch
+	page  directory.Page
 	err   error
 	asked time.Duration // when it was sent
 	took  time.Duration
@@ -50,9 +50,9 @@
 	started := r.clock()
 	result := readResult{read: next, asked: started}
 	if next.Kind == directory.ReadWatch {
-		result.batch, result.err = r.source.Watch(ctx, next.After, next.Wait)
+		result.page.Batch, result.err = r.source.Watch(ctx, next.After, next.Wait)
 	} else {
-		result.batch, result.err = r.source.List(ctx, next.Kind == directory.ReadAudit)
+		result.page, result.err = r.source.List(ctx, next.Page, next.Kind == directory.ReadAudit)
 	}
 	result.took = r.clock() - started
 	return result
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -11,6 +11,10 @@
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
+// relayWait is how long after its start a host waits for the relay's list when the store's list has many pages: if all hosts
+// start at once, the store cannot give all of it to each.
+const relayWait = 3 * time.Second
+
 // sourceStore names the store in the log; a peer is named by its host.
 const sourceStore = "store"
 
@@ -30,15 +34,15 @@
 }
 
 func (c *Control) mustRead(now time.Duration) bool {
-	if !c.directory.Ready() {
-		return true
-	}
 	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, c.isFresh(now), c.leaving())
 	own := host.Name == c.settings.Host.Name
 	if own != c.isRelay {
 		c.isRelay = own
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": c.isFresh(now)})
 	}
+	if !c.directory.Ready() && !own && c.follower.Paging() && now < relayWait {
+		return false
+	}
 	return own || !c.isFresh(now)
 }
 
@@ -55,7 +59,7 @@
 	now := c.clock()
 	c.reading = false
 	c.metrics.read(r)
-	apply := c.follower.Done(now, r.read, r.batch, r.err)
+	batch, apply := c.follower.Done(now, r.read, r.page, r.err)
 	if r.err != nil {
 		c.readFailed(r)
 		return
@@ -66,7 +70,7 @@
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.took})
 	}
 	if apply {
-		c.apply(r.batch, sourceStore, now)
+		c.apply(batch, sourceStore, now)
 	}
 }
 
