--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -187,6 +187,23 @@
 	}
 }
 
+// Replays the end of a cut between this data centre and the store: the records of its own targets lapsed meanwhile, those of
+// another data centre did not. Guards against flows that all leave the data centre until the records are back.
+func TestLapsedTargetsOfOwnDataCentre(t *testing.T) {
+	var targets []directory.Known
+	for i := range 5 {
+		k := known(i+1, local)
+		k.Presence = directory.Lapsed
+		targets = append(targets, k, known(i+11, remote))
+	}
+	e := engine(targets...)
+	for n := range 20 {
+		if d := e.Decide(opening(n), 0); d.Target.DataCentre != local {
+			t.Fatalf("flow %d goes to %s", n, d.Target.DataCentre)
+		}
+	}
+}
+
 // Guards against two targets under one token: flows of the older one must stay there, and the newer one gets none.
 func TestTokenCollision(t *testing.T) {
 	older, newer := known(1, local), known(1, local)
--- a/steer/view.go
+++ b/steer/view.go
@@ -18,11 +18,10 @@
 
 // View is what packets are decided by. It is immutable.
 type View struct {
-	Version uint64
-	routes  map[directory.Endpoint]*directory.Route
-	tokens  map[directory.Token]*Target
-	pools   map[string]*pool
-	// removed holds endpoints whose route was removed.
+	Version  uint64
+	routes   map[directory.Endpoint]*directory.Route
+	tokens   map[directory.Token]*Target
+	pools    map[string]*pool
 	snapshot *directory.Snapshot
 }
 
@@ -34,8 +33,8 @@
 	lapsed []*Target
 }
 
-// lapsedShare is the part of a service's targets that must be left before lapsed ones stay unused: when the store loses
-// most records at once, the store and not the targets are the likely cause.
+// lapsedShare is the part of a service's targets in a data centre that must be left before lapsed ones stay unused: when the
+// store loses most records at once, the store or the way to it and not the targets are the likely cause.
 const lapsedShare = 0.5
 
 // NewView builds a view for a balancer in the data centre.
@@ -107,19 +106,24 @@
 	}
 }
 
-// restoreLapsed uses lapsed targets when too few others are left.
+// restoreLapsed uses the lapsed targets of this data centre, or those of the others, when too few are left there.
 func (p *pool) restoreLapsed(dataCentre string) {
-	ready := len(p.local) + len(p.remote)
-	if float64(ready) >= lapsedShare*float64(ready+len(p.lapsed)) {
-		return
-	}
+	var local, remote []*Target
 	for _, t := range p.lapsed {
 		if t.DataCentre == dataCentre {
-			p.local = append(p.local, t)
+			local = append(local, t)
 		} else {
-			p.remote = append(p.remote, t)
+			remote = append(remote, t)
 		}
 	}
+	p.local, p.remote = withLapsed(p.local, local), withLapsed(p.remote, remote)
+}
+
+func withLapsed(ready, lapsed []*Target) []*Target {
+	if float64(len(ready)) >= lapsedShare*float64(len(ready)+len(lapsed)) {
+		return ready
+	}
+	return append(ready, lapsed...)
 }
 
 // Snapshot returns what the view was built from.
