--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -189,3 +189,23 @@
 		t.Errorf("relay is %s", r.Name)
 	}
 }
+
+// Guards against messages that grow with the targets of the fleet: only those with waiting requests matter for placement.
+func TestLoadsAreBounded(t *testing.T) {
+	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
+	f.Ask(true, false, time.Second)
+	var own []directory.Load
+	for i := range 5000 {
+		own = append(own, directory.Load{Token: directory.Token(i + 1), Pending: uint16(i % 100), Open: 9, Suspect: i == 0})
+	}
+	got := f.LoadsFor("other", "a", own, time.Second)
+	if len(got) != maxLoads || got[0].Pending != 99 {
+		t.Errorf("%d loads, the first with %d waiting", len(got), got[0].Pending)
+	}
+	report, _ := f.LoadsOf(netip.MustParseAddrPort("127.0.0.1:1"), own[:101], time.Second)
+	for _, l := range report {
+		if l.Pending == 0 && !l.Suspect {
+			t.Errorf("an idle target is told of: %+v", l)
+		}
+	}
+}
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -13,8 +13,8 @@
 const (
 	// loadAge is how long reported loads count, beside the time between two reports.
 	loadAge = time.Second
-	// maxLoads bounds the loads of one message to the busiest targets.
-	maxLoads = 256
+	// maxLoads bounds the loads of one message to the busiest targets: others are as good as idle.
+	maxLoads = 64
 )
 
 // loads were told at a time.
@@ -46,7 +46,9 @@
 			return f.LoadsFor(m.host.Name, m.host.DataCentre, own, now), true
 		}
 	}
-	return own, false
+	var sum loadSum
+	sum.add(own)
+	return sum.list(), false
 }
 
 // Others returns the loads that all other hosts have seen.
@@ -102,8 +104,10 @@
 
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
-// list returns the busiest targets first, within the bound of a message.
+// list returns the busiest targets first, within the bound of a message. Targets without waiting requests are left out,
+// unless they are suspect.
 func (s *loadSum) list() []directory.Load {
+	maps.DeleteFunc(*s, func(_ directory.Token, l directory.Load) bool { return l.Pending == 0 && !l.Suspect })
 	loads := slices.SortedFunc(maps.Values(*s), func(a, b directory.Load) int {
 		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
 	})
