Take no end of a flow by its caller for a sign of life, and forget requests that moved to another balancer

A caller that gave up cleared the suspicion of its silent target. After a change of the rotation a balancer went on counting the requests of flows that it no longer carried, for up to 15 s. Both found by reading the code; TestEndByCallerIsNoAnswer and TestMovedFlowsDoNotWaitHere failed before.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -15,6 +15,9 @@
 	// flowRetention is how long a flow without packets is remembered. A forgotten flow loses nothing but its part in the
 	// load estimate.
 	flowRetention = 15 * time.Second
+	// waitRetention is how long a request is waited for without a packet of its flow: callers repeat packets after up to
+	// 1.6 s, so the flow is then carried by another balancer.
+	waitRetention = 3500 * time.Millisecond
 	// sweepBatch is the number of flows looked at for expiry with each opening packet.
 	sweepBatch = 4
 )
@@ -117,19 +120,9 @@
 		return Decision{Action: Refuse, Code: resultcode.PacketUnknownEndpoint}
 	}
 	key := p.Flow()
-	known, found := e.flows[key]
-	var suspected *Target
-	if found && !known.opened && now-known.since < openingRetention {
-		if t := e.view.Resolve(known.token); t != nil && t.Presence <= directory.Lapsed {
-			if now-known.since >= silenceAfter && !known.reported {
-				known.reported = true
-				e.flows[key] = known
-				suspected = t.load.silent(t, now)
-			}
-			if !t.load.suspect(now) {
-				return Decision{Action: Forward, Target: t, Suspected: suspected}
-			}
-		}
+	first, suspected := e.firstTarget(key, now)
+	if first != nil {
+		return Decision{Action: Forward, Target: first, Suspected: suspected}
 	}
 	e.forget(key)
 	t := e.view.pick(route, key, now)
@@ -141,6 +134,28 @@
 	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
 }
 
+// firstTarget returns the target that an earlier copy of an opening packet went to, or nil when there is none or it is
+// suspect. It also returns the target when this copy is the evidence that makes it suspect.
+func (e *Engine) firstTarget(key FlowKey, now time.Duration) (first, suspected *Target) {
+	f, found := e.flows[key]
+	if !found || f.opened || now-f.since >= openingRetention {
+		return nil, nil
+	}
+	t := e.view.Resolve(f.token)
+	if t == nil || t.Presence > directory.Lapsed {
+		return nil, nil
+	}
+	if now-f.since >= silenceAfter && !f.reported {
+		f.reported = true
+		e.flows[key] = f
+		suspected = t.load.silent(t, now)
+	}
+	if t.load.suspect(now) {
+		return nil, suspected
+	}
+	return t, suspected
+}
+
 func (e *Engine) remember(key FlowKey, f flowState) {
 	if len(e.flows) >= MaxFlows {
 		return
@@ -169,10 +184,15 @@
 		f, found := e.flows[key]
 		switch {
 		case !found:
-		case now-f.last > flowRetention, !f.opened && now-f.last > openingRetention:
+		case f.expired(now):
 			e.forget(key)
 		default:
 			e.order = append(e.order, key)
 		}
 	}
 }
+
+func (f *flowState) expired(now time.Duration) bool {
+	quiet := now - f.last
+	return quiet > flowRetention || f.waiting && quiet > waitRetention || !f.opened && quiet > openingRetention
+}
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -253,6 +253,46 @@
 	t.Error("a target that answers again gets no flows")
 }
 
+// Guards against a caller that gives up and is taken for a sign of life of its target.
+func TestEndByCallerIsNoAnswer(t *testing.T) {
+	for name, last := range map[string]Packet{"finish": {Finish: true}, "reset": {Reset: true}} {
+		e, now := engine(known(1, local)), 10*time.Second
+		var suspected *Target
+		for n := range silentFlows {
+			token := e.Decide(opening(n), now).Target.Token
+			suspected = e.Decide(opening(n), now+200*time.Millisecond).Suspected
+			last.Caller, last.Endpoint, last.Token = caller(n), endpoint, token
+			e.Decide(&last, now+300*time.Millisecond)
+		}
+		if suspected == nil {
+			t.Errorf("%s: the silent target is not suspect", name)
+		}
+	}
+}
+
+// Replays a change of the rotation: requests are answered through other balancers. Guards against load that a balancer goes
+// on seeing on a target for flows that it no longer carries.
+func TestMovedFlowsDoNotWaitHere(t *testing.T) {
+	e, now := engine(five(local)...), 10*time.Second
+	for n := range 50 {
+		token := e.Decide(opening(n), now).Target.Token
+		answered(e, n, token, now)
+		e.Decide(data(n, token, 1), now)
+	}
+	for n := 50; n < 350; n++ { // opening packets let the engine look at old flows
+		now += 20 * time.Millisecond
+		token := e.Decide(opening(n), now).Target.Token
+		answered(e, n, token, now)
+	}
+	waiting := 0
+	for _, l := range e.Loads(now) {
+		waiting += int(l.Pending)
+	}
+	if waiting > 0 {
+		t.Errorf("%d requests wait 6 s after the flows moved away", waiting)
+	}
+}
+
 // Guards against a suspicion of every target, for example when the balancer's own link fails, that empties a service.
 func TestAllSuspect(t *testing.T) {
 	e := engine(five(local)...)
--- a/steer/load.go
+++ b/steer/load.go
@@ -99,7 +99,8 @@
 	switch {
 	case p.Reset || p.Finish:
 		if found {
-			t.load.alive(now)
+			f.acknowledged(p, t, now)
+			e.flows[key] = f
 			e.forget(key)
 		}
 		return
@@ -134,7 +135,7 @@
 
 // acknowledged takes in what the caller has received of the target.
 func (f *flowState) acknowledged(p *Packet, t *Target, now time.Duration) {
-	if !p.Acknowledges || int32(p.Acknowledgement-f.received) <= 0 {
+	if !f.opened || !p.Acknowledges || int32(p.Acknowledgement-f.received) <= 0 {
 		return
 	}
 	f.received = p.Acknowledgement
