Show work that waits for a service in the metrics, and say when a queue has lasted

Requests without a packet for 1 s no longer count as waiting here: callers repeat after 200 and 600 ms. Before, hosts that had started again saw 290 waiting requests for 42 slots 2 s later, of flows that had moved on.

--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -46,6 +46,7 @@
 	directory *directory.Directory
 	follower  *directory.Follower
 	fleet     *relay.Fleet
+	queues    *steer.QueueWatch
 	chart     *chart.Chart
 	reader    *storeReader
 	exchange  *Exchange
@@ -85,9 +86,10 @@
 	s := p.Settings
 	self := relay.Host{Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Address(), Weight: s.Host.Weight}
 	c := &Control{
-		settings: s, log: p.Log, clock: p.Clock, ring: p.Ring, questions: make(chan func()), lostPeers: map[netip.AddrPort]bool{}, directory: directory.New(), follower: directory.NewFollower(p.Random),
-		fleet: relay.NewFleet(self, s.Peers.Seeds), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange,
-		watch: p.Watch, traffic: p.Traffic, metrics: p.Metrics,
+		settings: s, log: p.Log, clock: p.Clock, ring: p.Ring, questions: make(chan func()),
+		directory: directory.New(), follower: directory.NewFollower(p.Random), fleet: relay.NewFleet(self, s.Peers.Seeds),
+		queues: steer.NewQueueWatch(), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange, watch: p.Watch,
+		traffic: p.Traffic, metrics: p.Metrics, lostPeers: map[netip.AddrPort]bool{},
 	}
 	c.enter(c.chart.Initial())
 	return c
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -28,6 +28,7 @@
 	flows   atomic.Int64
 	version atomic.Uint64
 	age     atomic.Int64 // ms
+	queues  atomic.Pointer[[]steer.Queue]
 	batches metric.Float64Histogram
 	reads   metric.Float64Histogram
 	answers metric.Float64Histogram
@@ -103,6 +104,15 @@
 		observed[g] = value
 		observables = append(observables, g)
 	}
+	waiting, err := meter.Int64ObservableGauge(telemetry.DirectWaiting.Name, metric.WithDescription(telemetry.DirectWaiting.Help))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	slots, err := meter.Int64ObservableGauge(telemetry.DirectSlots.Name, metric.WithDescription(telemetry.DirectSlots.Help))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	observables = append(observables, waiting, slots)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for k, n := range m.packets {
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
@@ -111,6 +121,13 @@
 		for g, value := range observed {
 			o.ObserveInt64(g, value())
 		}
+		if queues := m.queues.Load(); queues != nil {
+			for _, q := range *queues {
+				service := metric.WithAttributes(attribute.String("service", q.Service))
+				o.ObserveInt64(waiting, int64(q.Waiting), service)
+				o.ObserveInt64(slots, int64(q.Slots), service)
+			}
+		}
 		return nil
 	}, observables...)
 	return Error.Wrap(err)
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -6,8 +6,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/steer"
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
@@ -98,7 +100,9 @@
 		report.Loads, report.Centre = c.fleet.LoadsOf(to, c.traffic.Loads(), now)
 		c.exchange.Ask(ctx, to, report)
 	}
-	c.traffic.SetOthers(c.fleet.Others(now))
+	others := c.fleet.Others(now)
+	c.traffic.SetOthers(others)
+	c.watchQueues(others, now)
 	if age, known := c.directory.Age(now); known {
 		c.metrics.age.Store(age.Milliseconds())
 	}
@@ -154,3 +158,20 @@
 		c.directory.StoreHeard(r.asked-f.Age, r.asked-f.Confirmed, f.Steady)
 	}
 }
+
+// watchQueues shows how much work waits for each service, and says when a queue has lasted.
+func (c *Control) watchQueues(others []directory.Load, now time.Duration) {
+	view := c.traffic.View()
+	if view == nil {
+		return
+	}
+	queues := steer.Queues(view.Snapshot(), c.traffic.Loads(), others)
+	c.metrics.queues.Store(&queues)
+	for _, e := range c.queues.Update(queues, now) {
+		kind, level := "queue-gone", logrus.InfoLevel
+		if e.Grown {
+			kind, level = "queue-grown", logrus.WarnLevel
+		}
+		c.record(level, timeline.Event{Kind: kind, Service: e.Service}, logrus.Fields{"waiting": e.Waiting, "slots": e.Slots, "for": e.For})
+	}
+}
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -11,10 +11,12 @@
 	DirectReads   = Instrument{"marigoldwood_store_read_seconds", "s", "histogram of the time of reads of the store, by kind and result code"}
 	DirectAnswers = Instrument{"marigoldwood_open_seconds", "s", "histogram of the time from the opening packet of a flow to the caller's answer to the target"}
 	DirectAge     = Instrument{"marigoldwood_platform_age", "ms", "time since the store answered this host or the relay that it follows; -1 when never"}
+	DirectWaiting = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
+	DirectSlots   = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
 	DirectVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
 // DirectInstruments lists the metrics of a balancer whose targets answer callers directly.
 func DirectInstruments() []Instrument {
-	return []Instrument{DirectPackets, DirectFlows, DirectBatches, DirectReads, DirectAnswers, DirectAge, DirectVersion}
+	return []Instrument{DirectPackets, DirectFlows, DirectBatches, DirectReads, DirectAnswers, DirectAge, DirectWaiting, DirectSlots, DirectVersion}
 }
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -15,9 +15,9 @@
 	// flowRetention is how long a flow without packets is remembered. A forgotten flow loses nothing but its part in the
 	// load estimate.
 	flowRetention = 15 * time.Second
-	// waitRetention is how long a request is waited for without a packet of its flow: callers repeat packets after up to
-	// 1.6 s, so the flow is then carried by another balancer.
-	waitRetention = 3500 * time.Millisecond
+	// waitRetention is how long a request is waited for without a packet of its flow: callers repeat unanswered data after
+	// 200 and 600 ms, so the flow is then carried by another balancer.
+	waitRetention = time.Second
 	// sweepBatch is the number of flows looked at for expiry with each opening packet.
 	sweepBatch = 4
 )
