--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -48,6 +48,9 @@
 // Run runs the balancer with the settings that were read from path until ctx ends, and then shuts it down gracefully. The
 // log goes to out.
 func Run(ctx context.Context, path string, s *settings.Direct, out io.Writer) error {
+	if err := platform.CheckForwarding(s.Platform.Forwarding); err != nil {
+		return err
+	}
 	bounded := logging.NewBounded(out)
 	defer bounded.Close()
 	b, err := newBalancer(settingsPath(path), s, bounded)
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -13,7 +13,7 @@
 	Host     DirectHost     `yaml:"host"`
 	Listen   DirectListen   `yaml:"listen"`
 	Peers    DirectPeers    `yaml:"peers"`
-	Platform Platform       `yaml:"platform"`
+	Platform DirectPlatform `yaml:"platform"`
 	Shutdown DirectShutdown `yaml:"shutdown"`
 	Log      Log            `yaml:"log"`
 }
@@ -48,6 +48,13 @@
 	return s.Listen.Peers
 }
 
+// DirectPlatform is the users' platform.
+type DirectPlatform struct {
+	Address    netip.AddrPort `yaml:"address" validate:"required" doc:"HTTP address of the platform's store, address:port"`
+	Timeout    time.Duration  `yaml:"timeout" validate:"min=10ms,max=1m" default:"1s" doc:"longest wait for an answer, beyond the wait that a watch asks for"`
+	Forwarding string         `yaml:"forwarding" doc:"form of the packets, in the platform's words; the adapter refuses to start with one that it does not speak; empty means the one it speaks"`
+}
+
 // DirectShutdown bounds a planned stop.
 type DirectShutdown struct {
 	Grace time.Duration `yaml:"grace" validate:"min=1s,max=10m" default:"6s" doc:"time between the request to stop and the end of the process by force"`
