Ask hosts that were lost like seeds

A host that stood still for longer than others are remembered knew nobody afterwards, and with its seeds gone it stayed alone. TestFindsOthersAfterPauseWithoutSeeds fails without it.

--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -112,6 +112,7 @@
 			c.replied(r)
 		case to := <-c.exchange.stopped:
 			c.exchange.Forget(to)
+			delete(c.lostPeers, to)
 		case s := <-c.watch.changed:
 			c.reload(s)
 		case question := <-c.questions:
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -24,6 +24,8 @@
 	// ownCandidates and otherCandidates bound the hosts that a reply tells of, for each data centre.
 	ownCandidates   = 4
 	otherCandidates = 2
+	// maxFormer bounds the hosts that are asked like seeds after they were lost.
+	maxFormer = 8
 	// staleAfter is the age of the store's last answer at which a host reads the store itself. An idle watch answers
 	// every 1.5 s, and a configuration must be in force within 3 s.
 	staleAfter = 2200 * time.Millisecond
@@ -50,6 +52,7 @@
 type Fleet struct {
 	self    Host
 	seeds   []netip.AddrPort
+	former  []netip.AddrPort // hosts that were known and lost, the newest last
 	members map[string]*member
 	nextAsk map[netip.AddrPort]time.Duration
 	seed    int
@@ -169,11 +172,12 @@
 	if len(f.members) == 0 || now-f.started < introduction {
 		every = remoteInterval
 	}
-	if len(f.seeds) == 0 || f.asked > 0 && now-f.asked < every || !f.isRelay() && every == seedInterval {
+	candidates := slices.Concat(f.seeds, f.former)
+	if len(candidates) == 0 || f.asked > 0 && now-f.asked < every || !f.isRelay() && every == seedInterval {
 		return netip.AddrPort{}, false
 	}
 	f.asked = now
-	seed := f.seeds[f.seed%len(f.seeds)]
+	seed := candidates[f.seed%len(candidates)]
 	f.seed++
 	return seed, seed != f.self.Address
 }
@@ -189,9 +193,20 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-// expire forgets hosts that have not been heard of.
+// expire forgets hosts that have not been heard of. Some are kept as further seeds: the seeds of the settings may be stale,
+// and after a pause of this process every host counts as lost.
 func (f *Fleet) expire(now time.Duration) {
-	maps.DeleteFunc(f.members, func(_ string, m *member) bool { return now-m.heard > f.deadAfter() })
+	maps.DeleteFunc(f.members, func(_ string, m *member) bool {
+		if now-m.heard <= f.deadAfter() {
+			return false
+		}
+		if !slices.Contains(f.former, m.host.Address) && !slices.Contains(f.seeds, m.host.Address) {
+			f.former = append(f.former, m.host.Address)
+			f.former = f.former[max(0, len(f.former)-maxFormer):]
+		}
+		return true
+	})
+	maps.DeleteFunc(f.nextAsk, func(_ netip.AddrPort, due time.Duration) bool { return now-due > f.deadAfter() })
 }
 
 // Reported takes in a report of another host.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -149,6 +149,25 @@
 	n.expectOneRelayEach(t, "after the loss of all seeds")
 }
 
+// Guards against a host that stood still, takes all others for lost, and never finds them again because its seeds are gone.
+func TestFindsOthersAfterPauseWithoutSeeds(t *testing.T) {
+	n := newNetwork(4, "a", "b", "c")
+	n.run(3 * time.Second)
+	for i := range 3 {
+		n.hosts[i*4].down = true
+	}
+	n.run(5 * time.Second)
+	paused := n.hosts[5]
+	paused.down = true
+	n.run(8 * time.Second)
+	paused.down = false
+	n.run(8 * time.Second)
+	if got := len(paused.fleet.Members(n.now)); got == 0 {
+		t.Error("no other host is known")
+	}
+	n.expectOneRelayEach(t, "after the pause")
+}
+
 // Guards against reports that cost each host more in a larger fleet: the law is one report in 15 ms times the hosts of the
 // data centre, 200 ms at least, so a relay gets at most 67 a second.
 func TestReportsStayBounded(t *testing.T) {
