--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -67,8 +67,21 @@
 type directHost struct {
 	number int
 	cmd    *exec.Cmd
-	misses int
 	done   chan struct{}
+	// misses and rotating are the fabric's view of the host.
+	misses   int
+	rotating bool
+}
+
+// check notes a readiness check: an answer brings the host into rotation, two misses take it out.
+func (h *directHost) check(ok bool) {
+	if ok {
+		h.misses, h.rotating = 0, true
+		return
+	}
+	if h.misses++; h.misses >= 2 {
+		h.rotating = false
+	}
 }
 
 func (d *direct) address(part, number int, port uint16) netip.AddrPort {
@@ -249,11 +262,8 @@
 			if err == nil {
 				_ = response.Body.Close()
 			}
-			h.misses++
-			if ok {
-				h.misses = 0
-			}
-			if h.misses < 2 && ok || h.misses == 1 {
+			h.check(ok)
+			if h.rotating {
 				ready = append(ready, d.address(balancers, h.number, dataPort))
 			}
 		}
