Tell others of no load after the last packet

A balancer that had left the rotation went on reporting the requests that waited when its last packet came, so that its targets were avoided. Found by reading the code; the check in TestTrafficWaitsForFirstView fails without it.

--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -21,6 +21,9 @@
 // loadInterval is how often loads are collected for other balancers. It is below the time between two reports.
 const loadInterval = 100 * time.Millisecond
 
+// loadRetention is how long loads count after the last packet: without packets no flow is carried here any more.
+const loadRetention = time.Second
+
 // pauseLimit is the age of the control goroutine's last turn at which this process counts as having stood still: callers
 // give up opening a flow after 1.4 s.
 const pauseLimit = 1400 * time.Millisecond
@@ -59,7 +62,7 @@
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
 		engine: steer.NewEngine(), clock: clock, log: newDecisionLog(log), metrics: m, port: listen.Port(),
-		first: make(chan struct{}),
+		first: make(chan struct{}), reported: -loadInterval,
 	}, nil
 }
 
@@ -79,12 +82,14 @@
 // Turn notes that the control goroutine runs.
 func (t *Traffic) Turn(now time.Duration) { t.lastTurn.Store(int64(now)) }
 
-// Loads returns what the engine has seen of targets, at most loadInterval ago while packets arrive.
+// Loads returns what the engine has seen of targets, at most loadInterval ago while packets arrive, and nothing when none
+// have come for a while.
 func (t *Traffic) Loads() []directory.Load {
-	if own := t.own.Load(); own != nil {
-		return *own
+	own := t.own.Load()
+	if own == nil || t.clock()-t.LastPacket() > loadRetention {
+		return nil
 	}
-	return nil
+	return *own
 }
 
 // SetOthers passes on what other balancers have seen of targets.
--- a/internal/direct/traffic_test.go
+++ b/internal/direct/traffic_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,9 @@
 		t.Fatal(err)
 	}
 	target := listenUDP(t)
-	traffic, err := NewTraffic(netip.MustParseAddrPort("127.0.0.1:0"), provideClock(), log, m)
+	var ahead atomic.Int64
+	clock := provideClock()
+	traffic, err := NewTraffic(netip.MustParseAddrPort("127.0.0.1:0"), func() time.Duration { return clock() + time.Duration(ahead.Load()) }, log, m)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,6 +86,16 @@
 	if !bytes.Equal(buffer[:n], want) {
 		t.Errorf("target got %x, want %x", buffer[:n], want)
 	}
+	for deadline := time.Now().Add(5 * time.Second); len(traffic.Loads()) != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("loads are %v", traffic.Loads())
+		}
+	}
+	// A balancer that has left the rotation carries nothing, and must not go on telling others of waiting requests.
+	ahead.Store(int64(2 * loadRetention))
+	if l := traffic.Loads(); len(l) != 0 {
+		t.Errorf("without packets since: %v", l)
+	}
 	cancel()
 	if err := <-done; err != nil {
 		t.Error(err)
