--- a/internal/direct/traffic_test.go
+++ b/internal/direct/traffic_test.go
@@ -37,9 +37,16 @@
 	return conn
 }
 
-// Guards against packets that arrive in the moment between the start of a process and its first view of the targets and are
-// dropped, so that their callers lose 200 ms; and against a target that gets another packet than the caller sent.
-func TestTrafficWaitsForFirstView(t *testing.T) {
+// trafficFixture is a traffic goroutine before one target, with a clock that tests can advance.
+type trafficFixture struct {
+	*Traffic
+	target *net.UDPConn
+	caller *net.UDPConn
+	ahead  atomic.Int64
+}
+
+func startTraffic(t *testing.T) *trafficFixture {
+	t.Helper()
 	log, err := logging.New(new(bytes.Buffer), "error", "h")
 	if err != nil {
 		t.Fatal(err)
@@ -48,56 +55,86 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	target := listenUDP(t)
-	var ahead atomic.Int64
+	f := &trafficFixture{target: listenUDP(t), caller: listenUDP(t)}
 	clock := provideClock()
-	traffic, err := NewTraffic(netip.MustParseAddrPort("127.0.0.1:0"), func() time.Duration { return clock() + time.Duration(ahead.Load()) }, log, m)
+	f.Traffic, err = NewTraffic(netip.MustParseAddrPort("127.0.0.1:0"), func() time.Duration { return clock() + time.Duration(f.ahead.Load()) }, log, m)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
-	go func() { done <- traffic.Run(ctx) }()
-	packet := openingPacket()
-	if _, err := listenUDP(t).WriteToUDPAddrPort(packet, traffic.conn.LocalAddr()); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond)
-	traffic.Turn(traffic.clock())
-	traffic.SetView(steer.NewView(&directory.Snapshot{
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+// view puts a view in force that routes the opening packet to the target.
+func (f *trafficFixture) view() {
+	f.Turn(f.clock())
+	f.SetView(steer.NewView(&directory.Snapshot{
 		Targets: []directory.Known{{Target: directory.Target{
-			Name: "i-7", ID: 7, Service: "s", DataCentre: "a", Capacity: 1, Address: target.LocalAddr().(*net.UDPAddr).AddrPort(),
+			Name: "i-7", ID: 7, Service: "s", DataCentre: "a", Capacity: 1, Address: f.target.LocalAddr().(*net.UDPAddr).AddrPort(),
 		}}},
 		Configuration: &directory.Configuration{Version: 1, Routes: []directory.Route{{
 			Endpoint: directory.Endpoint{Address: [4]byte{127, 9, 0, 1}, Port: 443},
 			Services: []directory.WeightedService{{Name: "s", Weight: 1}},
 		}}},
 	}, "a"))
+}
+
+// send sends an opening packet.
+func (f *trafficFixture) send(t *testing.T) {
+	t.Helper()
+	if _, err := f.caller.WriteToUDPAddrPort(openingPacket(), f.conn.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *trafficFixture) receive(t *testing.T) []byte {
+	t.Helper()
 	buffer := make([]byte, 2048)
-	if err := target.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+	if err := f.target.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	n, err := target.Read(buffer)
+	n, err := f.target.Read(buffer)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return buffer[:n]
+}
+
+// Guards against packets that arrive in the moment between the start of a process and its first view of the targets and are
+// dropped, so that their callers lose 200 ms; and against a target that gets another packet than the caller sent.
+func TestTrafficWaitsForFirstView(t *testing.T) {
+	f := startTraffic(t)
+	f.send(t)
+	time.Sleep(50 * time.Millisecond)
+	f.view()
+	packet := openingPacket()
 	platform.PutToken(packet, (&directory.Target{ID: 7}).Token())
-	want := append([]byte{0, 0, 0, 0, 0, 0, 0, 7}, packet...)
-	if !bytes.Equal(buffer[:n], want) {
-		t.Errorf("target got %x, want %x", buffer[:n], want)
+	if got, want := f.receive(t), append([]byte{0, 0, 0, 0, 0, 0, 0, 7}, packet...); !bytes.Equal(got, want) {
+		t.Errorf("target got %x, want %x", got, want)
 	}
-	for deadline := time.Now().Add(5 * time.Second); len(traffic.Loads()) != 1; time.Sleep(time.Millisecond) {
+}
+
+// Guards against a balancer that has left the rotation and goes on telling others of requests that wait at targets.
+func TestNoLoadsWithoutPackets(t *testing.T) {
+	f := startTraffic(t)
+	f.view()
+	f.send(t)
+	f.receive(t)
+	for deadline := time.Now().Add(5 * time.Second); len(f.Loads()) != 1; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("loads are %v", traffic.Loads())
+			t.Fatalf("loads are %v", f.Loads())
 		}
 	}
-	// A balancer that has left the rotation carries nothing, and must not go on telling others of waiting requests.
-	ahead.Store(int64(2 * loadRetention))
-	if l := traffic.Loads(); len(l) != 0 {
+	f.ahead.Store(int64(2 * loadRetention))
+	if l := f.Loads(); len(l) != 0 {
 		t.Errorf("without packets since: %v", l)
 	}
-	cancel()
-	if err := <-done; err != nil {
-		t.Error(err)
-	}
 }
