--- a/directory/directory.go
+++ b/directory/directory.go
@@ -266,7 +266,6 @@
 	Presence  Presence
 	ColdUntil time.Duration
 	Revision  uint64
-	Removed   time.Duration // when its record was removed, 0 for a listed target
 }
 
 // Snapshot is what the directory holds at one moment. It is immutable.
@@ -284,11 +283,8 @@
 	s := &Snapshot{Configuration: d.configuration, Revision: d.revision, At: now, Targets: make([]Known, 0, len(d.records))}
 	for _, r := range d.records {
 		k := Known{Target: r.target, Presence: d.presence(r, now), ColdUntil: r.coldUntil, Revision: r.revision}
-		if r.removed {
-			k.Removed = r.removedAt
-			if k.Presence != Gone {
-				s.Next = now + lapseGrace/4
-			}
+		if r.removed && k.Presence != Gone {
+			s.Next = now + lapseGrace/4
 		}
 		s.Targets = append(s.Targets, k)
 	}
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -38,10 +38,6 @@
 	return rand.New(rand.NewPCG(h.Sum64(), uint64(os.Getpid())))
 }
 
-func provideReader(store *platform.Store, clock Clock) *storeReader {
-	return newStoreReader(store, clock)
-}
-
 func provideExchange(s *settings.Direct, clock Clock, log *logrus.Entry) *Exchange {
 	return NewExchange(s.Host.Name, s.Host.DataCentre, clock, log)
 }
--- a/internal/direct/wire_gen.go
+++ b/internal/direct/wire_gen.go
@@ -25,7 +25,7 @@
 	rand := provideRandom(s)
 	ring := provideRing(s)
 	store := provideStore(s, entry)
-	directStoreReader := provideReader(store, clock)
+	directStoreReader := newStoreReader(store, clock)
 	exchange := provideExchange(s, clock, entry)
 	directSettingsWatch := newSettingsWatch(path, entry)
 	directMetrics, err := newMetrics()
--- a/internal/peer/listener.go
+++ b/internal/peer/listener.go
@@ -103,7 +103,7 @@
 			}
 			continue
 		}
-		remote := conn.RemoteAddr().(*net.TCPAddr).AddrPort()
+		remote := remoteOf(conn)
 		if !l.admit(conn, remote.Addr()) {
 			_ = conn.Close()
 			l.refuse(remote, resultcode.Errorf(resultcode.PeerRate, "connection", "too many connections"))
