Read messages of peers through before they are decoded

Every peer message goes through the same function, also the reports and replies of relays, whose port is open to any host. The input stays in the corpus of FuzzProbe and ended the process before.

--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -237,8 +237,12 @@
 	return buf.Bytes(), err
 }
 
-// decode decodes exactly one value.
+// decode decodes exactly one value. It is read through first: the library takes memory for as many elements as a message
+// says that it holds, whatever its size.
 func decode(b []byte, v any) error {
+	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
+		return err
+	}
 	r := bytes.NewReader(b)
 	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
 		return err
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"net/netip"
 	"testing"
 	"time"
@@ -57,6 +58,10 @@
 	}
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
+		// Messages are read through before they are decoded, as in internal/peer.
+		if msgpack.NewDecoder(bytes.NewReader(b)).Skip() != nil {
+			return
+		}
 		var r Reply
 		if msgpack.Unmarshal(b, &r) != nil || r.Validate() != nil {
 			return
