Ask hosts of the data centre that stopped reporting, and rank relays by what they know

Two of three hosts came up with neither the store nor a seed but themselves, and dropped every packet as not ready for 3.7 s; the router used them all the same, because fewer than half were in rotation. The survivor knew both addresses and asked one of eleven candidates every 5 s. Three causes:

- The relay now asks hosts of its data centre that stopped reporting every 0.5 s, four at a time, for 30 s.
- Without the store a host that knew nothing could be the relay by its hash, and learned nothing from the others.
Hosts that know something, and then the newer revision, now rank first.
- A host that had just started counted its own start as an answer of the store, so that a list from a stale peer was fresh for 2.2 s and the host led the data centre.

Ruled out: placement across the cut (1 of 120 new flows), suspicion, and queues at targets.

Both new tests fail on the code before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -54,8 +55,13 @@
 	forgotten     uint64 // newest revision of a record that was forgotten
 }
 
+// never is before every time of a monotonic clock, and far enough from the least value that differences do not overflow.
+const never time.Duration = math.MinInt64 / 4
+
 // New returns an empty directory.
-func New() *Directory { return &Directory{records: map[string]*record{}} }
+func New() *Directory {
+	return &Directory{records: map[string]*record{}, lastAnswer: never, confirmed: never}
+}
 
 // Revision returns the revision up to which every change is known.
 func (d *Directory) Revision() uint64 { return d.revision }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// Guards against a host that has just started and takes a list for fresh that a peer without the store told it: it would not
+// read the store, and other hosts would follow it in place of one that does.
+func TestToldListIsAsOldAsItsSource(t *testing.T) {
+	d := New()
+	d.Apply(Batch{Complete: true, Revision: 4, Configuration: &Configuration{Version: 3, Revision: 1}}, time.Second)
+	d.StoreHeard(-3*time.Second, -4*time.Second, 0)
+	if age, known := d.Age(time.Second); age != 4*time.Second || !known {
+		t.Errorf("age %v, known %v", age, known)
+	}
+	if age, _ := d.Confirmed(time.Second); age != 5*time.Second {
+		t.Errorf("confirmed %v ago", age)
+	}
+}
+
 // Guards against a complete list that leaves targets listed which it does not hold, and one that removes a target which
 // was written after the list was read.
 func TestCompleteList(t *testing.T) {
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -36,7 +36,7 @@
 }
 
 func (c *Control) mustRead(now time.Duration) bool {
-	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, c.isFresh(now), c.leaving())
+	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, c.standing(now))
 	own := host.Name == c.settings.Host.Name
 	if own != c.isRelay {
 		c.isRelay = own
@@ -54,6 +54,15 @@
 	return known && age < c.fleet.StaleAfter()
 }
 
+// standing is what the other hosts will take this host for.
+func (c *Control) standing(now time.Duration) relay.Standing {
+	s := relay.Standing{Fresh: c.isFresh(now), Leaving: c.leaving()}
+	if _, known := c.directory.Age(now); known {
+		s.Revision = c.directory.Revision()
+	}
+	return s
+}
+
 func (c *Control) leaving() bool { return c.leaveStarted > 0 }
 
 // storeRead takes in the outcome of a read of the store.
@@ -86,7 +95,9 @@
 	c.directory.StoreFailed()
 	if !c.storeFailing {
 		c.storeFailing = true
-		inputs["age"], _ = c.directory.Age(c.clock())
+		if age, known := c.directory.Age(c.clock()); known {
+			inputs["age"] = age
+		}
 		inputs["revision"] = c.directory.Revision()
 		c.record(logrus.WarnLevel, timeline.Event{Kind: "store-lost", Code: uint16(code)}, inputs)
 	}
@@ -95,7 +106,7 @@
 // report tells the relay, or as a relay the others, what this host knows.
 func (c *Control) report(ctx context.Context, now time.Duration) {
 	c.reported = now
-	for _, to := range c.fleet.Ask(c.isFresh(now), c.leaving(), now) {
+	for _, to := range c.fleet.Ask(c.standing(now), now) {
 		report := &relay.Report{Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now)}
 		report.Loads, report.Centre = c.fleet.LoadsOf(to, c.traffic.Loads(), now)
 		c.exchange.Ask(ctx, to, report)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -16,16 +16,9 @@
 	intervalPerHost = 15 * time.Millisecond
 	// remoteInterval is the time between two reports to the relay of another data centre.
 	remoteInterval = 500 * time.Millisecond
-	// seedInterval is the time between two reports to a seed while other hosts are known.
-	seedInterval = 5 * time.Second
-	// introduction is how long after its start a host asks seeds often, so that all hosts that start at once learn of each
-	// other.
-	introduction = 3 * time.Second
 	// ownCandidates and otherCandidates bound the hosts that a reply tells of, for each data centre.
 	ownCandidates   = 4
 	otherCandidates = 2
-	// maxFormer bounds the hosts that are asked like seeds after they were lost.
-	maxFormer = 8
 	// staleAfter is the age of the store's last answer at which a host reads the store itself. An idle watch answers
 	// every 1.5 s, and a configuration must be in force within 3 s.
 	staleAfter = 2200 * time.Millisecond
@@ -35,14 +28,13 @@
 
 // member is what is known of another host.
 type member struct {
-	host    Host
-	heard   time.Duration
-	fresh   bool
-	leaving bool
-	failed  time.Duration // when it last did not answer, 0 for never; it is not asked until it is heard of again
-	own     loads         // of a host of this data centre, by its reports
-	centre  loads         // of the whole data centre of a relay of another one
-	total   loads         // of all other hosts, by the replies of the relay of this data centre
+	host     Host
+	heard    time.Duration
+	standing Standing
+	failed   time.Duration // when it last did not answer, 0 for never; it is no relay until it is heard of again
+	own      loads         // of a host of this data centre, by its reports
+	centre   loads         // of the whole data centre of a relay of another one
+	total    loads         // of all other hosts, by the replies of the relay of this data centre
 }
 
 // answers reports whether the host was heard of since it last did not answer.
@@ -52,7 +44,7 @@
 type Fleet struct {
 	self    Host
 	seeds   []netip.AddrPort
-	former  []netip.AddrPort // hosts that were known and lost, the newest last
+	former  []former // the newest last
 	members map[string]*member
 	nextAsk map[netip.AddrPort]time.Duration
 	seed    int
@@ -95,9 +87,8 @@
 // StaleAfter returns the age of the store's last answer at which this host reads the store itself.
 func (f *Fleet) StaleAfter() time.Duration { return staleAfter + f.Interval() }
 
-// Relay returns the relay of a data centre, and false when no host of it is known. own tells whether this host knows the
-// store well.
-func (f *Fleet) Relay(dataCentre string, ownFresh, leaving bool) (Host, bool) {
+// Relay returns the relay of a data centre, and false when no host of it is known. own is the standing of this host.
+func (f *Fleet) Relay(dataCentre string, own Standing) (Host, bool) {
 	var best *member
 	for _, m := range f.members {
 		if m.host.DataCentre == dataCentre && m.answers() && (best == nil || better(m, best)) {
@@ -105,7 +96,7 @@
 		}
 	}
 	if dataCentre == f.self.DataCentre {
-		self := &member{host: f.self, fresh: ownFresh, leaving: leaving}
+		self := &member{host: f.self, standing: own}
 		if best == nil || better(self, best) {
 			best = self
 		}
@@ -116,24 +107,29 @@
 	return best.host, true
 }
 
-// better ranks candidates for the relay: those that know the store, then the heavier ones. The hash keeps the duty from
-// falling on the same place in every data centre.
+// better ranks candidates for the relay: those that know the store, then the heavier ones. Without the store the host that
+// knows most leads, so that the others learn from it. The hash keeps the duty from falling on the same place in every data
+// centre.
 func better(a, b *member) bool {
-	if a.leaving != b.leaving {
-		return b.leaving
-	}
-	if a.fresh != b.fresh {
-		return a.fresh
-	}
-	if a.host.Weight != b.host.Weight {
+	x, y := a.standing, b.standing
+	switch {
+	case (x.Revision == 0) != (y.Revision == 0):
+		return x.Revision > 0
+	case x.Leaving != y.Leaving:
+		return y.Leaving
+	case x.Fresh != y.Fresh:
+		return x.Fresh
+	case !x.Fresh && x.Revision != y.Revision:
+		return x.Revision > y.Revision
+	case a.host.Weight != b.host.Weight:
 		return a.host.Weight > b.host.Weight
 	}
 	return xxhash.Sum64String(a.host.Name) > xxhash.Sum64String(b.host.Name)
 }
 
-// Ask returns the hosts that a report is due to: the relay of the own data centre, as a relay those of the others, and a
-// seed while nobody else is known.
-func (f *Fleet) Ask(ownFresh, leaving bool, now time.Duration) []netip.AddrPort {
+// Ask returns the hosts that a report is due to: the relay of the own data centre, as a relay those of the others and missing
+// hosts, and a seed while nobody else is known. own is the standing of this host.
+func (f *Fleet) Ask(own Standing, now time.Duration) []netip.AddrPort {
 	f.expire(now)
 	var due []netip.AddrPort
 	add := func(to netip.AddrPort, every time.Duration) {
@@ -145,16 +141,19 @@
 	if f.started == 0 {
 		f.started = now
 	}
-	relay, _ := f.Relay(f.self.DataCentre, ownFresh, leaving)
+	relay, _ := f.Relay(f.self.DataCentre, own)
 	f.relay = relay.Name
 	if !f.isRelay() {
 		add(relay.Address, f.Interval())
 	} else {
 		for _, dc := range f.dataCentres() {
-			if other, found := f.Relay(dc, false, false); found {
+			if other, found := f.Relay(dc, Standing{}); found {
 				add(other.Address, remoteInterval)
 			}
 		}
+		for _, address := range f.missing(now) {
+			add(address, remoteInterval)
+		}
 	}
 	if seed, found := f.dueSeed(now); found {
 		add(seed, remoteInterval)
@@ -165,23 +164,6 @@
 // isRelay reports whether this host took itself for the relay of its data centre at the last report.
 func (f *Fleet) isRelay() bool { return f.relay == f.self.Name }
 
-// dueSeed returns a seed to ask. Seeds are asked often while no other host is known and in the first moments, and rarely by
-// relays afterwards, so that parts of the fleet that lost each other in a partition find together again.
-func (f *Fleet) dueSeed(now time.Duration) (netip.AddrPort, bool) {
-	every := seedInterval
-	if len(f.members) == 0 || now-f.started < introduction {
-		every = remoteInterval
-	}
-	candidates := slices.Concat(f.seeds, f.former)
-	if len(candidates) == 0 || f.asked > 0 && now-f.asked < every || !f.isRelay() && every == seedInterval {
-		return netip.AddrPort{}, false
-	}
-	f.asked = now
-	seed := candidates[f.seed%len(candidates)]
-	f.seed++
-	return seed, seed != f.self.Address
-}
-
 // dataCentres returns the other data centres with known hosts.
 func (f *Fleet) dataCentres() []string {
 	set := map[string]bool{}
@@ -200,10 +182,7 @@
 		if now-m.heard <= f.deadAfter() {
 			return false
 		}
-		if !slices.Contains(f.former, m.host.Address) && !slices.Contains(f.seeds, m.host.Address) {
-			f.former = append(f.former, m.host.Address)
-			f.former = f.former[max(0, len(f.former)-maxFormer):]
-		}
+		f.lost(m)
 		return true
 	})
 	maps.DeleteFunc(f.nextAsk, func(_ netip.AddrPort, due time.Duration) bool { return now-due > f.deadAfter() })
@@ -215,7 +194,7 @@
 		return
 	}
 	m := f.heard(r.Host, now)
-	m.fresh, m.leaving = fresh(&r.Freshness), r.Leaving
+	m.standing = standing(&r.Freshness, r.Leaving)
 	switch {
 	case r.Host.DataCentre == f.self.DataCentre:
 		m.own = loads{r.Loads, now}
@@ -230,7 +209,7 @@
 		return
 	}
 	m := f.heard(r.Host, now)
-	m.fresh, m.leaving = fresh(&r.Freshness), r.Leaving
+	m.standing = standing(&r.Freshness, r.Leaving)
 	if r.Host.DataCentre == f.self.DataCentre {
 		m.total, f.told = loads{r.Loads, now}, r.Count
 	} else if len(r.Loads) > 0 {
@@ -241,13 +220,20 @@
 	}
 }
 
-func fresh(k *Freshness) bool { return k.Known && k.Age < staleAfter }
+func standing(k *Freshness, leaving bool) Standing {
+	s := Standing{Leaving: leaving}
+	if k.Known {
+		s.Fresh, s.Revision = k.Age < staleAfter, k.Revision
+	}
+	return s
+}
 
 func (f *Fleet) heard(h Host, at time.Duration) *member {
 	m := f.members[h.Name]
 	if m == nil {
 		m = &member{}
 		f.members[h.Name] = m
+		f.found(h)
 	}
 	m.host, m.heard = h, max(m.heard, at)
 	return m
@@ -263,7 +249,7 @@
 		return
 	}
 	m := f.heard(o.Host, at)
-	m.fresh, m.leaving = o.Fresh, o.Leaving
+	m.standing = o.Standing
 }
 
 // Failed notes that a host did not answer.
@@ -285,7 +271,7 @@
 }
 
 func (m *member) describe(now time.Duration) Member {
-	return Member{Host: m.host, Heard: now - m.heard, Fresh: m.fresh, Leaving: m.leaving}
+	return Member{Host: m.host, Heard: now - m.heard, Standing: m.standing}
 }
 
 // Candidates returns the best candidates for the relay of each data centre, to tell the host with that name.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -9,39 +9,51 @@
 	"github.com/marigoldwood/marigoldwood/directory"
 )
 
-// network plays reports and replies between fleets without loss. Hosts that are down do not answer.
+// network plays reports and replies between fleets without loss. Hosts that are down, or on the other side of a cut, do not
+// answer.
 type network struct {
 	hosts []*node
+	seeds []netip.AddrPort
+	cut   string // data centre that is cut off from the others
 	now   time.Duration
 	asked int
 }
 
 type node struct {
-	fleet *Fleet
-	self  Host
-	fresh bool
-	down  bool
-	loads []directory.Load
+	fleet    *Fleet
+	self     Host
+	fresh    bool
+	revision uint64 // up to which it knows the store, 0 for nothing
+	down     bool
+	loads    []directory.Load
 }
 
 func newNetwork(perDataCentre int, dataCentres ...string) *network {
 	n := &network{now: time.Second}
-	var seeds []netip.AddrPort
 	for d, dc := range dataCentres {
 		for i := range perDataCentre {
 			h := Host{Name: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc, Weight: 1, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(d), byte(i + 1)}), 1)}
-			if i == 0 && len(seeds) < 3 {
-				seeds = append(seeds, h.Address)
+			if i == 0 && len(n.seeds) < 3 {
+				n.seeds = append(n.seeds, h.Address)
 			}
-			n.hosts = append(n.hosts, &node{self: h, fresh: true})
+			n.hosts = append(n.hosts, &node{self: h, fresh: true, revision: 1})
 		}
 	}
 	for _, h := range n.hosts {
-		h.fleet = NewFleet(h.self, seeds)
+		h.fleet = NewFleet(h.self, n.seeds)
 	}
 	return n
 }
 
+// restart ends a host and starts it again, without the store.
+func (n *network) restart(h *node) {
+	h.fleet, h.fresh, h.revision, h.down = NewFleet(h.self, n.seeds), false, 0, false
+}
+
+func (n *network) reaches(from, to *node) bool {
+	return to != nil && !to.down && (from.self.DataCentre == n.cut) == (to.self.DataCentre == n.cut)
+}
+
 func (n *network) at(address netip.AddrPort) *node {
 	for _, h := range n.hosts {
 		if h.self.Address == address {
@@ -61,8 +73,10 @@
 	}
 }
 
+func (h *node) standing() Standing { return Standing{Fresh: h.fresh, Revision: h.revision} }
+
 func (h *node) freshness() Freshness {
-	f := Freshness{Known: true, Age: 100 * time.Millisecond}
+	f := Freshness{Known: h.revision > 0, Age: 100 * time.Millisecond, Revision: h.revision}
 	if !h.fresh {
 		f.Age = time.Minute
 	}
@@ -70,10 +84,10 @@
 }
 
 func (n *network) turn(h *node) {
-	for _, to := range h.fleet.Ask(h.fresh, false, n.now) {
+	for _, to := range h.fleet.Ask(h.standing(), n.now) {
 		n.asked++
 		peer := n.at(to)
-		if peer == nil || peer.down {
+		if !n.reaches(h, peer) {
 			h.fleet.Failed(to, n.now)
 			continue
 		}
@@ -84,6 +98,7 @@
 			Host: peer.self, Freshness: peer.freshness(), Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), Count: peer.fleet.Count(),
 			Loads: peer.fleet.LoadsFor(h.self.Name, h.self.DataCentre, peer.loads, n.now),
 		}, n.now)
+		h.revision = max(h.revision, peer.revision)
 	}
 }
 
@@ -91,7 +106,7 @@
 func (n *network) relays() map[string]int {
 	out := map[string]int{}
 	for _, h := range n.hosts {
-		if r, _ := h.fleet.Relay(h.self.DataCentre, h.fresh, false); !h.down && r.Name == h.self.Name {
+		if r, _ := h.fleet.Relay(h.self.DataCentre, h.standing()); !h.down && r.Name == h.self.Name {
 			out[h.self.DataCentre]++
 		}
 	}
@@ -101,7 +116,7 @@
 // relayOf returns the relay of a data centre as a living host that is not the relay sees it.
 func (n *network) relayOf(dataCentre string) Host {
 	for _, h := range n.hosts {
-		if r, _ := h.fleet.Relay(dataCentre, h.fresh, false); !h.down && h.self.DataCentre == dataCentre && r.Name != h.self.Name {
+		if r, _ := h.fleet.Relay(dataCentre, h.standing()); !h.down && h.self.DataCentre == dataCentre && r.Name != h.self.Name {
 			return r
 		}
 	}
@@ -168,6 +183,33 @@
 	n.expectOneRelayEach(t, "after the pause")
 }
 
+// Guards against a data centre that is cut off with its hosts restarting in turn: a host that starts reaches no seed but itself
+// or one that knows nothing either, and would drop every packet until the cut ends.
+func TestRestartedHostsOfCutDataCentreLearn(t *testing.T) {
+	for restarted := range 3 {
+		n := newNetwork(3, "a", "b", "c")
+		n.run(3 * time.Second)
+		n.cut = "c"
+		survivor := n.hosts[6+restarted]
+		for _, h := range n.hosts[6:] {
+			h.fresh = false
+		}
+		n.run(3 * time.Second)
+		for _, h := range n.hosts[6:] {
+			if h == survivor {
+				continue
+			}
+			h.down = true
+			n.run(700 * time.Millisecond)
+			n.restart(h)
+			n.run(2 * time.Second)
+			if h.revision == 0 {
+				t.Errorf("%s survives: %s still knows nothing 2 s after its start", survivor.self.Name, h.self.Name)
+			}
+		}
+	}
+}
+
 // Guards against reports that cost each host more in a larger fleet: the law is one report in 15 ms times the hosts of the
 // data centre, 200 ms at least, so a relay gets at most 67 a second.
 func TestReportsStayBounded(t *testing.T) {
@@ -204,7 +246,7 @@
 	n.hosts[3].self.Weight = 4
 	n.hosts[3].fleet = NewFleet(n.hosts[3].self, n.hosts[0].fleet.seeds)
 	n.run(3 * time.Second)
-	if r, _ := n.hosts[1].fleet.Relay("a", true, false); r.Name != n.hosts[3].self.Name {
+	if r, _ := n.hosts[1].fleet.Relay("a", Standing{Fresh: true, Revision: 1}); r.Name != n.hosts[3].self.Name {
 		t.Errorf("relay is %s", r.Name)
 	}
 }
@@ -212,7 +254,7 @@
 // Guards against messages that grow with the targets of the fleet: only those with waiting requests matter for placement.
 func TestLoadsAreBounded(t *testing.T) {
 	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
-	f.Ask(true, false, time.Second)
+	f.Ask(Standing{Fresh: true, Revision: 1}, time.Second)
 	var own []directory.Load
 	for i := range 5000 {
 		own = append(own, directory.Load{Token: directory.Token(i + 1), Pending: uint16(i % 100), Open: 9, Suspect: i == 0})
--- /dev/null
+++ b/relay/lost.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// seedInterval is the time between two reports to a seed while other hosts are known.
+	seedInterval = 5 * time.Second
+	// introduction is how long after its start a host asks seeds often, so that all hosts that start at once learn of each
+	// other.
+	introduction = 3 * time.Second
+	// maxFormer bounds the hosts that are asked like seeds after they were lost.
+	maxFormer = 8
+	// missingAfter is how long a host of the data centre may be silent, beside two intervals, before the relay asks it: a
+	// process is started again about a second after its end.
+	missingAfter = 500 * time.Millisecond
+	// missingFor is how long the relay goes on asking after the host was last heard of: the longest start that a planned
+	// restart is given.
+	missingFor = 30 * time.Second
+	// maxMissing bounds the missing hosts that are asked with one report.
+	maxMissing = 4
+)
+
+// former is a host that was known and lost.
+type former struct {
+	host  Host
+	heard time.Duration
+}
+
+func (f *Fleet) lost(m *member) {
+	f.former = append(f.former, former{m.host, m.heard})
+	f.former = f.former[max(0, len(f.former)-maxFormer):]
+}
+
+func (f *Fleet) found(h Host) {
+	f.former = slices.DeleteFunc(f.former, func(lost former) bool { return lost.host.Address == h.Address })
+}
+
+// missing returns hosts of the data centre that stopped reporting, those first that were asked longest ago. They may have
+// started again with neither a seed nor a store that answers, and then know nobody.
+func (f *Fleet) missing(now time.Duration) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range f.members {
+		if m.host.DataCentre == f.self.DataCentre && now-m.heard > missingAfter+2*f.Interval() {
+			out = append(out, m.host.Address)
+		}
+	}
+	for _, lost := range f.former {
+		if lost.host.DataCentre == f.self.DataCentre && now-lost.heard <= missingFor {
+			out = append(out, lost.host.Address)
+		}
+	}
+	slices.SortFunc(out, func(a, b netip.AddrPort) int {
+		return cmp.Or(cmp.Compare(f.nextAsk[a], f.nextAsk[b]), a.Compare(b))
+	})
+	return out[:min(len(out), maxMissing)]
+}
+
+// dueSeed returns a seed to ask. Seeds are asked often while no other host is known and in the first moments, and rarely by
+// relays afterwards, so that parts of the fleet that lost each other in a partition find together again.
+func (f *Fleet) dueSeed(now time.Duration) (netip.AddrPort, bool) {
+	every := seedInterval
+	if len(f.members) == 0 || now-f.started < introduction {
+		every = remoteInterval
+	}
+	candidates := slices.Clone(f.seeds)
+	for _, lost := range f.former {
+		if !slices.Contains(f.seeds, lost.host.Address) {
+			candidates = append(candidates, lost.host.Address)
+		}
+	}
+	if len(candidates) == 0 || f.asked > 0 && now-f.asked < every || !f.isRelay() && every == seedInterval {
+		return netip.AddrPort{}, false
+	}
+	f.asked = now
+	seed := candidates[f.seed%len(candidates)]
+	f.seed++
+	return seed, seed != f.self.Address
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -53,8 +53,14 @@
 
 // Member is what the sender of a reply knows of a balancer.
 type Member struct {
-	Host    Host
-	Heard   time.Duration // since it last reported
-	Fresh   bool          // it knows the store well enough to be the relay
-	Leaving bool
+	Host     Host
+	Heard    time.Duration // since it last reported
+	Standing Standing
+}
+
+// Standing is what ranks a host as the relay.
+type Standing struct {
+	Fresh    bool // it knows the store well
+	Leaving  bool
+	Revision uint64 // of the store, up to which it knows every change; 0 when it knows nothing
 }
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -71,7 +71,7 @@
 		d.Snapshot(2 * time.Second)
 		fleet := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
 		fleet.Replied(&r, time.Second)
-		fleet.Ask(true, false, 2*time.Second)
+		fleet.Ask(Standing{}, 2*time.Second)
 		fleet.Others(2 * time.Second)
 	})
 }
