--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -50,6 +50,7 @@
 	chart     *chart.Chart
 	reader    *storeReader
 	exchange  *Exchange
+	ask       func(ctx context.Context, to netip.AddrPort, report *relay.Report)
 	watch     *settingsWatch
 	traffic   *Traffic
 	metrics   *metrics
@@ -88,7 +89,7 @@
 	c := &Control{
 		settings: s, log: p.Log, clock: p.Clock, ring: p.Ring, questions: make(chan func()),
 		directory: directory.New(), follower: directory.NewFollower(p.Random), fleet: relay.NewFleet(self, s.Peers.Seeds),
-		queues: steer.NewQueueWatch(), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange, watch: p.Watch,
+		queues: steer.NewQueueWatch(), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange, ask: p.Exchange.Ask, watch: p.Watch,
 		traffic: p.Traffic, metrics: p.Metrics, lostPeers: map[netip.AddrPort]bool{},
 	}
 	c.enter(c.chart.Initial())
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -109,7 +109,7 @@
 	for _, to := range c.fleet.Ask(c.standing(now), now) {
 		report := &relay.Report{Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now)}
 		report.Loads, report.Centre = c.fleet.LoadsOf(to, c.traffic.Loads(), now)
-		c.exchange.Ask(ctx, to, report)
+		c.ask(ctx, to, report)
 	}
 	others := c.fleet.Others(now)
 	c.traffic.SetOthers(others)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -44,7 +44,8 @@
 type Fleet struct {
 	self    Host
 	seeds   []netip.AddrPort
-	former  []former // the newest last
+	former  []former // hosts of other data centres that were lost, the newest last
+	absent  []former // hosts of this data centre that were lost, the newest last
 	members map[string]*member
 	nextAsk map[netip.AddrPort]time.Duration
 	seed    int
@@ -154,6 +155,9 @@
 		for _, address := range f.missing(now) {
 			add(address, remoteInterval)
 		}
+		for _, seed := range f.unknownSeeds() {
+			add(seed, unknownSeedInterval)
+		}
 	}
 	if seed, found := f.dueSeed(now); found {
 		add(seed, remoteInterval)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -210,6 +210,48 @@
 	}
 }
 
+// Guards against hosts of a cut-off data centre that wait for long because the survivor asks them one by one, or forgets them
+// for the sake of the hosts that it lost beyond the cut.
+func TestHerdRestartInCutDataCentre(t *testing.T) {
+	n := newNetwork(20, "a", "b", "c")
+	n.run(3 * time.Second)
+	n.cut = "c"
+	herd := n.hosts[40:59]
+	n.hosts[59].fresh = false
+	n.run(4 * time.Second)
+	for _, h := range herd {
+		h.down = true
+	}
+	n.run(4 * time.Second)
+	for _, h := range herd {
+		n.restart(h)
+	}
+	n.run(3 * time.Second)
+	for _, h := range herd {
+		if h.revision == 0 {
+			t.Errorf("%s still knows nothing 3 s after its start", h.self.Name)
+		}
+	}
+}
+
+// Guards against a seed that was down when its data centre started, is back in a cut, and knows nobody: nobody asks it.
+func TestSeedThatWasNeverHeardOf(t *testing.T) {
+	n := newNetwork(3, "a", "b", "c")
+	seed := n.hosts[6]
+	seed.down = true
+	n.run(5 * time.Second)
+	n.cut = "c"
+	for _, h := range n.hosts[6:] {
+		h.fresh = false
+	}
+	n.run(2 * time.Second)
+	n.restart(seed)
+	n.run(2 * time.Second)
+	if seed.revision == 0 {
+		t.Error("the seed still knows nothing 2 s after its start")
+	}
+}
+
 // Guards against reports that cost each host more in a larger fleet: the law is one report in 15 ms times the hosts of the
 // data centre, 200 ms at least, so a relay gets at most 67 a second.
 func TestReportsStayBounded(t *testing.T) {
--- a/relay/lost.go
+++ b/relay/lost.go
@@ -13,8 +13,14 @@
 	// introduction is how long after its start a host asks seeds often, so that all hosts that start at once learn of each
 	// other.
 	introduction = 3 * time.Second
-	// maxFormer bounds the hosts that are asked like seeds after they were lost.
+	// unknownSeedInterval is the time between two reports of a relay to a seed that no known host has: the seed may be down,
+	// and know nobody when it is back.
+	unknownSeedInterval = time.Second
+	// maxFormer bounds the hosts of other data centres, and those of the own one, that are asked like seeds after they were
+	// lost.
 	maxFormer = 8
+	// maxAbsent bounds the lost hosts of the data centre that are remembered, at about 100 bytes each.
+	maxAbsent = 256
 	// missingAfter is how long a host of the data centre may be silent, beside two intervals, before the relay asks it: a
 	// process is started again about a second after its end.
 	missingAfter = 500 * time.Millisecond
@@ -31,15 +37,23 @@
 	heard time.Duration
 }
 
+// lost keeps a host that is no longer a member.
 func (f *Fleet) lost(m *member) {
-	f.former = append(f.former, former{m.host, m.heard})
-	f.former = f.former[max(0, len(f.former)-maxFormer):]
+	if m.host.DataCentre == f.self.DataCentre {
+		f.absent = newest(append(f.absent, former{m.host, m.heard}), maxAbsent)
+	} else {
+		f.former = newest(append(f.former, former{m.host, m.heard}), maxFormer)
+	}
 }
 
+// found forgets that a host was lost.
 func (f *Fleet) found(h Host) {
-	f.former = slices.DeleteFunc(f.former, func(lost former) bool { return lost.host.Address == h.Address })
+	isHost := func(lost former) bool { return lost.host.Address == h.Address }
+	f.absent, f.former = slices.DeleteFunc(f.absent, isHost), slices.DeleteFunc(f.former, isHost)
 }
 
+func newest(list []former, most int) []former { return list[max(0, len(list)-most):] }
+
 // missing returns hosts of the data centre that stopped reporting, those first that were asked longest ago. They may have
 // started again with neither a seed nor a store that answers, and then know nobody.
 func (f *Fleet) missing(now time.Duration) []netip.AddrPort {
@@ -49,8 +63,8 @@
 			out = append(out, m.host.Address)
 		}
 	}
-	for _, lost := range f.former {
-		if lost.host.DataCentre == f.self.DataCentre && now-lost.heard <= missingFor {
+	for _, lost := range f.absent {
+		if now-lost.heard <= missingFor {
 			out = append(out, lost.host.Address)
 		}
 	}
@@ -60,6 +74,21 @@
 	return out[:min(len(out), maxMissing)]
 }
 
+// unknownSeeds returns the seeds that no known host has.
+func (f *Fleet) unknownSeeds() []netip.AddrPort {
+	known := map[netip.AddrPort]bool{f.self.Address: true}
+	for _, m := range f.members {
+		known[m.host.Address] = true
+	}
+	var out []netip.AddrPort
+	for _, seed := range f.seeds {
+		if !known[seed] {
+			out = append(out, seed)
+		}
+	}
+	return out
+}
+
 // dueSeed returns a seed to ask. Seeds are asked often while no other host is known and in the first moments, and rarely by
 // relays afterwards, so that parts of the fleet that lost each other in a partition find together again.
 func (f *Fleet) dueSeed(now time.Duration) (netip.AddrPort, bool) {
@@ -68,7 +97,7 @@
 		every = remoteInterval
 	}
 	candidates := slices.Clone(f.seeds)
-	for _, lost := range f.former {
+	for _, lost := range slices.Concat(f.former, newest(f.absent, maxFormer)) {
 		if !slices.Contains(f.seeds, lost.host.Address) {
 			candidates = append(candidates, lost.host.Address)
 		}
