Follow a flow over the logs of all hosts, and tell the state of open flows

Asked over the operator port, a host now tells what it remembers of an open flow: target, state and how long a request has waited; before, it only told where a new flow would go. The engine is guarded by a mutex that is taken once for a batch of packets.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"fmt"
 	"net/url"
+	"os"
 	"text/tabwriter"
 
+	"github.com/marigoldwood/marigoldwood/internal/flowlog"
 	"github.com/marigoldwood/marigoldwood/internal/operator"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/internal/status"
@@ -15,17 +17,21 @@
 
 type explainCommand struct {
 	command
+	Logs []string `long:"log" value-name:"FILE" description:"log of a balancer to follow the flow in, instead of asking hosts; repeat for several"`
 	Args struct {
 		Flow string `positional-arg-name:"FLOW" description:"PROTOCOL,CALLER:PORT,ENDPOINT:PORT"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute prints what every host says about the flow. The owner's word counts.
+// Execute prints what every host says about the flow, or what their logs say. Of hosts the owner's word counts.
 func (c *explainCommand) Execute([]string) error {
 	addr, err := operator.ParseFlow(c.Args.Flow)
 	if err != nil {
 		return err
 	}
+	if len(c.Logs) > 0 {
+		return c.follow(addr)
+	}
 	cl, err := newClient(c.options)
 	if err != nil {
 		return err
@@ -39,6 +45,32 @@
 	return cmp.Or(err, reportMissing(c.streams.Err, answers))
 }
 
+// follow prints the lines of the logs that tell of the flow.
+func (c *explainCommand) follow(addr operator.FlowAddr) error {
+	var lines []flowlog.Line
+	for _, path := range c.Logs {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		read, err := flowlog.Read(file)
+		if err := cmp.Or(err, file.Close()); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		lines = append(lines, read...)
+	}
+	found := flowlog.Follow(lines, addr.Caller.String()+">"+addr.Endpoint.String())
+	if len(found) == 0 {
+		return fmt.Errorf("no log names the flow %s", addr)
+	}
+	for _, l := range found {
+		if _, err := fmt.Fprintln(c.streams.Out, l.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *explainCommand) printJSON(answers []answer[status.Explanation]) error {
 	var all []status.Explanation
 	for _, a := range answers {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -103,7 +104,7 @@
 	return out
 }
 
-// Explain implements operator.Provider. It tells where a new flow goes; an open flow is found by its decision lines.
+// Explain implements operator.Provider. It tells what this host remembers of the flow, or else where a new flow goes.
 func (c *Control) Explain(a operator.FlowAddr) status.Explanation {
 	x := status.Explanation{Host: c.settings.Host.Name, Flow: a.String(), Rule: ruleNoAnswer}
 	if a.Protocol != flow.UDP || !a.Caller.Addr().Is4() || !a.Endpoint.Addr().Is4() {
@@ -125,6 +126,10 @@
 		Caller:   directory.Endpoint{Address: a.Caller.Addr().As4(), Port: a.Caller.Port()},
 		Endpoint: directory.Endpoint{Address: a.Endpoint.Addr().As4(), Port: a.Endpoint.Port()},
 	}
+	if f, found := c.traffic.Flow(key); found {
+		x.Known, x.Target, x.Service, x.Rule = true, f.Target.Name, f.Target.Service, describe(f)
+		return
+	}
 	ranking := view.Rank(key, c.clock())
 	x.Service = ranking.Service
 	switch {
@@ -139,3 +144,16 @@
 		}
 	}
 }
+
+// describe tells the state of a flow in words.
+func describe(f steer.FlowInfo) string {
+	state := "open"
+	if !f.Open {
+		state = "opening"
+	}
+	text := fmt.Sprintf("%s, target %s, last packet %v ago", state, f.Target.Presence, f.Quiet.Round(time.Millisecond))
+	if f.Waiting > 0 {
+		text += fmt.Sprintf(", waits for the target for %v", f.Waiting.Round(time.Millisecond))
+	}
+	return text
+}
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	conn    *udpbatch.Conn
 	reader  *udpbatch.Reader
 	writer  *udpbatch.Writer
+	mu      sync.Mutex // guards engine, which operators' questions read
 	engine  *steer.Engine
 	clock   Clock
 	log     *decisionLog
@@ -123,7 +125,16 @@
 	}
 }
 
+// Flow returns what is remembered of a flow, and false when nothing is.
+func (t *Traffic) Flow(key steer.FlowKey) (steer.FlowInfo, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.Lookup(key, t.clock())
+}
+
 func (t *Traffic) batch(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := t.clock()
 	t.lastPacket.Store(int64(now))
 	t.engine.SetFenced(now-time.Duration(t.lastTurn.Load()) > pauseLimit)
--- a/internal/direct/traffic_test.go
+++ b/internal/direct/traffic_test.go
@@ -138,3 +138,15 @@
 		t.Errorf("without packets since: %v", l)
 	}
 }
+
+// Guards against an operator's question about a flow that reads the engine while it works, which the race detector finds.
+func TestFlowIsTold(t *testing.T) {
+	f := startTraffic(t)
+	f.view()
+	f.send(t)
+	f.receive(t)
+	key := steer.FlowKey{Caller: directory.Endpoint{Address: [4]byte{127, 0, 0, 1}, Port: 500}, Endpoint: directory.Endpoint{Address: [4]byte{127, 9, 0, 1}, Port: 443}}
+	if info, found := f.Flow(key); !found || info.Target.Name != "i-7" || info.Open {
+		t.Errorf("%+v, %v", info, found)
+	}
+}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -79,6 +79,27 @@
 // Flows returns the number of flows that are remembered.
 func (e *Engine) Flows() int { return len(e.flows) }
 
+// FlowInfo is what is remembered of a flow.
+type FlowInfo struct {
+	Target  *Target
+	Open    bool          // the caller has answered the target
+	Waiting time.Duration // for the target's answer, 0 when nothing waits
+	Quiet   time.Duration // since the last packet
+}
+
+// Lookup returns what is remembered of a flow, and false when nothing is.
+func (e *Engine) Lookup(key FlowKey, now time.Duration) (FlowInfo, bool) {
+	f, found := e.flows[key]
+	if !found || e.view == nil {
+		return FlowInfo{}, false
+	}
+	info := FlowInfo{Target: e.view.Resolve(f.token), Open: f.opened, Quiet: now - f.last}
+	if f.waiting {
+		info.Waiting = now - f.since
+	}
+	return info, info.Target != nil
+}
+
 // Decide returns what is done with a packet.
 func (e *Engine) Decide(p *Packet, now time.Duration) Decision {
 	if e.view == nil {
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -332,3 +332,26 @@
 		t.Errorf("%v allocations for each packet", n)
 	}
 }
+
+// Guards against an operator who is told the wrong state of a flow that callers complain about.
+func TestLookup(t *testing.T) {
+	e := engine(known(1, local))
+	p := opening(1)
+	key := p.Flow()
+	if _, found := e.Lookup(key, 0); found {
+		t.Error("a flow that was never seen is known")
+	}
+	token := e.Decide(p, 0).Target.Token
+	at := 100 * time.Millisecond
+	if f, found := e.Lookup(key, at); !found || f.Open || f.Waiting != at || f.Quiet != at || f.Target.Token != token {
+		t.Errorf("opening: %+v, %v", f, found)
+	}
+	answered(e, 1, token, at)
+	if f, _ := e.Lookup(key, 2*at); !f.Open || f.Waiting != 0 || f.Quiet != at {
+		t.Errorf("open: %+v", f)
+	}
+	e.Decide(data(1, token, 1), 2*at)
+	if f, _ := e.Lookup(key, 5*at); !f.Open || f.Waiting != 3*at {
+		t.Errorf("waiting: %+v", f)
+	}
+}
