Reset requests on flows at a target that two balancers find silent

A balancer now resets such a request when it and another one suspect the target and it saw no sign of life for 1 s. The suspicion then lasts 3 s in place of 1.5 s.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -40,6 +40,7 @@
 	{steer.Refuse, resultcode.PacketUnknownEndpoint},
 	{steer.Refuse, resultcode.RefusedNoTarget},
 	{steer.Break, resultcode.TargetGone},
+	{steer.Break, resultcode.TargetLost},
 	{steer.Drop, resultcode.TargetGone},
 	{steer.Drop, resultcode.PacketUnknownFlow},
 	{steer.Drop, resultcode.NotReady},
--- a/resultcode/codes.go
+++ b/resultcode/codes.go
@@ -109,6 +109,7 @@
 	TargetRefused
 	TargetGone
 	TargetSuspect
+	TargetLost
 )
 
 var admissionCodes = []Info{
@@ -123,6 +124,7 @@
 	{FlowSilent, "flow-silent", "a silent connection was ended", "look at the path between the two ends when the count rises"},
 	{TargetRefused, "target-refused", "a target refused a new connection", "look at the target's state"},
 	{TargetGone, "target-gone", "the target of an open flow has ended, and the flow is reset", "expected after a target ended without closing its flows"},
+	{TargetLost, "target-lost", "a target leaves flows unanswered at several balancers, and a request on an open flow to it is reset", "look for the end of the target; when it lives, at the network between the balancers and the target"},
 	{TargetSuspect, "target-suspect", "a target leaves several flows unanswered and gets no new ones for a moment", "look at the target when it stays suspect"},
 }
 
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -127,6 +127,9 @@
 			return Decision{Action: Drop, Code: resultcode.TargetGone}
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
+	case !p.Reset && !p.Finish && t.load.lost(now):
+		e.forget(p.Flow())
+		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t}
 	}
 	d := Decision{Action: Forward, Target: t}
 	e.observe(p, &d, now)
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -293,6 +293,66 @@
 	}
 }
 
+// silence plays flows at the target that are open and then go unanswered, and returns their token.
+func silence(e *Engine, flows int, answeredAt, now time.Duration) directory.Token {
+	var token directory.Token
+	for n := range flows {
+		token = e.Decide(opening(n), answeredAt).Target.Token
+		answered(e, n, token, answeredAt)
+	}
+	for n := range flows {
+		e.Decide(data(n, token, 1), now-200*time.Millisecond)
+		e.Decide(data(n, token, 1), now)
+	}
+	return token
+}
+
+// Replays the crash of a target with open flows. Guards against requests on its flows that wait until their deadline, because
+// the store tells of the end seconds later, and against resets for want of proof: a target that is only silent here, only
+// elsewhere, or that showed a sign of life a moment ago may live.
+func TestFlowsOfLostTargetAreReset(t *testing.T) {
+	now := 10 * time.Second
+	suspect := func(token directory.Token) []directory.Load { return []directory.Load{{Token: token, Suspect: true}} }
+	for name, c := range map[string]struct {
+		flows     int
+		elsewhere bool
+		answered  time.Duration
+		want      Action
+	}{
+		"silent here and elsewhere": {silentFlows, true, now - 2*time.Second, Break},
+		"silent here":               {silentFlows, false, now - 2*time.Second, Forward},
+		"one flow here":             {silentFlows - 1, true, now - 2*time.Second, Forward},
+		"sign of life":              {silentFlows, true, now - lostAfter/2, Forward},
+	} {
+		e := engine(known(1, local))
+		token := silence(e, c.flows, c.answered, now)
+		if c.elsewhere {
+			e.SetOthers(suspect(token))
+		}
+		d := e.Decide(data(0, token, 101), now)
+		if d.Action != c.want {
+			t.Errorf("%s: %v", name, d.Action)
+		}
+		if d.Action == Break && (d.Code != resultcode.TargetLost || e.Flows() != c.flows-1) {
+			t.Errorf("%s: code %v, %d flows", name, d.Code, e.Flows())
+		}
+	}
+}
+
+// Guards against a target that is never used again after two balancers took it for lost.
+func TestLostTargetIsTriedAgain(t *testing.T) {
+	now := 10 * time.Second
+	e := engine(known(1, local))
+	token := silence(e, silentFlows, now-2*time.Second, now)
+	e.SetOthers([]directory.Load{{Token: token, Suspect: true}})
+	for at := now; at < now+lostSuspicion; at += 50 * time.Millisecond {
+		e.Decide(data(9, token, 1), at)
+	}
+	if d := e.Decide(data(9, token, 1), now+lostSuspicion+time.Millisecond); d.Action != Forward {
+		t.Errorf("%v after the suspicion", d.Action)
+	}
+}
+
 // Guards against a suspicion of every target, for example when the balancer's own link fails, that empties a service.
 func TestAllSuspect(t *testing.T) {
 	e := engine(five(local)...)
--- a/steer/load.go
+++ b/steer/load.go
@@ -16,6 +16,11 @@
 	silentFlows = 2
 	// suspicion is how long a suspect target gets no new flows before it is tried again.
 	suspicion = 1500 * time.Millisecond
+	// lostSuspicion is the same when another balancer suspects it too: the record of a target that ended lapses within 3 s.
+	lostSuspicion = 3 * time.Second
+	// lostAfter is how long a target that two balancers suspect must have shown no sign of life here before its flows are
+	// reset: few requests work longer.
+	lostAfter = time.Second
 )
 
 // load is what this balancer has seen of a target.
@@ -41,9 +46,18 @@
 		return nil
 	}
 	l.until = now + suspicion
+	if l.others.Suspect {
+		l.until = now + lostSuspicion
+	}
 	return t
 }
 
+// lost reports whether the target has ended for all that balancers can see: here and elsewhere several flows went unanswered,
+// and it was alive before.
+func (l *load) lost(now time.Duration) bool {
+	return now < l.until && l.others.Suspect && l.answered > 0 && now-l.answered >= lostAfter
+}
+
 // suspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) suspect(now time.Duration) bool {
 	return now < l.until || l.others.Suspect && now-l.answered >= silenceAfter
