Forget the evidence against targets after a pause of this process

A balancer that stood still finds its callers' repetitions in the socket and took them for unanswered flows; with a suspicion of another balancer from before the pause it would have reset living flows at waking. Found by reading; TestPauseIsNoProofOfLoss fails without the change.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -36,10 +36,11 @@
 
 // Engine decides about packets. One goroutine may use it.
 type Engine struct {
-	flows map[FlowKey]flowState
-	order []FlowKey // flows in the order of their opening, for expiry
-	loads map[string]*load
-	view  *View
+	flows   map[FlowKey]flowState
+	order   []FlowKey // flows in the order of their opening, for expiry
+	loads   map[string]*load
+	view    *View
+	decided time.Duration // when the last packet was decided about
 	// fenced drops opening packets, because this process stood still and may act on an old view.
 	fenced bool
 }
@@ -105,6 +106,10 @@
 	if e.view == nil {
 		return Decision{Action: Drop, Code: resultcode.NotReady}
 	}
+	if now-e.decided >= lostAfter {
+		e.forgetSilence()
+	}
+	e.decided = now
 	switch {
 	case !p.Open:
 		return e.carry(p, now)
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -293,13 +293,16 @@
 	}
 }
 
-// silence plays flows at the target that are open and then go unanswered, and returns their token.
+// silence plays flows at the target that are open and then go unanswered, beside other packets, and returns their token.
 func silence(e *Engine, flows int, answeredAt, now time.Duration) directory.Token {
 	var token directory.Token
 	for n := range flows {
 		token = e.Decide(opening(n), answeredAt).Target.Token
 		answered(e, n, token, answeredAt)
 	}
+	for at := answeredAt; at < now; at += lostAfter / 2 {
+		e.Decide(&Packet{Caller: caller(1000), Open: true}, at)
+	}
 	for n := range flows {
 		e.Decide(data(n, token, 1), now-200*time.Millisecond)
 		e.Decide(data(n, token, 1), now)
@@ -339,6 +342,28 @@
 	}
 }
 
+// Replays a balancer that stood still: the repetitions of its callers wait in the socket, and the answers of their targets were
+// acknowledged elsewhere. Guards against resets of living flows at waking.
+func TestPauseIsNoProofOfLoss(t *testing.T) {
+	e, at := engine(known(1, local)), 10*time.Second
+	const flows = 5
+	var token directory.Token
+	for n := range flows {
+		token = e.Decide(opening(n), at).Target.Token
+		answered(e, n, token, at)
+		e.Decide(data(n, token, 1), at)
+	}
+	e.SetOthers([]directory.Load{{Token: token, Suspect: true}})
+	woken := at + 3*time.Second
+	for range 2 {
+		for n := range flows {
+			if d := e.Decide(data(n, token, 1), woken); d.Action != Forward {
+				t.Fatalf("flow %d: %v", n, d.Action)
+			}
+		}
+	}
+}
+
 // Guards against a target that is never used again after two balancers took it for lost.
 func TestLostTargetIsTriedAgain(t *testing.T) {
 	now := 10 * time.Second
--- a/steer/load.go
+++ b/steer/load.go
@@ -58,6 +58,14 @@
 	return now < l.until && l.others.Suspect && l.answered > 0 && now-l.answered >= lostAfter
 }
 
+// forgetSilence drops the evidence against targets. Without a packet for long the process may have stood still, and repetitions
+// that waited meanwhile prove nothing.
+func (e *Engine) forgetSilence() {
+	for _, l := range e.loads {
+		l.answered, l.failed, l.until = 0, 0, 0
+	}
+}
+
 // suspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) suspect(now time.Duration) bool {
 	return now < l.until || l.others.Suspect && now-l.answered >= silenceAfter
