--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -22,6 +22,9 @@
 	reuseTime     = 2 * time.Second
 )
 
+// memory is how long hosts surely remember one of their data centre that they lost.
+const memory = 25 * time.Second
+
 // disturbances are what happens to the world, one at a time.
 var disturbances = map[string]func(w *world, h *worldHost, t *worldTarget){
 	"nothing":   func(*world, *worldHost, *worldTarget) {},
@@ -60,7 +63,7 @@
 	"kill others": func(w *world, h *worldHost, _ *worldTarget) { w.killCentre(h, h) },
 }
 
-// drain lets a target announce that it leaves, unless its service has few others.
+// drain lets a target announce that it leaves.
 func (w *world) drain(_ *worldHost, t *worldTarget) {
 	if !t.alive || t.Draining || w.store.down || w.cut[t.dc] {
 		return
@@ -100,17 +103,17 @@
 		return
 	}
 	w.endTarget(t)
-	if t.drainedAt == 0 {
+	if t.drainedAt == 0 && !t.handedOn {
 		w.startTarget(t)
 	}
 }
 
 // reuse starts a target of another service at the address of one that has ended.
 func (w *world) reuse(_ *worldHost, t *worldTarget) {
-	if t.alive || t.endedAt == 0 || w.now-t.endedAt < reuseTime || t.drainedAt < 0 {
+	if t.alive || t.handedOn || w.now-t.endedAt < reuseTime {
 		return
 	}
-	t.drainedAt = -1 // its address is taken
+	t.handedOn = true
 	service := 0
 	if t.Service == serviceName(0) {
 		service = 1
@@ -161,9 +164,6 @@
 	return ""
 }
 
-// memory is how long hosts surely remember one of their data centre that they lost.
-const memory = 25 * time.Second
-
 // couldTell reports whether the host has long known routes and targets, and can reach another one of its data centre: by a
 // seed, or because its process has heard of that host.
 func (h *worldHost) couldTell(other *worldHost) bool {
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -60,6 +60,7 @@
 	alive     bool
 	drainedAt time.Duration // when the store accepted that it leaves, 0 before
 	endedAt   time.Duration
+	handedOn  bool // its address belongs to another target
 	listed    bool
 	heard     time.Duration // last beat that the store accepted
 	reachable time.Duration // since when it lives and reaches the store
