--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -50,7 +50,7 @@
 	chart     *chart.Chart
 	reader    *storeReader
 	exchange  *Exchange
-	ask       func(ctx context.Context, to netip.AddrPort, report *relay.Report)
+	ask       func(ctx context.Context, to netip.AddrPort, report *relay.Report) // Exchange.Ask, but in the exploration
 	watch     *settingsWatch
 	traffic   *Traffic
 	metrics   *metrics
