Compute the report interval once for each reply, not once for each host

Count walks over all hosts, and the interval, the age of loads and the age at which a host counts as lost follow from it. Four loops over the hosts called them for each host, so a reply, the check for lost hosts and the search for missing ones cost the square of the data centre. Found by reading the change.

While hosts are being forgotten the bound is now that of the start of the pass; before it shrank with each one that was forgotten, in the order of the map.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	sed -i -e '/^<!-- begin/,/^<!-- end/{//!d}' -e '/^<!-- begin/r $(OUT)/capacity.md' docs/CAPACITY.md
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./internal/dataplane ./forward ./flow ./steer
+	go test -run '^$$' -bench . -benchmem ./internal/dataplane ./forward ./flow ./relay ./steer
 
 generate:
 	go generate ./...
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -182,14 +182,15 @@
 // expire forgets hosts that have not been heard of. Some are kept as further seeds: the seeds of the settings may be stale,
 // and after a pause of this process every host counts as lost.
 func (f *Fleet) expire(now time.Duration) {
+	age := f.deadAfter()
 	maps.DeleteFunc(f.members, func(_ string, m *member) bool {
-		if now-m.heard <= f.deadAfter() {
+		if now-m.heard <= age {
 			return false
 		}
 		f.lost(m)
 		return true
 	})
-	maps.DeleteFunc(f.nextAsk, func(_ netip.AddrPort, due time.Duration) bool { return now-due > f.deadAfter() })
+	maps.DeleteFunc(f.nextAsk, func(_ netip.AddrPort, due time.Duration) bool { return now-due > age })
 }
 
 // Reported takes in a report of another host.
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -67,8 +67,9 @@
 
 // addCentre adds what hosts of this data centre have reported here, but for the one called except.
 func (f *Fleet) addCentre(sum *loadSum, except string, now time.Duration) {
+	age := f.loadAge()
 	for _, m := range f.members {
-		if m.host.Name != except && now-m.own.at <= f.loadAge() {
+		if m.host.Name != except && now-m.own.at <= age {
 			sum.add(m.own.list)
 		}
 	}
@@ -76,9 +77,9 @@
 
 // addOthers adds the newest loads of each other data centre.
 func (f *Fleet) addOthers(sum *loadSum, now time.Duration) {
-	newest := map[string]loads{}
+	newest, age := map[string]loads{}, f.loadAge()
 	for _, m := range f.members {
-		if m.centre.at > newest[m.host.DataCentre].at && now-m.centre.at <= f.loadAge() {
+		if m.centre.at > newest[m.host.DataCentre].at && now-m.centre.at <= age {
 			newest[m.host.DataCentre] = m.centre
 		}
 	}
--- a/relay/lost.go
+++ b/relay/lost.go
@@ -58,8 +58,9 @@
 // started again with neither a seed nor a store that answers, and then know nobody.
 func (f *Fleet) missing(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
+	silence := missingAfter + 2*f.Interval()
 	for _, m := range f.members {
-		if m.host.DataCentre == f.self.DataCentre && now-m.heard > missingAfter+2*f.Interval() {
+		if m.host.DataCentre == f.self.DataCentre && now-m.heard > silence {
 			out = append(out, m.host.Address)
 		}
 	}
