--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -2,10 +2,7 @@
 
 import (
 	"net/netip"
-	"os"
 	"time"
-
-	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 // Direct is a checked settings file of a balancer whose targets answer callers directly.
@@ -62,9 +59,9 @@
 
 // LoadDirect reads and checks the settings file at path. The error is a *resultcode.Error.
 func LoadDirect(path string) (*Direct, error) {
-	data, err := os.ReadFile(path)
+	data, err := read(path)
 	if err != nil {
-		return nil, resultcode.Errorf(resultcode.SettingsUnreadable, path, "%v", err)
+		return nil, err
 	}
 	return ParseDirect(data)
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -47,9 +47,9 @@
 
 // Load reads and checks the settings file at path. The error is a *resultcode.Error.
 func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := read(path)
 	if err != nil {
-		return nil, resultcode.Errorf(resultcode.SettingsUnreadable, path, "%v", err)
+		return nil, err
 	}
 	s, err := Parse(data)
 	if err != nil {
@@ -58,6 +58,14 @@
 	return s, checkFiles(s)
 }
 
+func read(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, resultcode.Errorf(resultcode.SettingsUnreadable, path, "%v", err)
+	}
+	return data, nil
+}
+
 // Parse decodes and checks settings and fills in defaults. It does not look at the files that they name.
 func Parse(data []byte) (*Settings, error) {
 	s := &Settings{}
