--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"github.com/marigoldwood/marigoldwood/internal/flowlog"
+	"github.com/marigoldwood/marigoldwood/internal/logging"
 	"github.com/marigoldwood/marigoldwood/internal/operator"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/internal/status"
@@ -59,7 +60,7 @@
 		}
 		lines = append(lines, read...)
 	}
-	found := flowlog.Follow(lines, addr.Caller.String()+">"+addr.Endpoint.String())
+	found := flowlog.Follow(lines, logging.FlowName(addr.Caller, addr.Endpoint))
 	if len(found) == 0 {
 		return fmt.Errorf("no log names the flow %s", addr)
 	}
--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/marigoldwood/marigoldwood/internal/logging"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/steer"
 )
@@ -88,5 +89,6 @@
 	return true
 }
 
-// flowName names a flow as operators do: caller, then endpoint.
-func flowName(p *steer.Packet) string { return p.Caller.String() + ">" + p.Endpoint.String() }
+func flowName(p *steer.Packet) string {
+	return logging.FlowName(p.Caller.AddrPort(), p.Endpoint.AddrPort())
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"maps"
+	"net/netip"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +24,11 @@
 	return logger.WithField("host", host), nil
 }
 
+// FlowName names a flow in the log: caller, then endpoint.
+func FlowName(caller, endpoint netip.AddrPort) string {
+	return caller.String() + ">" + endpoint.String()
+}
+
 // Event writes an event of the time line to the log.
 func Event(log *logrus.Entry, e timeline.Event) { EventWith(log, logrus.InfoLevel, e, nil) }
 
