--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -98,20 +98,20 @@
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
 	for instrument, value := range gauges {
-		g, err := meter.Int64ObservableGauge(instrument.Name, metric.WithUnit(instrument.Unit), metric.WithDescription(instrument.Help))
+		g, err := gauge(meter, instrument)
 		if err != nil {
-			return Error.Wrap(err)
+			return err
 		}
 		observed[g] = value
 		observables = append(observables, g)
 	}
-	waiting, err := meter.Int64ObservableGauge(telemetry.DirectWaiting.Name, metric.WithDescription(telemetry.DirectWaiting.Help))
+	waiting, err := gauge(meter, telemetry.DirectWaiting)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
-	slots, err := meter.Int64ObservableGauge(telemetry.DirectSlots.Name, metric.WithDescription(telemetry.DirectSlots.Help))
+	slots, err := gauge(meter, telemetry.DirectSlots)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	observables = append(observables, waiting, slots)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -134,6 +134,11 @@
 	return Error.Wrap(err)
 }
 
+func gauge(meter metric.Meter, i telemetry.Instrument) (metric.Int64ObservableGauge, error) {
+	g, err := meter.Int64ObservableGauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Help))
+	return g, Error.Wrap(err)
+}
+
 // count adds to a counter.
 func (m *metrics) count(action steer.Action, code resultcode.Code, n uint64) {
 	if c := m.packets[counterKey{action, code}]; c != nil {
