--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -88,13 +88,7 @@
 		return
 	}
 	t.alive, t.endedAt = false, w.now
-	kept := w.flows[:0]
-	for _, f := range w.flows {
-		if f.target != t {
-			kept = append(kept, f)
-		}
-	}
-	w.flows = kept
+	w.flows = slices.DeleteFunc(w.flows, func(f worldFlow) bool { return f.target == t })
 }
 
 // restartTarget starts a target again under its identity.
--- a/steer/view.go
+++ b/steer/view.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,13 +97,7 @@
 func (v *View) drop(t *Target) {
 	p := v.pools[t.Service]
 	for _, list := range []*[]*Target{&p.local, &p.remote, &p.lapsed} {
-		kept := (*list)[:0]
-		for _, other := range *list {
-			if other != t {
-				kept = append(kept, other)
-			}
-		}
-		*list = kept
+		*list = slices.DeleteFunc(*list, func(other *Target) bool { return other == t })
 	}
 }
 
