Share loads between test engines by one function

lost_test.go had its own form that passed on suspicion alone. shareLoads now tells the sum of the others' loads and whether one of them suspects the target; the assertions stay.

--- a/steer/lost_test.go
+++ b/steer/lost_test.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"testing"
 	"time"
-
-	"github.com/marigoldwood/marigoldwood/directory"
 )
 
 // lossyService plays open flows at one target through several balancers, over links that lose packets.
@@ -52,7 +50,7 @@
 			s.turn(i, now, now >= end)
 		}
 		if now%(200*time.Millisecond) == 0 {
-			s.share(now)
+			shareLoads(s.engines, now)
 		}
 	}
 }
@@ -92,19 +90,6 @@
 	}
 }
 
-// share tells each balancer what the others have seen.
-func (s *lossyService) share(now time.Duration) {
-	for _, e := range s.engines {
-		suspect := false
-		for _, other := range s.engines {
-			for _, l := range other.Loads(now) {
-				suspect = suspect || other != e && l.Suspect
-			}
-		}
-		e.SetOthers([]directory.Load{{Token: s.target.Token, Suspect: suspect}})
-	}
-}
-
 func longWork(r *rand.Rand) time.Duration {
 	if r.Float64() < 0.1 {
 		return time.Duration(200+r.IntN(800)) * time.Millisecond
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,24 +52,24 @@
 	return most
 }
 
-// shareLoads tells every engine what the others have seen.
+// shareLoads tells every engine what the others have seen: the sum of their loads, and whether one of them suspects the target.
 func shareLoads(engines []*Engine, now time.Duration) {
-	total := map[directory.Token]directory.Load{}
-	own := make([]map[directory.Token]directory.Load, len(engines))
+	own := make([][]directory.Load, len(engines))
 	for i, e := range engines {
-		own[i] = map[directory.Token]directory.Load{}
-		for _, l := range e.Loads(now) {
-			own[i][l.Token] = l
-			sum := total[l.Token]
-			total[l.Token] = directory.Load{Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open}
-		}
+		own[i] = e.Loads(now)
 	}
 	for i, e := range engines {
-		var others []directory.Load
-		for token, l := range total {
-			others = append(others, directory.Load{Token: token, Pending: l.Pending - own[i][token].Pending, Open: l.Open - own[i][token].Open})
+		sums := map[directory.Token]directory.Load{}
+		for j, loads := range own {
+			if j == i {
+				continue
+			}
+			for _, l := range loads {
+				sum := sums[l.Token]
+				sums[l.Token] = directory.Load{Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect}
+			}
 		}
-		e.SetOthers(others)
+		e.SetOthers(slices.Collect(maps.Values(sums)))
 	}
 }
 
