Forget in time that flows wait which other balancers carry now

After a restart of all hosts each balancer held some 500 such requests for 42 slots for more than four seconds, and told all others of them. Found with the trial of refusals: they went on for five seconds after the queue was gone.

Now the waits stand in a queue in the order of their start, and one whose flow has had no packet for waitRetention is forgotten with the next packet or report. TestFlowsThatMovedAreNoLoad: 2000 requests wait before, 1 after.

What it changes is what placement, the gauge of waiting work and the refusal of overload go by.

Ruled out: reports of hosts that have ended (they count for 1.2 s at most); an estimate of work that is too long (0.06 to 0.19 s).

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -34,10 +34,18 @@
 	last     time.Duration // last packet
 }
 
+// wait is a wait of a flow for its target.
+type wait struct {
+	key   FlowKey
+	since time.Duration // start of the wait
+	look  time.Duration // when to look whether the flow is still carried here
+}
+
 // Engine decides about packets. One goroutine may use it.
 type Engine struct {
 	flows   map[FlowKey]flowState
 	order   []FlowKey // flows in the order of their opening, for expiry
+	waits   []wait    // in about the order of their start, for expiry
 	loads   map[string]*load
 	view    *View
 	decided time.Duration // when the last packet was decided about
@@ -110,6 +118,7 @@
 		e.forgetSilence()
 	}
 	e.decided = now
+	e.expireWaits(now)
 	switch {
 	case !p.Open:
 		return e.carry(p, now)
@@ -159,6 +168,7 @@
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
 	}
 	e.remember(key, flowState{token: t.Token, waiting: true, since: now, last: now})
+	e.awaitAnswer(key, now, now)
 	t.load.pending++
 	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
 }
@@ -193,6 +203,28 @@
 	e.order = append(e.order, key)
 }
 
+// awaitAnswer notes a wait that began at since, for a flow whose last packet came at last.
+func (e *Engine) awaitAnswer(key FlowKey, since, last time.Duration) {
+	e.waits = append(e.waits, wait{key: key, since: since, look: last + waitRetention})
+}
+
+// expireWaits forgets flows that wait but whose packets no longer come here. Without this their requests would count as load of
+// the target, at this balancer and at all that it reports to, until sweep comes to them.
+func (e *Engine) expireWaits(now time.Duration) {
+	for len(e.waits) > 0 && now > e.waits[0].look {
+		w := e.waits[0]
+		e.waits = e.waits[1:]
+		f, found := e.flows[w.key]
+		switch {
+		case !found || !f.waiting || f.since != w.since:
+		case f.expired(now):
+			e.forget(w.key)
+		default:
+			e.awaitAnswer(w.key, f.since, f.last)
+		}
+	}
+}
+
 // forget ends what is remembered of a flow.
 func (e *Engine) forget(key FlowKey) {
 	f, found := e.flows[key]
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -440,3 +440,23 @@
 		t.Errorf("waiting: %+v", f)
 	}
 }
+
+// Replays balancers that restart one after the other, so that the fabric hands the packets of waiting flows to others. Guards
+// against requests that count as load of their targets for as long as few new flows come.
+func TestFlowsThatMovedAreNoLoad(t *testing.T) {
+	e := engine(five(local)...)
+	token := e.Decide(opening(0), 0).Target.Token
+	const flows = 2000
+	for n := range flows {
+		e.Decide(opening(n), 0)
+		answered(e, n, token, 0)
+		e.Decide(data(n, token, 1), 0)
+	}
+	now := waitRetention + time.Millisecond
+	e.Decide(data(0, token, 1), now/2) // repeated here
+	for _, l := range e.Loads(now) {
+		if l.Token == token && l.Pending != 1 {
+			t.Errorf("%d requests wait, of which all but 1 have moved", l.Pending)
+		}
+	}
+}
--- a/steer/load.go
+++ b/steer/load.go
@@ -76,6 +76,7 @@
 	if e.view == nil {
 		return nil
 	}
+	e.expireWaits(now)
 	loads := make([]directory.Load, 0, len(e.view.tokens))
 	for token, t := range e.view.tokens {
 		l := directory.Load{Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.until}
@@ -142,7 +143,11 @@
 	}
 	f.last = now
 	f.acknowledged(p, t, now)
+	waited := f.waiting
 	d.Suspected = f.data(p, t, now)
+	if f.waiting && !waited {
+		e.awaitAnswer(key, now, now)
+	}
 	e.flows[key] = f
 }
 
