Refuse bulk flows that a service has had no room for

Load pattern: a burst of three times the usual demand. Every queue of the targets stayed full, all answers were late, and urgent work was turned away as often as bulk work.

A balancer now expects the wait of a new request from the reported load and the work time of the service, and refuses flows of the least urgent route in use when the wait has lasted for a second and takes too much of the route's objective. Flows of rare routes and copies of opening packets are not refused. A flow whose chosen target has no room goes to one that has.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -39,6 +39,7 @@
 	{steer.Forward, resultcode.OK},
 	{steer.Refuse, resultcode.PacketUnknownEndpoint},
 	{steer.Refuse, resultcode.RefusedNoTarget},
+	{steer.Refuse, resultcode.RefusedNoSlot},
 	{steer.Break, resultcode.TargetGone},
 	{steer.Break, resultcode.TargetLost},
 	{steer.Drop, resultcode.TargetGone},
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -27,6 +27,7 @@
 	token    directory.Token
 	opened   bool          // the caller has answered the target
 	waiting  bool          // for an answer of the target
+	alone    bool          // the request found a free slot at the target
 	reported bool          // its silence was counted
 	sent     uint32        // end of the caller's data
 	received uint32        // the caller's last acknowledgement
@@ -47,6 +48,7 @@
 	order   []FlowKey // flows in the order of their opening, for expiry
 	waits   []wait    // in about the order of their start, for expiry
 	loads   map[string]*load
+	demands map[string]*demand // by service
 	view    *View
 	decided time.Duration // when the last packet was decided about
 	// fenced drops opening packets, because this process stood still and may act on an old view.
@@ -55,7 +57,7 @@
 
 // NewEngine returns an engine without a view, which drops every packet.
 func NewEngine() *Engine {
-	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}}
+	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}}
 }
 
 // SetView puts a view in force.
@@ -70,6 +72,10 @@
 			e.loads[t.Name] = l
 		}
 		t.load = l
+		if t.demand = e.demands[t.Service]; t.demand == nil {
+			t.demand = newDemand()
+			e.demands[t.Service] = t.demand
+		}
 	}
 	for name := range e.loads {
 		if !present[name] {
@@ -163,9 +169,12 @@
 		return Decision{Action: Forward, Target: first, Suspected: suspected}
 	}
 	e.forget(key)
-	t := e.view.pick(route, key, now)
-	if t == nil {
+	t, overloaded := e.view.pick(route, key, now)
+	switch {
+	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
+	case overloaded && p.Acknowledgement == 0: // another balancer may have sent the first of several copies to a target
+		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, Wait: t.demand.wait, Suspected: suspected}
 	}
 	e.remember(key, flowState{token: t.Token, waiting: true, since: now, last: now})
 	e.awaitAnswer(key, now, now)
--- a/steer/load.go
+++ b/steer/load.go
@@ -168,6 +168,9 @@
 	f.received = p.Acknowledgement
 	t.load.alive(now)
 	if f.waiting {
+		if f.alone {
+			t.demand.answered(now - f.since)
+		}
 		f.waiting, f.reported = false, false
 		t.load.pending = max(t.load.pending-1, 0)
 	}
@@ -181,7 +184,7 @@
 	case int32(p.end()-f.sent) > 0:
 		f.sent = p.end()
 		if !f.waiting {
-			f.waiting, f.since = true, now
+			f.waiting, f.since, f.alone = true, now, t.hasFreeSlot(now)
 			t.load.pending++
 		}
 	case f.waiting && !f.reported && now-f.since >= silenceAfter:
--- a/steer/place.go
+++ b/steer/place.go
@@ -31,26 +31,40 @@
 	return xxhash.Sum64(b[:])
 }
 
-// pick returns the target of a new flow, or nil when the service has none.
-func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration) *Target {
+// pick returns the target of a new flow, or nil when the service has none, and whether the flow is refused because the service has
+// more work than it can answer in time.
+func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration) (t *Target, overloaded bool) {
 	hash := key.hash()
 	p := v.pools[service(r, hash)]
 	if p == nil {
-		return nil
+		return nil, false
 	}
-	local, remote := choose(p.local, hash, now, false), choose(p.remote, hash, now, false)
-	switch {
-	case local == nil && remote == nil:
-	case local == nil || remote != nil && local.cost(now) > remote.cost(now)+remoteCost:
-		return remote
-	default:
-		return local
+	trusted := func(t *Target) bool { return !t.load.suspect(now) }
+	if t = p.choose(hash, now, trusted); t == nil {
+		// Every target is suspect: a wrong suspicion must not empty a service.
+		return p.choose(hash, now, func(*Target) bool { return true }), false
+	}
+	t.demand.asked(r, now)
+	t.demand.update(p, now)
+	if t.hasRoom(r, now) {
+		return t, false
+	}
+	if t.demand.refuses(r, hash) {
+		return t, true
+	}
+	if other := p.choose(hash, now, func(t *Target) bool { return trusted(t) && t.hasRoom(r, now) }); other != nil {
+		return other, false
 	}
-	// Every target is suspect: a wrong suspicion must not empty a service.
-	if t := choose(p.local, hash, now, true); t != nil {
-		return t
+	return t, false
+}
+
+// choose returns the target of a new flow of those that are usable, or nil when there is none.
+func (p *pool) choose(hash uint64, now time.Duration, usable func(*Target) bool) *Target {
+	local, remote := choose(p.local, hash, now, usable), choose(p.remote, hash, now, usable)
+	if local == nil || remote != nil && local.cost(now) > remote.cost(now)+remoteCost {
+		return remote
 	}
-	return choose(p.remote, hash, now, true)
+	return local
 }
 
 // service returns the service of a new flow by the weights of the route.
@@ -95,8 +109,8 @@
 
 // choose takes the less loaded of the first two targets by rendezvous hashing. Loads that other balancers reported are
 // old by the time between two reports; taking the least loaded of all would send every balancer's flows to the same target.
-func choose(targets []*Target, hash uint64, now time.Duration, suspects bool) *Target {
-	first, second := firstTwo(targets, hash, now, func(t *Target) bool { return suspects || !t.load.suspect(now) })
+func choose(targets []*Target, hash uint64, now time.Duration, usable func(*Target) bool) *Target {
+	first, second := firstTwo(targets, hash, now, usable)
 	if second != nil && second.cost(now) < first.cost(now) {
 		return second
 	}
@@ -122,22 +136,27 @@
 	return first, second
 }
 
-// cost is the load of the target for each slot, as far as the balancers have told each other.
-func (t *Target) cost(now time.Duration) float64 {
-	capacity := float64(t.Capacity)
+// pending is the number of requests that wait for the target, as far as the balancers have told each other.
+func (t *Target) pending() float64 { return float64(t.load.pending) + float64(t.load.others.Pending) }
+
+// slots is the number of requests that the target works on at a time, at the usual speed.
+func (t *Target) slots(now time.Duration) float64 {
 	if t.isCold(now) {
-		capacity *= coldWeight
+		return coldWeight * float64(t.Capacity)
 	}
-	pending, open := float64(t.load.pending)+float64(t.load.others.Pending), float64(t.load.open)+float64(t.load.others.Open)
-	return (pending + openFlowLoad*open) / capacity
+	return float64(t.Capacity)
+}
+
+// cost is the load of the target for each slot.
+func (t *Target) cost(now time.Duration) float64 {
+	open := float64(t.load.open) + float64(t.load.others.Open)
+	return (t.pending() + openFlowLoad*open) / t.slots(now)
 }
 
-// score is the rank of the target for a flow, weighted by its capacity.
+// score is the rank of the target for a flow, weighted by its slots.
 func (t *Target) score(hash uint64, now time.Duration) float64 {
-	weight := float64(t.Capacity)
-	if t.isCold(now) {
-		weight *= coldWeight
-	}
-	uniform := (float64(flow.Mix(hash, t.seed)>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(uniform)
+	return -t.slots(now) / math.Log(uniform(hash, t.seed))
 }
+
+// uniform returns a number between 0 and 1 that depends on the flow and the seed alone.
+func uniform(hash, seed uint64) float64 { return (float64(flow.Mix(hash, seed)>>11) + 0.5) / (1 << 53) }
--- a/steer/view.go
+++ b/steer/view.go
@@ -14,7 +14,10 @@
 	directory.Known
 	Token directory.Token
 	seed  uint64
-	load  *load // shared by all views, owned by the engine
+
+	// load and demand are shared by all views and owned by the engine.
+	load   *load
+	demand *demand // of the service
 }
 
 // View is what packets are decided by. It is immutable.
