Give reads of the platform's client that must be answered no short time limit in its test

TestBundle/largest failed once beside a load average of 47: "context deadline exceeded" after 0.60 s. They now have 30 s, the silent one keeps 0.3 s. All cases and comparisons stay.

Ruled out: a read that hangs in the client (the handler had written a part of the answer, and the error is that of the test's limit).

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -15,7 +15,14 @@
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
-func serve(t *testing.T, handler http.HandlerFunc) *Client {
+const (
+	// answerTimeout is for reads that must end with an answer, also on a busy machine.
+	answerTimeout = 30 * time.Second
+	// silenceTimeout is for reads of a platform that does not answer.
+	silenceTimeout = 300 * time.Millisecond
+)
+
+func serve(t *testing.T, timeout time.Duration, handler http.HandlerFunc) *Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -23,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(netip.MustParseAddrPort(u.Host), 300*time.Millisecond)
+	c := New(netip.MustParseAddrPort(u.Host), timeout)
 	t.Cleanup(c.Close)
 	return c
 }
@@ -59,7 +66,11 @@
 		"silent": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, Answer{}, resultcode.PlatformUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, err := serve(t, tt.handler).Bundle(t.Context(), "6", 40*time.Millisecond)
+			timeout := answerTimeout
+			if name == "silent" {
+				timeout = silenceTimeout
+			}
+			got, err := serve(t, timeout, tt.handler).Bundle(t.Context(), "6", 40*time.Millisecond)
 			if resultcode.Of(err) != tt.code || got.Modified != tt.want.Modified || got.Revision != tt.want.Revision || string(got.Envelope) != string(tt.want.Envelope) {
 				t.Fatalf("got %v %q, %d bytes, %v; want %v", got.Modified, got.Revision, len(got.Envelope), err, tt.code)
 			}
@@ -69,7 +80,7 @@
 
 // Guards against a wait of the platform's watch that is cut off by the timeout for answers.
 func TestWatchOutlastsTimeout(t *testing.T) {
-	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+	c := serve(t, silenceTimeout, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(500 * time.Millisecond)
 		w.WriteHeader(http.StatusNotModified)
 	})
@@ -86,7 +97,7 @@
 // Guards against a malformed host list that is taken for an empty one, which would look like a fleet without hosts.
 func TestHosts(t *testing.T) {
 	body := `[{"name":"a","address":"127.0.0.2","data_centre":"regina","state":"leaving"}]`
-	c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+	c := serve(t, answerTimeout, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
 	hosts, err := c.Hosts(t.Context())
 	if err != nil || len(hosts) != 1 || hosts[0] != (Host{"a", "127.0.0.2", "regina", "leaving"}) {
 		t.Fatalf("got %v, %v", hosts, err)
