Take the store's changes from the own data centre, and let a large answer take its time

Cause: each reply to a report held every change after the asker's revision, also between relays of different data centres, which read the store themselves, and to hosts that had just started and asked several seeds at once: each got the whole directory several times. With many hosts the answers did not fit into 0.6 s, were given up halfway and asked for again.

Now a report says whether it asks for changes (relay.Fleet.Wants), and an answer is waited for while its bytes keep coming, 5 s at most.

Tests that failed first: TestAskSlowAnswer, TestStartingHostAsksOneForEverything; TestChangesStayInTheDataCentre checks that nobody falls behind. Ruled out: loads (64 at most in a message, 10 bytes each). Open: the relay still sends its directory to every host of its data centre that starts.

--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -106,8 +106,9 @@
 // report tells the relay, or as a relay the others, what this host knows.
 func (c *Control) report(ctx context.Context, now time.Duration) {
 	c.reported = now
-	for _, to := range c.fleet.Ask(c.standing(now), now) {
-		report := &relay.Report{Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now)}
+	standing := c.standing(now)
+	for _, to := range c.fleet.Ask(standing, now) {
+		report := &relay.Report{Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now), Wants: c.fleet.Wants(to, standing, now)}
 		report.Loads, report.Centre = c.fleet.LoadsOf(to, c.traffic.Loads(), now)
 		c.ask(ctx, to, report)
 	}
@@ -137,7 +138,7 @@
 		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), Count: c.fleet.Count(),
 		Loads: c.fleet.LoadsFor(r.Host.Name, r.Host.DataCentre, c.traffic.Loads(), now),
 	}
-	if r.Freshness.Revision < c.directory.Revision() && c.directory.Ready() {
+	if r.Wants && r.Freshness.Revision < c.directory.Revision() && c.directory.Ready() {
 		reply.Changes = c.directory.Since(r.Freshness.Revision)
 	}
 	return reply
--- a/internal/peer/ask.go
+++ b/internal/peer/ask.go
@@ -15,6 +15,9 @@
 const (
 	// askIdle ends a connection on which nothing was asked for so long.
 	askIdle = 10 * time.Second
+	// answerLimit is the longest time that an answer may take whose bytes keep coming: the directory of 4,600 targets to many
+	// hosts that start at once, over a slow link.
+	answerLimit = 5 * time.Second
 	// maxAskers bounds the connections that an answerer serves at a time.
 	maxAskers = 512
 )
@@ -27,8 +30,8 @@
 	conn     net.Conn
 }
 
-// NewAsker returns an asker of the peer at the address. An answer that takes longer than timeout is a failure, also on a
-// connection that has gone silent.
+// NewAsker returns an asker of the peer at the address. A peer that sends nothing for longer than timeout while its answer is due
+// has failed, also on a connection that has gone silent.
 func NewAsker(identity *Identity, to netip.AddrPort, timeout time.Duration) *Asker {
 	return &Asker{identity: identity, to: to, timeout: timeout}
 }
@@ -57,13 +60,33 @@
 	if err := writeMessage(a.conn, a.identity, m); err != nil {
 		return nil, err
 	}
-	f, err := ReadFrame(a.conn, nil)
+	f, err := ReadFrame(&steadyReader{conn: a.conn, timeout: a.timeout, limit: time.Now().Add(answerLimit)}, nil)
 	if err != nil {
 		return nil, unexpected(err)
 	}
 	return f.Decode()
 }
 
+// steadyReader reads from a connection as long as bytes keep coming, until a time. A time limit for a whole large answer would end
+// all of them when many hosts ask at once, and each would ask for it again.
+type steadyReader struct {
+	conn    net.Conn
+	timeout time.Duration // without a byte
+	limit   time.Time
+}
+
+// Read implements io.Reader.
+func (r *steadyReader) Read(b []byte) (int, error) {
+	deadline := time.Now().Add(r.timeout)
+	if deadline.After(r.limit) {
+		deadline = r.limit
+	}
+	if err := r.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(b)
+}
+
 // Close closes the connection. The next Ask opens another one.
 func (a *Asker) Close() {
 	if a.conn != nil {
--- a/internal/peer/ask_test.go
+++ b/internal/peer/ask_test.go
@@ -1,13 +1,16 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
@@ -96,3 +99,56 @@
 		_ = conn.Close()
 	}
 }
+
+// Replays many hosts that start at once and ask one peer for its whole directory over a slow link: each answer trickles. Guards against
+// answers that are given up halfway and asked for again, and against a peer that never comes to an end.
+func TestAskSlowAnswer(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	listener, address := listenLoopback(t)
+	identity := NewIdentity("b", "x", 1)
+	var endless atomic.Bool
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go trickle(conn, identity, timeout/4, &endless)
+		}
+	}()
+	asker := NewAsker(NewIdentity("a", "x", 1), address, timeout)
+	defer asker.Close()
+	if m, err := asker.Ask(t.Context(), &RelayReport{}); err != nil || m.(*RelayReply).Count != 7 {
+		t.Fatalf("slow answer: got %v, %v", m, err)
+	}
+	endless.Store(true)
+	started := time.Now()
+	if _, err := asker.Ask(t.Context(), &RelayReport{}); resultcode.Of(err) != resultcode.PeerUnreachable {
+		t.Fatalf("endless answer: got %v after %v", err, time.Since(started))
+	}
+}
+
+// trickle answers each message in ten pieces with a pause before each, or with one byte after the other for ever.
+func trickle(conn net.Conn, identity *Identity, pause time.Duration, endless *atomic.Bool) {
+	defer conn.Close()
+	for {
+		if _, err := ReadFrame(conn, nil); err != nil {
+			return
+		}
+		var b bytes.Buffer
+		reply := relay.Reply{Count: 7, Changes: directory.Batch{Changes: []directory.Change{{Name: strings.Repeat("x", 1000), Removed: true}}}}
+		if writeMessage(&b, identity, &RelayReply{Reply: reply}) != nil {
+			return
+		}
+		piece := b.Len()/10 + 1
+		if endless.Load() {
+			piece = 1
+		}
+		for b.Len() > 0 {
+			time.Sleep(pause)
+			if _, err := conn.Write(b.Next(piece)); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -22,6 +22,9 @@
 	// staleAfter is the age of the store's last answer at which a host reads the store itself. An idle watch answers
 	// every 1.5 s, and a configuration must be in force within 3 s.
 	staleAfter = 2200 * time.Millisecond
+	// firstWait is how long a host that knows nothing waits for the answer of one host before it asks another one: the
+	// directory of 4,600 targets takes about half a second on a link of 10 Mbit/s.
+	firstWait = time.Second
 	// deadAfter is how long a host is known after its last report, beside the time that news of it takes over a relay.
 	deadAfter = 3 * time.Second
 )
@@ -53,6 +56,9 @@
 	asked   time.Duration // when a seed was last asked
 	started time.Duration // of the first report
 	relay   string        // name of the relay of this data centre at the last report
+	// firstFrom is the host that was asked for everything at firstAsked, invalid when none is.
+	firstFrom  netip.AddrPort
+	firstAsked time.Duration
 }
 
 // NewFleet returns a fleet of self alone.
@@ -165,6 +171,33 @@
 	return due
 }
 
+// Wants reports whether to ask the host for its changes. own is the standing of this host. Changes come from the relay of the own data
+// centre. From another one they are wanted, and bytes between data centres paid for, only by a host that the store does not
+// answer, or when the other host is known to be ahead. A host that knows nothing asks one host at a time, because the answer
+// holds everything.
+func (f *Fleet) Wants(to netip.AddrPort, own Standing, now time.Duration) bool {
+	if own.Revision == 0 {
+		if f.firstFrom.IsValid() && f.firstFrom != to && now-f.firstAsked < firstWait {
+			return false
+		}
+		f.firstFrom, f.firstAsked = to, now
+		return true
+	}
+	for _, m := range f.members {
+		if m.host.Address == to {
+			return m.host.DataCentre == f.self.DataCentre || !own.Fresh || m.standing.Revision > own.Revision
+		}
+	}
+	return !own.Fresh
+}
+
+// answered notes that the host that was asked for everything has answered, or failed to.
+func (f *Fleet) answered(address netip.AddrPort) {
+	if f.firstFrom == address {
+		f.firstFrom = netip.AddrPort{}
+	}
+}
+
 // isRelay reports whether this host took itself for the relay of its data centre at the last report.
 func (f *Fleet) isRelay() bool { return f.relay == f.self.Name }
 
@@ -213,6 +246,7 @@
 	if r.Host.Name == f.self.Name {
 		return
 	}
+	f.answered(r.Host.Address)
 	m := f.heard(r.Host, now)
 	m.standing = standing(&r.Freshness, r.Leaving)
 	if r.Host.DataCentre == f.self.DataCentre {
@@ -259,6 +293,7 @@
 
 // Failed notes that a host did not answer.
 func (f *Fleet) Failed(address netip.AddrPort, now time.Duration) {
+	f.answered(address)
 	for _, m := range f.members {
 		if m.host.Address == address {
 			m.failed = now
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -17,6 +17,8 @@
 	cut   string // data centre that is cut off from the others
 	now   time.Duration
 	asked int
+	// remoteChanges counts replies with changes to another data centre.
+	remoteChanges int
 }
 
 type node struct {
@@ -91,14 +93,19 @@
 			h.fleet.Failed(to, n.now)
 			continue
 		}
-		report := &Report{Host: h.self, Freshness: h.freshness()}
+		report := &Report{Host: h.self, Freshness: h.freshness(), Wants: h.fleet.Wants(to, h.standing(), n.now)}
 		report.Loads, report.Centre = h.fleet.LoadsOf(to, h.loads, n.now)
 		peer.fleet.Reported(report, n.now)
 		h.fleet.Replied(&Reply{
 			Host: peer.self, Freshness: peer.freshness(), Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), Count: peer.fleet.Count(),
 			Loads: peer.fleet.LoadsFor(h.self.Name, h.self.DataCentre, peer.loads, n.now),
 		}, n.now)
-		h.revision = max(h.revision, peer.revision)
+		if report.Wants && peer.revision > h.revision {
+			h.revision = peer.revision
+			if peer.self.DataCentre != h.self.DataCentre {
+				n.remoteChanges++
+			}
+		}
 	}
 }
 
@@ -312,3 +319,58 @@
 		}
 	}
 }
+
+// Replays changes of the store that every relay reads. Guards against changes that are paid for between data centres once more,
+// and against hosts that fall behind because they ask nobody: a data centre that the store does not answer, and one whose
+// watch misses a change.
+func TestChangesStayInTheDataCentre(t *testing.T) {
+	n := newNetwork(6, "a", "b", "c")
+	n.run(5 * time.Second)
+	revision := uint64(1)
+	step := func(behind string) {
+		revision++
+		relays := map[string]string{}
+		for _, h := range n.hosts {
+			r, _ := h.fleet.Relay(h.self.DataCentre, h.standing())
+			relays[h.self.DataCentre] = r.Name
+		}
+		for _, h := range n.hosts {
+			if h.self.DataCentre != behind && relays[h.self.DataCentre] == h.self.Name {
+				h.revision = revision
+			}
+		}
+		n.run(n.hosts[0].fleet.Interval())
+	}
+	n.remoteChanges = 0
+	for range 30 {
+		step("")
+	}
+	if n.remoteChanges > 0 {
+		t.Errorf("%d replies with changes to other data centres", n.remoteChanges)
+	}
+	for range 30 {
+		step("c")
+	}
+	n.run(2 * time.Second)
+	for _, h := range n.hosts {
+		if h.revision != revision {
+			t.Errorf("%s knows revision %d, the store has %d", h.self.Name, h.revision, revision)
+		}
+	}
+}
+
+// Guards against a host that starts and asks several hosts at once for everything that they know.
+func TestStartingHostAsksOneForEverything(t *testing.T) {
+	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
+	first, second := netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")
+	if !f.Wants(first, Standing{}, time.Second) || f.Wants(second, Standing{}, time.Second) {
+		t.Error("two hosts are asked for everything at once")
+	}
+	f.Failed(first, time.Second)
+	if !f.Wants(second, Standing{}, time.Second) || f.Wants(first, Standing{}, time.Second+firstWait/2) {
+		t.Error("no other host is asked after one has failed, or two are")
+	}
+	if !f.Wants(first, Standing{}, time.Second+firstWait) {
+		t.Error("a silent host is waited for")
+	}
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -36,6 +36,8 @@
 	Loads     []directory.Load
 	// Centre reports that Loads are those of the sender's whole data centre, which a relay tells other data centres.
 	Centre bool
+	// Wants asks for the changes after the revision of Freshness.
+	Wants bool
 }
 
 // Reply answers a report.
@@ -43,7 +45,7 @@
 	Host      Host
 	Leaving   bool
 	Freshness Freshness
-	Changes   directory.Batch // after the revision of the report
+	Changes   directory.Batch // after the revision of the report, if it asks for them
 	// Hosts are the best candidates for the relay, of the asker's data centre and of the others.
 	Hosts []Member
 	// Count is the number of hosts that the sender knows in its own data centre, itself included.
