Place a flow whose chosen target has no room there all the same, unless it is refused

A second choice among the targets with room sent the flows of all balancers to the same targets, because loads are up to a second old in a large fleet.

--- a/steer/place.go
+++ b/steer/place.go
@@ -46,16 +46,7 @@
 	}
 	t.demand.asked(r, now)
 	t.demand.update(p, now)
-	if t.hasRoom(r, now) {
-		return t, false
-	}
-	if t.demand.refuses(r, hash) {
-		return t, true
-	}
-	if other := p.choose(hash, now, func(t *Target) bool { return trusted(t) && t.hasRoom(r, now) }); other != nil {
-		return other, false
-	}
-	return t, false
+	return t, !t.hasRoom(r, now) && t.demand.refuses(r, hash)
 }
 
 // choose returns the target of a new flow of those that are usable, or nil when there is none.
