--- a/steer/admit.go
+++ b/steer/admit.go
@@ -15,23 +15,33 @@
 	waitAverage = 300 * time.Millisecond
 	// waitShare is the part of a route's slack that a request may expect to wait before flows of the route are refused. The slack
 	// is the route's objective less the time of the work. The rest of it is for more urgent flows, which are not refused, for
-	// requests on open flows, and for work that takes longer than the mean.
+	// requests on open flows, and for work that takes longer than the mean; docs/decisions/0005 compares shares.
 	waitShare = 0.3
 	// admissionSeed makes refusals independent of the ranking of targets, which uses the same hash of the flow.
 	admissionSeed = 0x9e3779b97f4a7c15
 	// demandHalfLife is the time in which the flows that a route has opened lose half of their weight.
 	demandHalfLife = time.Second
 	// demandShare is the part of a service's new flows from which on a route counts for its load. Flows of routes below that are
-	// not refused: they are too few to relieve the service, and a refusal on a new route looks like a missing one.
+	// not refused: they are too few to relieve the service, and a refusal on a new route looks like a missing one. A route of the
+	// platform's sites that carries work opens a tenth or more.
 	demandShare = 0.05
 )
 
+// overloaded takes in a new flow of the route, for which t was chosen, and reports whether it is refused because the service has more
+// work than it can answer in time.
+func (e *Engine) overloaded(r *directory.Route, t *Target, key FlowKey, now time.Duration) bool {
+	d := t.demand
+	d.asked(r, now)
+	d.update(e.view.pools[t.Service], now)
+	return !t.load.suspect(now) && !t.hasRoom(r, now) && d.refuses(r, key.hash())
+}
+
 // demand is what a balancer knows of the load of a service.
 type demand struct {
 	work    time.Duration // for which a request takes a slot, 0 when nothing is known
 	wait    time.Duration // of a new request for a slot, averaged over waitAverage
 	updated time.Duration // when wait was updated
-	short   time.Duration // when wait was last no longer than work: there was no queue
+	noQueue time.Duration // when wait was last no longer than work
 	routes  map[directory.Endpoint]*routeDemand
 	halved  time.Duration // when the flows of routes last lost half of their weight
 }
@@ -89,7 +99,7 @@
 	d.wait += time.Duration(passed * float64(d.expectedWait(pending, slots)-d.wait))
 	d.updated = now
 	if d.wait <= d.work {
-		d.short = now
+		d.noQueue = now
 	}
 }
 
@@ -109,7 +119,7 @@
 // the route's objective: a shorter queue, as after a loss of power, is served. The load of a single target is no ground for a refusal:
 // in the time between two reports a target answers several requests. The part of the flows that is refused grows with the wait.
 func (d *demand) refuses(r *directory.Route, hash uint64) bool {
-	if r.Objective <= 0 || d.work == 0 || d.updated-d.short < queueAge || !d.isBulk(r) {
+	if r.Objective <= 0 || d.work == 0 || d.updated-d.noQueue < queueAge || !d.isBulk(r) {
 		return false
 	}
 	wait, ramp := d.tolerated(r)
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -169,11 +169,12 @@
 		return Decision{Action: Forward, Target: first, Suspected: suspected}
 	}
 	e.forget(key)
-	t, overloaded := e.view.pick(route, key, now)
+	t := e.view.pick(route, key, now)
 	switch {
 	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
-	case overloaded && p.Acknowledgement == 0: // another balancer may have sent the first of several copies to a target
+	case p.Acknowledgement > 0: // a copy: another balancer may have sent the first one to a target
+	case e.overloaded(route, t, key, now):
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, Wait: t.demand.wait, Suspected: suspected}
 	}
 	e.remember(key, flowState{token: t.Token, waiting: true, since: now, last: now})
--- a/steer/place.go
+++ b/steer/place.go
@@ -31,22 +31,18 @@
 	return xxhash.Sum64(b[:])
 }
 
-// pick returns the target of a new flow, or nil when the service has none, and whether the flow is refused because the service has
-// more work than it can answer in time.
-func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration) (t *Target, overloaded bool) {
+// pick returns the target of a new flow, or nil when the service has none.
+func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration) *Target {
 	hash := key.hash()
 	p := v.pools[service(r, hash)]
 	if p == nil {
-		return nil, false
+		return nil
 	}
-	trusted := func(t *Target) bool { return !t.load.suspect(now) }
-	if t = p.choose(hash, now, trusted); t == nil {
-		// Every target is suspect: a wrong suspicion must not empty a service.
-		return p.choose(hash, now, func(*Target) bool { return true }), false
+	if t := p.choose(hash, now, func(t *Target) bool { return !t.load.suspect(now) }); t != nil {
+		return t
 	}
-	t.demand.asked(r, now)
-	t.demand.update(p, now)
-	return t, !t.hasRoom(r, now) && t.demand.refuses(r, hash)
+	// Every target is suspect: a wrong suspicion must not empty a service.
+	return p.choose(hash, now, func(*Target) bool { return true })
 }
 
 // choose returns the target of a new flow of those that are usable, or nil when there is none.
