Take a queue that is found after a quiet time for a new one

A service with less than one new flow a second was refused flows at the first sight of full targets, because the time since the last look counted as time with a queue. TestQueueAtFirstSightIsServed failed first.

--- a/steer/admit.go
+++ b/steer/admit.go
@@ -22,8 +22,8 @@
 	// demandHalfLife is the time in which the flows that a route has opened lose half of their weight.
 	demandHalfLife = time.Second
 	// demandShare is the part of a service's new flows from which on a route counts for its load. Flows of routes below that are
-	// not refused: they are too few to relieve the service, and a refusal on a new route looks like a missing one. A route of the
-	// platform's sites that carries work opens a tenth or more.
+	// not refused: they are too few to relieve the service, and a refusal on a new route looks like a missing one. On the
+	// measured sites a route that carries work opens a tenth or more.
 	demandShare = 0.05
 )
 
@@ -95,6 +95,9 @@
 	if slots == 0 {
 		return
 	}
+	if now-d.updated >= queueAge { // nothing is known of the time since then
+		d.noQueue = now
+	}
 	passed := min(float64(now-d.updated)/float64(waitAverage), 1)
 	d.wait += time.Duration(passed * float64(d.expectedWait(pending, slots)-d.wait))
 	d.updated = now
