Ask hosts of the own data centre for changes while another one's answer is due

A host that starts behind a cut asks a seed that cannot answer; for up to a second it then did not ask the relay that had found it. TestStartingHostAsksOneForEverything failed first on that case.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -171,24 +171,28 @@
 	return due
 }
 
-// Wants reports whether to ask the host for its changes. own is the standing of this host. Changes come from the relay of the own data
+// Wants reports whether to ask the host for its changes. own is the standing of this host. Changes come from hosts of the own data
 // centre. From another one they are wanted, and bytes between data centres paid for, only by a host that the store does not
-// answer, or when the other host is known to be ahead. A host that knows nothing asks one host at a time, because the answer
-// holds everything.
+// answer, or when the other host is known to be ahead. A host that knows nothing asks one of those hosts at a time, because the
+// answer holds everything.
 func (f *Fleet) Wants(to netip.AddrPort, own Standing, now time.Duration) bool {
-	if own.Revision == 0 {
-		if f.firstFrom.IsValid() && f.firstFrom != to && now-f.firstAsked < firstWait {
-			return false
-		}
-		f.firstFrom, f.firstAsked = to, now
-		return true
-	}
+	ahead := false
 	for _, m := range f.members {
 		if m.host.Address == to {
-			return m.host.DataCentre == f.self.DataCentre || !own.Fresh || m.standing.Revision > own.Revision
+			if m.host.DataCentre == f.self.DataCentre {
+				return true
+			}
+			ahead = m.standing.Revision > own.Revision
 		}
 	}
-	return !own.Fresh
+	if own.Revision > 0 {
+		return ahead || !own.Fresh
+	}
+	if f.firstFrom.IsValid() && f.firstFrom != to && now-f.firstAsked < firstWait {
+		return false
+	}
+	f.firstFrom, f.firstAsked = to, now
+	return true
 }
 
 // answered notes that the host that was asked for everything has answered, or failed to.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -373,4 +373,10 @@
 	if !f.Wants(first, Standing{}, time.Second+firstWait) {
 		t.Error("a silent host is waited for")
 	}
+	// The relay of the data centre tells of itself while a seed behind a cut does not answer.
+	relay := Host{Name: "relay", DataCentre: "a", Weight: 1, Address: netip.MustParseAddrPort("127.0.0.4:1")}
+	f.Reported(&Report{Host: relay, Freshness: Freshness{Known: true, Revision: 7}}, time.Second+firstWait)
+	if !f.Wants(relay.Address, Standing{}, time.Second+firstWait) {
+		t.Error("the own data centre is not asked while another host's answer is due")
+	}
 }
