Take only reads that were applied for proof that a target has ended

The target's record had lapsed at 40.6, come back at 42.1, lapsed again at 42.6 and come back at 44.2. The first read after waking was an audit, the cheap list that is compared and not applied. It was answered, so the store counted as having answered without a break for 3.6 s since the removal that the host knew of, and the target as ended; the list that the audit gave rise to was lost with the link to the store. The host reset the session at 45.07 and learned at 45.35 that the target was there. The first pages of a long list did the same.

Now an audit and a page that has further ones show that the store answers (StoreReached), and only a watch or a whole list that is taken over that nothing is unknown (StoreConfirmed).

TestReadsThatAreNotAppliedConfirmNothing failed first for both.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,7 +49,7 @@
 	revision      uint64 // every change up to it is known
 	complete      bool   // the whole list was read once
 	lastAnswer    time.Duration
-	confirmed     time.Duration // when the last read was sent that was answered
+	confirmed     time.Duration // when the last read was sent whose answer left nothing unknown
 	steadySince   time.Duration // start of the present series of answers
 	steady        bool
 	forgotten     uint64 // newest revision of a record that was forgotten
@@ -77,14 +77,17 @@
 	return now - d.lastAnswer, d.complete
 }
 
-// StoreAnswered notes that the store answered a read that was sent at asked.
-func (d *Directory) StoreAnswered(now, asked time.Duration) {
+// StoreReached notes that the store answered a read, whatever the answer tells.
+func (d *Directory) StoreReached(now time.Duration) {
 	if !d.steady {
 		d.steady, d.steadySince = true, now
 	}
-	d.lastAnswer, d.confirmed = max(d.lastAnswer, now), max(d.confirmed, asked)
+	d.lastAnswer = max(d.lastAnswer, now)
 }
 
+// StoreConfirmed notes that every change is known which the store had when a read was sent at asked.
+func (d *Directory) StoreConfirmed(asked time.Duration) { d.confirmed = max(d.confirmed, asked) }
+
 // StoreFailed notes that the store did not answer.
 func (d *Directory) StoreFailed() { d.steady = false }
 
@@ -101,7 +104,7 @@
 	}
 }
 
-// Confirmed returns the time since the last read was sent that the store answered, and for how long it had answered
+// Confirmed returns the time since the last read was sent whose answer left nothing unknown, and for how long it had answered
 // without a break before that.
 func (d *Directory) Confirmed(now time.Duration) (age, steady time.Duration) {
 	if !d.steady {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -10,6 +10,12 @@
 	"pgregory.net/rapid"
 )
 
+// storeAnswered plays an answer of the store at now, to a read that was sent at asked, that is taken over.
+func storeAnswered(d *Directory, now, asked time.Duration) {
+	d.StoreReached(now)
+	d.StoreConfirmed(asked)
+}
+
 func target(name string) *Target {
 	return &Target{Name: name, ID: TargetID(len(name)), Service: "rounds", Address: netip.MustParseAddrPort("127.0.0.9:80"), DataCentre: "regina", Capacity: 2}
 }
@@ -31,7 +37,7 @@
 // filled returns a directory that has read the targets a, b, c and d at time 0, with a store that has answered since then.
 func filled() *Directory {
 	d := New()
-	d.StoreAnswered(0, 0)
+	storeAnswered(d, 0, 0)
 	d.Apply(Batch{
 		Complete: true, Revision: 4, Configuration: &Configuration{Version: 3, Revision: 1},
 		Changes: []Change{listed("a", 1), listed("b", 2), listed("c", 3), listed("d", 4)},
@@ -69,7 +75,7 @@
 func TestPresenceAfterRemoval(t *testing.T) {
 	const gone = 10 * time.Second
 	answering := func(d *Directory) {
-		d.StoreAnswered(gone+lapseGrace+time.Millisecond, gone+lapseGrace)
+		storeAnswered(d, gone+lapseGrace+time.Millisecond, gone+lapseGrace)
 	}
 	for name, tt := range map[string]struct {
 		before, after func(*Directory) // store events around the removal
@@ -78,7 +84,7 @@
 	}{
 		"crash, store steady":        {nil, answering, removed("a", 9), Departed, Gone},
 		"announced end":              {func(d *Directory) { d.Apply(Batch{Changes: []Change{draining("a", 8)}}, time.Second) }, nil, removed("a", 9), Gone, Gone},
-		"lapse in an outage":         {func(d *Directory) { d.StoreFailed(); d.StoreAnswered(gone, gone) }, answering, removed("a", 9), Lapsed, Gone},
+		"lapse in an outage":         {func(d *Directory) { d.StoreFailed(); storeAnswered(d, gone, gone) }, answering, removed("a", 9), Lapsed, Gone},
 		"store lost after a removal": {nil, (*Directory).StoreFailed, removed("a", 9), Departed, Departed},
 		"no answer after a removal":  {nil, nil, removed("a", 9), Departed, Departed},
 		"unusable record":            {nil, answering, Change{Name: "a", Revision: 9, Removed: true}, Departed, Gone},
@@ -107,13 +113,13 @@
 func TestPauseIsNoProofOfEnd(t *testing.T) {
 	d := filled()
 	d.Apply(Batch{Changes: []Change{removed("a", 9)}}, 10*time.Second)
-	d.StoreAnswered(11*time.Second, 10900*time.Millisecond)
+	storeAnswered(d, 11*time.Second, 10900*time.Millisecond)
 	const woken = 20 * time.Second
 	if got := presenceOf(t, d, "a", woken); got == Gone {
 		t.Errorf("without an answer since: %v", got)
 	}
 	// An answer that waited in a buffer during the pause was asked for before it.
-	d.StoreAnswered(woken, 11*time.Second)
+	storeAnswered(d, woken, 11*time.Second)
 	if got := presenceOf(t, d, "a", woken); got == Gone {
 		t.Errorf("with an answer from before the pause: %v", got)
 	}
@@ -122,7 +128,7 @@
 	if got := presenceOf(t, d, "a", woken); got == Gone {
 		t.Errorf("with a reply from before the pause: %v", got)
 	}
-	d.StoreAnswered(woken, woken-time.Millisecond)
+	storeAnswered(d, woken, woken-time.Millisecond)
 	if got := presenceOf(t, d, "a", woken); got != Gone {
 		t.Errorf("with a fresh answer: %v", got)
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -24,7 +24,8 @@
 
 // soakRegressions are seeds that failed once, with the cause.
 var soakRegressions = map[uint64]string{
-	123: "a host that stood still took a target whose record had lapsed for ended, and reset its flows at waking",
+	123: "a host that stood still took a target whose record had lapsed for ended, and reset its flows at waking; again when an audit " +
+		"that showed changes missing counted as proof that the target was still gone",
 	133: "as 123, on two sessions",
 }
 
--- a/internal/direct/control_test.go
+++ b/internal/direct/control_test.go
@@ -26,23 +26,37 @@
 	return nil
 }
 
-// Replays the start of a host while packets wait in its socket. Guards against a first view that waits until each target of a large
-// list is logged.
-func TestViewIsInForceBeforeItsChangesAreLogged(t *testing.T) {
+// newTestControl returns the control state of a host that runs by clock and writes to log.
+func newTestControl(t *testing.T, clock Clock, log *logrus.Logger) *Control {
+	t.Helper()
 	m, err := newMetrics()
 	if err != nil {
 		t.Fatal(err)
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	clock := func() time.Duration { return time.Second }
+	log.SetOutput(io.Discard)
 	s := &settings.Direct{Host: settings.DirectHost{Name: "h", DataCentre: "a", Weight: 1}}
 	s.Listen.Peers = netip.MustParseAddrPort("127.0.0.1:9000")
-	c := NewControl(controlParts{
-		Settings: s, Log: logrus.NewEntry(logger), Clock: clock, Ring: timeline.NewRing("h", timeline.NewClock(time.Now), 16),
+	return NewControl(controlParts{
+		Settings: s, Log: logrus.NewEntry(log), Clock: clock, Ring: timeline.NewRing("h", timeline.NewClock(time.Now), 16),
 		Reader: newStoreReader(nil, clock), Exchange: &Exchange{}, Metrics: m,
 		Traffic: &Traffic{engine: steer.NewEngine(), clock: clock, first: make(chan struct{})},
 	})
+}
+
+// listOf is a complete list of one target.
+func listOf(revision uint64) directory.Batch {
+	target := &directory.Target{Name: "t-1", ID: 1, Service: "ingest", DataCentre: "a", Capacity: 1, Address: netip.MustParseAddrPort("127.0.0.2:80")}
+	return directory.Batch{
+		Complete: true, Revision: revision, Configuration: &directory.Configuration{Version: 1, Revision: 1},
+		Changes: []directory.Change{{Name: target.Name, Revision: revision, Target: target}},
+	}
+}
+
+// Replays the start of a host while packets wait in its socket. Guards against a first view that waits until each target of a large
+// list is logged.
+func TestViewIsInForceBeforeItsChangesAreLogged(t *testing.T) {
+	logger := logrus.New()
+	c := newTestControl(t, func() time.Duration { return time.Second }, logger)
 	listed := 0
 	logger.AddHook(hookFunc(func(e *logrus.Entry) {
 		if e.Data["event"] == directory.TargetListed.String() {
@@ -52,12 +66,37 @@
 			}
 		}
 	}))
-	target := &directory.Target{Name: "t-1", ID: 1, Service: "ingest", DataCentre: "a", Capacity: 1, Address: netip.MustParseAddrPort("127.0.0.2:80")}
-	c.apply(directory.Batch{
-		Complete: true, Revision: 2, Configuration: &directory.Configuration{Version: 1, Revision: 1},
-		Changes: []directory.Change{{Name: target.Name, Revision: 2, Target: target}},
-	}, sourceStore, time.Second)
+	c.apply(listOf(2), sourceStore, time.Second)
 	if listed != 1 {
 		t.Errorf("%d targets logged", listed)
 	}
 }
+
+// Replays a host that stood still while the record of a target lapsed and came back, and whose first reads afterwards are an audit and
+// a page of a list that has further ones. Guards against resets of the target's flows: neither read shows that the target
+// has not come back.
+func TestReadsThatAreNotAppliedConfirmNothing(t *testing.T) {
+	now := time.Second
+	c := newTestControl(t, func() time.Duration { return now }, logrus.New())
+	c.storeRead(readResult{read: directory.Read{Kind: directory.ReadList}, page: directory.Page{Batch: listOf(2)}, asked: now})
+	now = 4 * time.Second
+	removal := directory.Batch{Revision: 3, Changes: []directory.Change{{Name: "t-1", Revision: 3, Removed: true}}}
+	c.storeRead(readResult{read: directory.Read{Kind: directory.ReadWatch, After: 2}, page: directory.Page{Batch: removal}, asked: now})
+	now = 9 * time.Second
+	audit := listOf(5)
+	audit.Complete = false
+	for _, r := range []readResult{
+		{read: directory.Read{Kind: directory.ReadAudit}, page: directory.Page{Batch: audit}, asked: now},
+		{read: directory.Read{Kind: directory.ReadList}, page: directory.Page{Batch: directory.Batch{Revision: 5}, Next: "t-0"}, asked: now},
+	} {
+		c.storeRead(r)
+		c.publish(now)
+		if presence := c.traffic.View().Snapshot().Targets[0].Presence; presence == directory.Gone {
+			t.Errorf("after the %v the target counts as ended", r.read.Kind)
+		}
+	}
+	c.storeRead(readResult{read: directory.Read{Kind: directory.ReadList, Page: "t-0"}, page: directory.Page{Batch: listOf(5)}, asked: now})
+	if presence := c.traffic.View().Snapshot().Targets[0].Presence; presence != directory.Ready {
+		t.Errorf("the target that came back is %v", presence)
+	}
+}
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -75,12 +75,14 @@
 		c.readFailed(r)
 		return
 	}
-	c.directory.StoreAnswered(now, r.asked)
+	c.directory.StoreReached(now)
 	if c.storeFailing {
 		c.storeFailing = false
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.took})
 	}
 	if apply {
+		// An audit, or a page of a list that has further ones, does not show that nothing is missing here.
+		c.directory.StoreConfirmed(r.asked)
 		c.apply(batch, sourceStore, now)
 	}
 }
