Play the demand that the test of overload names

The replay sent at most one flow a millisecond, so that 1.6 times the capacity was 1.25 times. It sends as many as the rate says now; all bounds stay and hold. Without refusals urgent work in time is below the bound, as before. One function shares loads between test engines.

--- a/steer/admit_test.go
+++ b/steer/admit_test.go
@@ -139,19 +139,20 @@
 	}
 }
 
-// report tells one balancer what the others see.
-func (s *loadedService) report(i int, now time.Duration) {
-	sums := map[directory.Token]directory.Load{}
-	for j, e := range s.engines {
-		if j == i {
-			continue
-		}
-		for _, l := range e.Loads(now) {
-			sum := sums[l.Token]
-			sums[l.Token] = directory.Load{Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open}
-		}
+// arrivals returns a random number with the given mean.
+func (s *loadedService) arrivals(mean float64) int { return int(mean + s.random.Float64()) }
+
+// fillTargets tells one balancer of full targets, after it has learned how long work takes, and returns it.
+func (s *loadedService) fillTargets() *Engine {
+	var warm tally
+	s.run(0, time.Second, &warm, &warm, 40, 10)
+	e := s.engines[0]
+	var others []directory.Load
+	for token := range e.View().tokens {
+		others = append(others, directory.Load{Token: token, Pending: 3 + queue})
 	}
-	s.engines[i].SetOthers(slices.Collect(maps.Values(sums)))
+	e.SetOthers(others)
+	return e
 }
 
 // run plays for d: new flows of both kinds at rates per second, each with one request.
@@ -159,15 +160,15 @@
 	const tick = time.Millisecond
 	for now := from; now < from+d; now += tick {
 		s.step(now)
-		if s.random.Float64() < bulkRate/1000 {
+		for range s.arrivals(bulkRate * tick.Seconds()) {
 			s.open(&request{endpoint: endpoint, kind: bulk, limit: bulkObjective}, now)
 		}
-		if s.random.Float64() < urgentRate/1000 {
+		for range s.arrivals(urgentRate * tick.Seconds()) {
 			s.open(&request{endpoint: urgentEndpoint, kind: urgent, limit: urgentObjective}, now)
 		}
 		for i := range s.engines {
 			if (now+time.Duration(i)*reportInterval/8)%reportInterval == 0 {
-				s.report(i, now)
+				shareLoad(s.engines, i, now)
 			}
 		}
 	}
@@ -241,15 +242,7 @@
 // Replays a service with few flows that finds full targets after a quiet time. Guards against refusals though nobody knows how long the
 // queue has lasted.
 func TestQueueAtFirstSightIsServed(t *testing.T) {
-	s := newLoadedService(9, 5)
-	var warm tally
-	s.run(0, time.Second, &warm, &warm, 40, 10)
-	e := s.engines[0]
-	var others []directory.Load
-	for token := range e.View().tokens {
-		others = append(others, directory.Load{Token: token, Pending: 3 + queue})
-	}
-	e.SetOthers(others)
+	e := newLoadedService(9, 5).fillTargets()
 	for n := range 40 {
 		if d := e.Decide(opening(1000+n), 10*time.Second+time.Duration(n)*time.Millisecond); d.Action != Forward {
 			t.Fatalf("flow %d: %v, %v", n, d.Action, d.Code)
@@ -260,15 +253,7 @@
 // Guards against a refusal after a copy of the opening packet may have been offered to a target by another balancer: it would
 // not be true that nothing has run.
 func TestCopiesAreNeverRefused(t *testing.T) {
-	s := newLoadedService(6, 5)
-	var warm tally
-	s.run(0, time.Second, &warm, &warm, 40, 10)
-	e := s.engines[0]
-	var others []directory.Load
-	for token := range e.View().tokens {
-		others = append(others, directory.Load{Token: token, Pending: 3 + queue})
-	}
-	e.SetOthers(others)
+	e := newLoadedService(6, 5).fillTargets()
 	const later = 2*time.Second + queueAge
 	for now := 2 * time.Second; now < later; now += queueAge / 4 {
 		e.Decide(opening(900+int(now/time.Millisecond)), now)
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -52,25 +52,26 @@
 	return most
 }
 
-// shareLoads tells every engine what the others have seen: the sum of their loads, and whether one of them suspects the target.
+// shareLoads tells every engine what the others have seen.
 func shareLoads(engines []*Engine, now time.Duration) {
-	own := make([][]directory.Load, len(engines))
-	for i, e := range engines {
-		own[i] = e.Loads(now)
+	for i := range engines {
+		shareLoad(engines, i, now)
 	}
-	for i, e := range engines {
-		sums := map[directory.Token]directory.Load{}
-		for j, loads := range own {
-			if j == i {
-				continue
-			}
-			for _, l := range loads {
-				sum := sums[l.Token]
-				sums[l.Token] = directory.Load{Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect}
-			}
+}
+
+// shareLoad tells one engine what the others have seen: the sum of their loads, and whether one of them suspects the target.
+func shareLoad(engines []*Engine, i int, now time.Duration) {
+	sums := map[directory.Token]directory.Load{}
+	for j, e := range engines {
+		if j == i {
+			continue
+		}
+		for _, l := range e.Loads(now) {
+			sum := sums[l.Token]
+			sums[l.Token] = directory.Load{Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect}
 		}
-		e.SetOthers(slices.Collect(maps.Values(sums)))
 	}
+	engines[i].SetOthers(slices.Collect(maps.Values(sums)))
 }
 
 // Guards against balancers that all send their new flows to the target that was the least loaded one at the last report.
