Outlive messages and shortages that ended the process

A configuration told by a peer was not checked: a route without a service made the traffic goroutine panic, and with it the process. A failed accept on the peer port (descriptors run out) ended the process too, as did a panic in the answer to a peer. Peers' configurations and addresses are checked now, a failed accept is told and tried again, a panic ends its connection. Tests: TestValidate (four new cases failed before), TestAnswererOutlivesPanic, TestAnswererOutlivesFailedAccept.

--- a/internal/peer/ask.go
+++ b/internal/peer/ask.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	answerLimit = 5 * time.Second
 	// maxAskers bounds the connections that an answerer serves at a time.
 	maxAskers = 512
+	// acceptPause is how long an answerer waits after it failed to accept a connection: descriptors or memory have run out,
+	// and connections that end free some.
+	acceptPause = 100 * time.Millisecond
 )
 
 // Asker sends messages to one peer and waits for each answer, over a connection that is kept. One goroutine may use it.
@@ -129,9 +133,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return Error.Wrap(err)
 		}
+		if err != nil {
+			s.Refused(Refusal{Code: resultcode.PeerUnreachable, Err: err})
+			pause(ctx, acceptPause)
+			continue
+		}
 		select {
 		case places <- struct{}{}:
 		default:
@@ -143,7 +152,7 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-places }()
-			if err := s.serve(ctx, conn); err != nil && ctx.Err() == nil {
+			if err := s.serveGuarded(ctx, conn); err != nil && ctx.Err() == nil {
 				s.Refused(Refusal{Code: codeOf(err), Remote: remoteOf(conn), Err: err})
 			}
 		}()
@@ -152,6 +161,25 @@
 
 func remoteOf(conn net.Conn) netip.AddrPort { return conn.RemoteAddr().(*net.TCPAddr).AddrPort() }
 
+// serveGuarded is serve with a panic as an error: a message that a decoder or the answer function cannot cope with ends its
+// connection and not the process.
+func (s *Answerer) serveGuarded(ctx context.Context, conn net.Conn) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = resultcode.Errorf(resultcode.Internal, "", "panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return s.serve(ctx, conn)
+}
+
+// pause waits for d or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // serve answers on one connection until the peer closes it or has asked nothing for a while.
 func (s *Answerer) serve(ctx context.Context, conn net.Conn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/internal/peer/ask_test.go
+++ b/internal/peer/ask_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,6 +101,73 @@
 	}
 }
 
+// Guards against a process that ends because a message makes the answer function panic.
+func TestAnswererOutlivesPanic(t *testing.T) {
+	listener, address := listenLoopback(t)
+	refused := make(chan Refusal, 1)
+	answerer := Answerer{
+		Identity: NewIdentity("b", "x", 1), Refused: func(r Refusal) { refused <- r },
+		Answer: func(_ context.Context, m Message) (Message, error) {
+			if m.(*RelayReport).Leaving {
+				panic("message that nobody expected")
+			}
+			return &RelayReply{}, nil
+		},
+	}
+	go func() { _ = answerer.Serve(t.Context(), listener) }()
+	asker := NewAsker(NewIdentity("a", "x", 1), address, 5*time.Second)
+	defer asker.Close()
+	if _, err := asker.Ask(t.Context(), &RelayReport{Report: relay.Report{Leaving: true}}); err == nil {
+		t.Error("a panic was answered")
+	}
+	if r := <-refused; r.Code != resultcode.Internal || !strings.Contains(r.Err.Error(), "message that nobody expected") {
+		t.Errorf("refused with %v, %v", r.Code, r.Err)
+	}
+	if _, err := asker.Ask(t.Context(), &RelayReport{}); err != nil {
+		t.Errorf("the next message is not answered: %v", err)
+	}
+}
+
+// failing is a listener that fails to accept as a host does that has run out of descriptors.
+type failing struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if f.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return f.Listener.Accept()
+}
+
+// Guards against a process that ends because its descriptors have run out for a moment.
+func TestAnswererOutlivesFailedAccept(t *testing.T) {
+	listener, address := listenLoopback(t)
+	short := &failing{Listener: listener}
+	short.failures.Store(3)
+	var refusals atomic.Int32
+	answerer := Answerer{
+		Identity: NewIdentity("b", "x", 1), Refused: func(Refusal) { refusals.Add(1) },
+		Answer: func(context.Context, Message) (Message, error) { return &RelayReply{}, nil },
+	}
+	served := make(chan error, 1)
+	go func() { served <- answerer.Serve(t.Context(), short) }()
+	asker := NewAsker(NewIdentity("a", "x", 1), address, 5*time.Second)
+	defer asker.Close()
+	if _, err := asker.Ask(t.Context(), &RelayReport{}); err != nil {
+		t.Error(err)
+	}
+	select {
+	case err := <-served:
+		t.Errorf("the answerer ended: %v", err)
+	default:
+	}
+	if n := refusals.Load(); n != 3 {
+		t.Errorf("%d failures told of, want 3", n)
+	}
+}
+
 // Replays many hosts that start at once and ask one peer for its whole directory over a slow link: each answer trickles. Guards against
 // answers that are given up halfway and asked for again, and against a peer that never comes to an end.
 func TestAskSlowAnswer(t *testing.T) {
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/resultcode"
@@ -45,6 +46,9 @@
 			return invalid("change of %q", r.Changes.Changes[i].Name)
 		}
 	}
+	if c := r.Changes.Configuration; c != nil && !validConfiguration(c) {
+		return invalid("configuration %d", c.Version)
+	}
 	return nil
 }
 
@@ -61,7 +65,22 @@
 		return c.Removed && c.Name != ""
 	}
 	t := c.Target
-	return c.Name != "" && t.Name == c.Name && t.Service != "" && t.Capacity > 0 && t.Address.IsValid() && t.ColdFor >= 0
+	return c.Name != "" && t.Name == c.Name && t.Service != "" && t.Capacity > 0 && t.ColdFor >= 0 &&
+		t.Address.Addr().Is4() && t.Address.Port() != 0
+}
+
+// validConfiguration reports whether each route of a configuration leads to a service, as placement takes for granted.
+func validConfiguration(c *directory.Configuration) bool {
+	if c.Version == 0 || c.Revision == 0 {
+		return false
+	}
+	for i := range c.Routes {
+		services := c.Routes[i].Services
+		if len(services) == 0 || slices.ContainsFunc(services, func(s directory.WeightedService) bool { return s.Weight <= 0 }) {
+			return false
+		}
+	}
+	return true
 }
 
 func invalid(format string, args ...any) error {
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -20,7 +20,9 @@
 		Loads: []directory.Load{{Token: 1}},
 		Changes: directory.Batch{Revision: 5, Changes: []directory.Change{
 			{Name: "i-1", Revision: 4, Target: target}, {Name: "i-2", Revision: 5, Removed: true},
-		}},
+		}, Configuration: &directory.Configuration{Version: 1, Revision: 3, Routes: []directory.Route{{
+			Services: []directory.WeightedService{{Name: "s", Weight: 1}},
+		}}}},
 	}
 }
 
@@ -36,6 +38,10 @@
 		"target without a record":   func(r *Reply) { r.Changes.Changes[0].Target = nil },
 		"target under another name": func(r *Reply) { r.Changes.Changes[0].Name = "i-9" },
 		"target without capacity":   func(r *Reply) { r.Changes.Changes[0].Target.Capacity = 0 },
+		"target over IPv6":          func(r *Reply) { r.Changes.Changes[0].Target.Address = netip.MustParseAddrPort("[::1]:1") },
+		"route without a service":   func(r *Reply) { r.Changes.Configuration.Routes[0].Services = nil },
+		"service without a weight":  func(r *Reply) { r.Changes.Configuration.Routes[0].Services[0].Weight = -1 },
+		"configuration without age": func(r *Reply) { r.Changes.Configuration.Revision = 0 },
 		"too many loads":            func(r *Reply) { r.Loads = make([]directory.Load, maxLoads+1) },
 	} {
 		r := validReply()
