Let a packet that makes the decision panic cost its batch and not the process

The same for a failed read of the packet socket, which ended the process. Packets of the batch that were decided about before are sent before the next read overwrites them. TestTrafficOutlivesPanic ended its process before.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -50,6 +50,7 @@
 	{steer.Drop, resultcode.PacketMalformed},
 	{steer.Drop, resultcode.PacketOversized},
 	{steer.Drop, resultcode.PacketSendFailed},
+	{steer.Drop, resultcode.Internal},
 }
 
 // Bounds of the histograms, seconds.
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 // loadRetention is how long loads count after the last packet: without packets no flow is carried here any more.
 const loadRetention = time.Second
 
+// readPause is how long the socket is left alone after a failed read, so that a lasting fault does not take the processor.
+const readPause = 100 * time.Millisecond
+
 // pauseLimit is the age of the control goroutine's last turn at which this process counts as having stood still: callers
 // give up opening a flow after 1.4 s.
 const pauseLimit = 1400 * time.Millisecond
@@ -38,6 +42,7 @@
 	engine  *steer.Engine
 	clock   Clock
 	log     *decisionLog
+	logs    *logrus.Entry // of what concerns no single flow
 	metrics *metrics
 	port    uint16 // at which callers receive
 	resets  [batchPackets][platform.HeaderBytes]byte
@@ -63,7 +68,7 @@
 		conn:   conn,
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
-		engine: steer.NewEngine(), clock: clock, log: newDecisionLog(log), metrics: m, port: listen.Port(),
+		engine: steer.NewEngine(), clock: clock, log: newDecisionLog(log), logs: log, metrics: m, port: listen.Port(),
 		first: make(chan struct{}), reported: -loadInterval,
 	}, nil
 }
@@ -108,12 +113,31 @@
 			return nil
 		}
 		if err != nil {
-			return Error.Wrap(err)
+			t.readFailed(ctx, err)
+			continue
 		}
-		t.batch(n)
+		t.guardedBatch(n)
 	}
 }
 
+// readFailed tells of a socket that gives no packets, and leaves it a moment: the cause may pass.
+func (t *Traffic) readFailed(ctx context.Context, err error) {
+	t.logs.WithError(err).WithFields(logrus.Fields{"event": "read-failed", "code": resultcode.Internal, "retry": readPause}).Warn("packets cannot be read")
+	sleep(ctx, readPause)
+}
+
+// guardedBatch is batch, but a packet that makes it panic costs the rest of its batch and not the process.
+func (t *Traffic) guardedBatch(n int) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.writer.Flush() // before the next read overwrites the packets that wait to be sent
+			t.metrics.count(steer.Drop, resultcode.Internal, uint64(n))
+			t.logs.WithFields(logrus.Fields{"event": "panic", "code": resultcode.Internal, "packets": n, "stack": string(debug.Stack())}).Error(p)
+		}
+	}()
+	t.batch(n)
+}
+
 // awaitView lets packets wait in the socket for the first view, as long as that is of use to their callers.
 func (t *Traffic) awaitView(ctx context.Context) {
 	timer := time.NewTimer(pauseLimit)
--- a/internal/direct/traffic_test.go
+++ b/internal/direct/traffic_test.go
@@ -13,6 +13,7 @@
 	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/internal/logging"
 	"github.com/marigoldwood/marigoldwood/platform"
+	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/steer"
 )
 
@@ -122,6 +123,24 @@
 	}
 }
 
+// Guards against a process that ends because one packet meets a fault in the decision about it.
+func TestTrafficOutlivesPanic(t *testing.T) {
+	f := startTraffic(t)
+	f.Turn(f.clock())
+	f.SetView(steer.NewView(&directory.Snapshot{Configuration: &directory.Configuration{Version: 1, Routes: []directory.Route{
+		{Endpoint: directory.Endpoint{Address: [4]byte{127, 9, 0, 1}, Port: 443}}, // a route without a service, which no source gives
+	}}}, "a"))
+	f.send(t)
+	for deadline := time.Now().Add(5 * time.Second); f.metrics.counters()[resultcode.Internal.String()] == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the packet is not counted: %v", f.metrics.counters())
+		}
+	}
+	f.view()
+	f.send(t)
+	f.receive(t)
+}
+
 // Guards against a balancer that has left the rotation and goes on telling others of requests that wait at targets.
 func TestNoLoadsWithoutPackets(t *testing.T) {
 	f := startTraffic(t)
