End a planned stop in time with connections in use and a log that nobody reads

The end of the HTTP ports waited up to 1 s for connections on which nothing was asked or whose answer was not read, while a stopping balancer leaves 0.5 s of its grace period; the end of the log waited for its reader without a bound. Both are bounded now. Tests fail before: 1 s of 0.5 s, connection left open; Close never returned.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -12,6 +12,8 @@
 	pendingBytes = 256 << 10
 	// flushInterval joins the lines of a moment into one write, since each write costs a system call.
 	flushInterval = 200 * time.Millisecond
+	// closeTimeout bounds the wait for a reader that does not read: a process ends within its grace period all the same.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Bounded is a writer that never blocks its callers. Lines that find no room are counted and left out.
@@ -26,7 +28,7 @@
 	dropped int
 }
 
-// NewBounded returns a writer to out. Close writes what is pending.
+// NewBounded returns a writer to out.
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), stopped: make(chan struct{})}
 	go b.run()
@@ -49,10 +51,13 @@
 	return len(line), nil
 }
 
-// Close writes what is pending and ends the writer.
+// Close writes what is pending and ends the writer. Lines that the reader has not taken after closeTimeout are lost.
 func (b *Bounded) Close() {
 	close(b.stop)
-	<-b.stopped
+	select {
+	case <-b.stopped:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (b *Bounded) run() {
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -71,3 +72,29 @@
 		t.Errorf("got %q", out.String())
 	}
 }
+
+// Guards against a process that outlives its grace period because nobody reads its log.
+func TestBoundedCloseDoesNotWaitForReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		b := NewBounded(out)
+		fmt.Fprintln(b, "line")
+		time.Sleep(2 * flushInterval) // the write is under way
+		started := time.Now()
+		closed := make(chan struct{})
+		go func() {
+			b.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("Close waits for the reader")
+		}
+		if took := time.Since(started); took > closeTimeout {
+			t.Errorf("Close took %v", took)
+		}
+		close(out.release)
+		<-closed
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,7 +21,9 @@
 	maxHeaderBytes    = 16 << 10
 	maxConnections    = 64
 	maxFollow         = 30 * time.Second // longest wait of one time line request
-	shutdownTimeout   = time.Second
+	// shutdownTimeout is how long requests under way are waited for at the end. A stopping process has half a second left
+	// of its grace period then.
+	shutdownTimeout = 200 * time.Millisecond
 )
 
 // FlowAddr names a flow the way operators do.
@@ -75,7 +77,8 @@
 	return Serve(ctx, listener, s.Handler())
 }
 
-// Serve answers requests on the listener until the context ends.
+// Serve answers requests on the listener until the context ends. Connections that are still in use after shutdownTimeout,
+// or on which nothing was asked yet, are closed.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout,
@@ -88,7 +91,9 @@
 		<-ctx.Done()
 		shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		_ = server.Shutdown(shutdown)
+		if server.Shutdown(shutdown) != nil {
+			_ = server.Close()
+		}
 	}()
 	err := server.Serve(limitConnections(listener, maxConnections))
 	if ctx.Err() != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,10 +1,13 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/internal/status"
@@ -72,3 +75,69 @@
 		}
 	}
 }
+
+// pipes is a listener whose connections live in memory.
+type pipes struct {
+	conns chan net.Conn
+	ended chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	close(p.ended)
+	return nil
+}
+
+func (*pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a process that outlives its grace period because a client has opened a connection and asks nothing, or
+// reads no answer.
+func TestServeEndsWithConnectionsInUse(t *testing.T) {
+	for name, request := range map[string]string{"nothing asked": "", "answer not read": "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { serveUntilStopped(t, request) })
+		})
+	}
+}
+
+func serveUntilStopped(t *testing.T, request string) {
+	const margin = 500 * time.Millisecond // what a stopping process leaves of its grace period
+	ctx, cancel := context.WithCancel(t.Context())
+	listener := &pipes{conns: make(chan net.Conn), ended: make(chan struct{})}
+	served := make(chan error, 1)
+	go func() {
+		served <- Serve(ctx, listener, NewServer(fakeProvider{}, nil, http.NotFoundHandler()).Handler())
+	}()
+	server, client := net.Pipe()
+	defer client.Close()
+	listener.conns <- server
+	if _, err := client.Write([]byte(request)); err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+	started := time.Now()
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(started); took > margin/2 {
+		t.Errorf("the end took %v of %v", took, margin)
+	}
+	_ = client.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := client.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		t.Errorf("the connection is still open: %v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	failed, ok := err.(net.Error)
+	return ok && failed.Timeout()
+}
