Write one line for many changes of targets that another host tells at once

At the start of 295 hosts before 600 targets 177,000 lines were written while packets waited. The lines about each target stay in the log of the host that read the store.

--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -29,6 +29,9 @@
 	graceMargin = 500 * time.Millisecond
 	// leaveCheck is how often a leaving balancer looks whether traffic has ceased.
 	leaveCheck = 250 * time.Millisecond
+	// maxChangeLines bounds the lines about the changes that another host tells at once: a host that starts is told of all
+	// targets, at a time when its processor is needed for packets that wait.
+	maxChangeLines = 32
 	// pruneInterval is how often targets that were removed long ago are forgotten.
 	pruneInterval = 5 * time.Second
 )
@@ -191,9 +194,7 @@
 	if len(events) > 0 || c.traffic.View() == nil {
 		c.publish(now) // before the log: packets wait for the first view, and the lines of many targets take a while
 	}
-	for i := range events {
-		c.recordChange(&events[i], source)
-	}
+	c.recordChanges(events, source)
 	if c.state == c.chart.Initial() && c.directory.Ready() {
 		c.fire(eventViewComplete)
 	}
@@ -204,6 +205,28 @@
 	logging.EventWith(c.log, level, c.ring.Add(e), inputs)
 }
 
+// recordChanges writes a line for each change, and one line for the many changes of targets that another host has told at once:
+// the lines about each of them are in the log of the host that read the store.
+func (c *Control) recordChanges(events []directory.Event, source string) {
+	summarize := source != sourceStore && len(events) > maxChangeLines
+	counts := map[string]int{}
+	for i := range events {
+		if summarize && events[i].Target != nil {
+			counts[events[i].Kind.String()]++
+			continue
+		}
+		c.recordChange(&events[i], source)
+	}
+	if !summarize {
+		return
+	}
+	inputs := logrus.Fields{"source": source, "revision": c.directory.Revision()}
+	for kind, n := range counts {
+		inputs[kind] = n
+	}
+	c.record(logrus.InfoLevel, timeline.Event{Kind: "targets-told"}, inputs)
+}
+
 func (c *Control) recordChange(e *directory.Event, source string) {
 	inputs := logrus.Fields{"revision": e.Revision, "source": source}
 	event := timeline.Event{Kind: e.Kind.String(), Version: e.Version}
--- a/internal/direct/control_test.go
+++ b/internal/direct/control_test.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +74,31 @@
 	}
 }
 
+// Replays the start of a host of a large fleet, which is told of all targets at once. Guards against a log that grows with hosts
+// times targets, and against a removal among few changes that leaves no line of its own.
+func TestManyTargetsToldAtOnceAreOneLine(t *testing.T) {
+	logger := logrus.New()
+	c := newTestControl(t, func() time.Duration { return time.Second }, logger)
+	var lines []logrus.Fields
+	logger.AddHook(hookFunc(func(e *logrus.Entry) { lines = append(lines, e.Data) }))
+	list := listOf(2)
+	for i := range 599 {
+		target := *list.Changes[0].Target
+		target.Name, target.ID = fmt.Sprintf("t-%d", i+2), directory.TargetID(i+2)
+		list.Changes = append(list.Changes, directory.Change{Name: target.Name, Revision: 2, Target: &target})
+	}
+	c.apply(list, "h-2", time.Second)
+	told := slices.IndexFunc(lines, func(f logrus.Fields) bool { return f["event"] == "targets-told" })
+	if len(lines) > 3 || told < 0 || lines[told]["target-listed"] != 600 || lines[told]["source"] != "h-2" || lines[told]["revision"] != uint64(2) {
+		t.Fatalf("%d lines, told %v", len(lines), lines[max(told, 0)])
+	}
+	lines = nil
+	c.apply(directory.Batch{Revision: 3, Changes: []directory.Change{{Name: "t-5", Revision: 3, Removed: true}}}, "h-2", time.Second)
+	if len(lines) != 1 || lines[0]["event"] != directory.TargetRemoved.String() || lines[0]["target"] != "t-5" {
+		t.Errorf("removal logged as %v", lines)
+	}
+}
+
 // Replays a host that stood still while the record of a target lapsed and came back, and whose first reads afterwards are an audit and
 // a page of a list that has further ones. Guards against resets of the target's flows: neither read shows that the target
 // has not come back.
