--- a/steer/engine.go
+++ b/steer/engine.go
@@ -156,7 +156,8 @@
 	return d
 }
 
-// open places a new flow. A copy of an opening packet follows the first one, because two targets must not both answer.
+// open places a new flow. A copy of an opening packet follows the first one, unless the target of that one leaves it unanswered: then
+// another target is tried. Should both answer, the flow opens at the one whose answer the caller acknowledges.
 func (e *Engine) open(p *Packet, now time.Duration) Decision {
 	e.sweep(now)
 	route := e.view.Route(p.Endpoint)
@@ -164,12 +165,16 @@
 		return Decision{Action: Refuse, Code: resultcode.PacketUnknownEndpoint}
 	}
 	key := p.Flow()
-	first, suspected := e.firstTarget(key, now)
-	if first != nil {
-		return Decision{Action: Forward, Target: first, Suspected: suspected}
+	first, silent := e.firstTarget(key, now)
+	if first != nil && !silent && !first.load.suspect(now) {
+		return Decision{Action: Forward, Target: first}
+	}
+	var suspected *Target
+	if silent && !e.flows[key].reported {
+		suspected = first.load.silent(first, now)
 	}
 	e.forget(key)
-	t := e.view.pick(route, key, now)
+	t := e.view.pick(route, key, now, first)
 	switch {
 	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
@@ -177,32 +182,24 @@
 	case e.overloaded(route, t, key, now):
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, Wait: t.demand.wait, Suspected: suspected}
 	}
-	e.remember(key, flowState{token: t.Token, waiting: true, since: now, last: now})
+	e.remember(key, flowState{token: t.Token, waiting: true, reported: t == first, since: now, last: now})
 	e.awaitAnswer(key, now, now)
 	t.load.pending++
 	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
 }
 
-// firstTarget returns the target that an earlier copy of an opening packet went to, or nil when there is none or it is
-// suspect. It also returns the target when this copy is the evidence that makes it suspect.
-func (e *Engine) firstTarget(key FlowKey, now time.Duration) (first, suspected *Target) {
+// firstTarget returns the target that an earlier copy of an opening packet went to, or nil when there is none, and whether it has
+// left that copy unanswered.
+func (e *Engine) firstTarget(key FlowKey, now time.Duration) (first *Target, silent bool) {
 	f, found := e.flows[key]
 	if !found || f.opened || now-f.since >= openingRetention {
-		return nil, nil
+		return nil, false
 	}
 	t := e.view.Resolve(f.token)
 	if t == nil || t.Presence > directory.Lapsed {
-		return nil, nil
-	}
-	if now-f.since >= silenceAfter && !f.reported {
-		f.reported = true
-		e.flows[key] = f
-		suspected = t.load.silent(t, now)
-	}
-	if t.load.suspect(now) {
-		return nil, suspected
+		return nil, false
 	}
-	return t, suspected
+	return t, now-f.since >= silenceAfter
 }
 
 func (e *Engine) remember(key FlowKey, f flowState) {
--- a/steer/load.go
+++ b/steer/load.go
@@ -29,8 +29,9 @@
 	pending   int // flows and requests that wait for an answer
 	open      int // flows
 	answered  time.Duration
-	failed    int // flows that went unanswered since the last answer
-	until     time.Duration
+	failed    int           // flows that went unanswered since the last answer
+	doubt     time.Duration // when the last of them went unanswered
+	until     time.Duration // when the suspicion ends
 	others    directory.Load // what other balancers have seen
 }
 
@@ -42,6 +43,7 @@
 // silent notes that a flow went unanswered. It returns the target when that makes it suspect.
 func (l *load) silent(t *Target, now time.Duration) *Target {
 	l.failed++
+	l.doubt = now
 	if l.failed < silentFlows || now < l.until || now-l.answered < silenceAfter {
 		return nil
 	}
@@ -66,6 +68,10 @@
 	}
 }
 
+// doubted reports whether a flow went unanswered a moment ago. In a large fleet a balancer sees few flows of each target, and would
+// meet a silent one anew with each of them. One lost datagram has the same look, so this proves nothing to others.
+func (l *load) doubted(now time.Duration) bool { return l.failed > 0 && now-l.doubt < suspicion }
+
 // suspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) suspect(now time.Duration) bool {
 	return now < l.until || l.others.Suspect && now-l.answered >= silenceAfter
--- a/steer/place.go
+++ b/steer/place.go
@@ -31,18 +31,26 @@
 	return xxhash.Sum64(b[:])
 }
 
-// pick returns the target of a new flow, or nil when the service has none.
-func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration) *Target {
+// pick returns the target of a new flow, or nil when the service has none. silent is the target that has left an earlier copy of the
+// flow's opening packet unanswered, or nil. Targets that leave flows unanswered are used only when there are no others: a wrong
+// suspicion must not empty a service.
+func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration, silent *Target) *Target {
 	hash := key.hash()
 	p := v.pools[service(r, hash)]
 	if p == nil {
 		return nil
 	}
-	if t := p.choose(hash, now, func(t *Target) bool { return !t.load.suspect(now) }); t != nil {
-		return t
+	for _, usable := range [...]func(*Target) bool{
+		func(t *Target) bool { return t != silent && !t.load.doubted(now) && !t.load.suspect(now) },
+		func(t *Target) bool { return t != silent && !t.load.suspect(now) },
+		func(t *Target) bool { return !t.load.suspect(now) },
+		func(*Target) bool { return true },
+	} {
+		if t := p.choose(hash, now, usable); t != nil {
+			return t
+		}
 	}
-	// Every target is suspect: a wrong suspicion must not empty a service.
-	return p.choose(hash, now, func(*Target) bool { return true })
+	return nil
 }
 
 // choose returns the target of a new flow of those that are usable, or nil when there is none.
