Outlive answers that make a decoder panic

An answer of the store, or a reply of a peer, at which decoding panics ended the process; it is a failed read now.

--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 // readResult is the outcome of a read of the store.
@@ -48,14 +49,18 @@
 
 func (r *storeReader) read(ctx context.Context, next directory.Read) readResult {
 	started := r.clock()
-	result := readResult{read: next, asked: started}
+	page, err := r.ask(ctx, next)
+	return readResult{read: next, page: page, err: err, asked: started, took: r.clock() - started}
+}
+
+// ask carries out a read. An answer that makes the decoder panic is a failed read.
+func (r *storeReader) ask(ctx context.Context, next directory.Read) (page directory.Page, err error) {
+	defer resultcode.Recover(&err)
 	if next.Kind == directory.ReadWatch {
-		result.page.Batch, result.err = r.source.Watch(ctx, next.After, next.Wait)
-	} else {
-		result.page, result.err = r.source.List(ctx, next.Page, next.Kind == directory.ReadAudit)
+		page.Batch, err = r.source.Watch(ctx, next.After, next.Wait)
+		return page, err
 	}
-	result.took = r.clock() - started
-	return result
+	return r.source.List(ctx, next.Page, next.Kind == directory.ReadAudit)
 }
 
 // sleep returns false when the context ends first.
--- a/internal/peer/ask.go
+++ b/internal/peer/ask.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -14,6 +13,9 @@
 )
 
 const (
+	// dialTimeout bounds the wait for a connection: a host without power does not refuse it, and its system sends the next opening
+	// packet only after a second. In a fleet that starts at once the next attempt finds the host up.
+	dialTimeout = 250 * time.Millisecond
 	// askIdle ends a connection on which nothing was asked for so long.
 	askIdle = 10 * time.Second
 	// answerLimit is the longest time that an answer may take whose bytes keep coming: the directory of 4,600 targets to many
@@ -50,9 +52,10 @@
 	return nil, resultcode.Errorf(codeOf(err), a.to.String(), "%v", err)
 }
 
-func (a *Asker) ask(ctx context.Context, m Message) (Message, error) {
+func (a *Asker) ask(ctx context.Context, m Message) (_ Message, err error) {
+	defer resultcode.Recover(&err)
 	if a.conn == nil {
-		conn, err := (&net.Dialer{Timeout: a.timeout}).DialContext(ctx, "tcp", a.to.String())
+		conn, err := (&net.Dialer{Timeout: min(dialTimeout, a.timeout)}).DialContext(ctx, "tcp", a.to.String())
 		if err != nil {
 			return nil, err
 		}
@@ -164,11 +167,7 @@
 // serveGuarded is serve with a panic as an error: a message that a decoder or the answer function cannot cope with ends its
 // connection and not the process.
 func (s *Answerer) serveGuarded(ctx context.Context, conn net.Conn) (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = resultcode.Errorf(resultcode.Internal, "", "panic: %v\n%s", p, debug.Stack())
-		}
-	}()
+	defer resultcode.Recover(&err)
 	return s.serve(ctx, conn)
 }
 
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"slices"
 )
 
@@ -84,3 +85,11 @@
 	}
 	return Internal
 }
+
+// Recover, when deferred, turns a panic into an error with the code Internal and the stack of the panic. It is for input from outside: a
+// message that a decoder or handler cannot cope with must end its own connection or read, not the process.
+func Recover(err *error) {
+	if p := recover(); p != nil {
+		*err = Errorf(Internal, "", "panic: %v\n%s", p, debug.Stack())
+	}
+}
