Let one host read the store for the relays of all data centres

Now the best relay that the store answers reads it, the others follow it each 0.25 s, and read it themselves when the last answer that they know of is 1.9 s old. An idle watch lasts 1 s in place of 1.5 s for that. A host that takes up reading starts with a watch in place of an audit.

A start of the whole fleet made each host read a page of the list or all 13 (some 800 calls). The first read is now a cheap one that tells how long the list is, and a long list is read at once by the seeds and one host in 64, by others when nobody has told them after 0.4 s.

Ruled out: a longer pause between watches (later changes in every data centre); stale lists for the first view (nothing says that the revision they name is theirs).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -27,7 +27,7 @@
 const (
 	// watchWait is the longest wait of one watch. A connection that has gone silent is noticed after it and the timeout
 	// of the client.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
 	// watchPause lets several changes arrive in one answer, since every call to the store is paid for.
 	watchPause = 200 * time.Millisecond
 	// auditInterval bounds how long a change can be missed that no watch has told of.
@@ -69,10 +69,13 @@
 // list is read anew. Audits bound the age of what a watch never tells.
 type Follower struct {
 	random   *rand.Rand
+	probed   bool // a cheap first page has shown how long the list is
+	long     bool // the list has further pages
 	listed   bool
 	after    uint64
 	failures int
 	audited  time.Duration
+	done     time.Duration // when the last read was done
 	pause    bool
 	page     string // next page of the list or audit that is under way, "" for none
 	auditing bool
@@ -90,13 +93,20 @@
 	}
 }
 
-// Paging reports whether a list is under way that has further pages.
-func (f *Follower) Paging() bool { return f.page != "" && !f.auditing }
+// Paging reports whether a list is due or under way that has further pages.
+func (f *Follower) Paging() bool { return !f.listed && f.long || f.page != "" && !f.auditing }
 
-// Next returns the next read. A list that failed goes on with the page that failed.
+// Next returns the next read. The first one is a cheap page that tells how long the list is: when a whole fleet starts, few hosts are to
+// read a long one. A list that failed goes on with the page that failed. After a time in which the store was read elsewhere
+// the next read is a watch: an audit tells nothing new, and its pages would delay the first change.
 func (f *Follower) Next(now time.Duration) Read {
 	delay := f.delay()
+	if now-f.done >= auditInterval && !f.auditing {
+		f.audited = now
+	}
 	switch {
+	case !f.listed && !f.probed:
+		return Read{Kind: ReadAudit, Delay: delay}
 	case !f.listed:
 		return Read{Kind: ReadList, Page: f.page, Delay: delay}
 	case f.auditing || now-f.audited >= auditInterval:
@@ -121,16 +131,19 @@
 // Done notes the outcome of a read. It returns the batch to apply, and false when there is none. The page of a watch has
 // no next one.
 func (f *Follower) Done(now time.Duration, r Read, p Page, err error) (Batch, bool) {
-	f.pause = false
+	f.pause, f.done = false, now
 	if err != nil {
 		f.failed(now, r, err)
 		return Batch{}, false
 	}
 	f.failures = 0
-	switch r.Kind {
-	case ReadList:
+	switch {
+	case r.Kind == ReadList:
 		return f.listPage(now, r, p)
-	case ReadAudit:
+	case r.Kind == ReadAudit && !f.listed:
+		f.probed, f.long = true, p.Next != ""
+		return Batch{}, false
+	case r.Kind == ReadAudit:
 		f.auditPage(now, p)
 		return Batch{}, false
 	}
@@ -145,7 +158,7 @@
 		f.listed, f.failures = false, 0
 	}
 	if r.Kind == ReadAudit { // the next audit starts anew
-		f.auditing, f.page, f.audited = false, "", now
+		f.probed, f.auditing, f.page, f.audited = true, false, "", now
 	}
 }
 
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -80,8 +80,11 @@
 	listed int
 }
 
+// newReader returns a reader that knows how long the list is.
 func newReader() *reader {
-	return &reader{f: NewFollower(rand.New(rand.NewPCG(1, 1))), store: &fakeStore{}}
+	r := &reader{f: NewFollower(rand.New(rand.NewPCG(1, 1))), store: &fakeStore{}}
+	r.read()
+	return r
 }
 
 func (r *reader) read() Read {
@@ -206,3 +209,54 @@
 		r.read()
 	}
 }
+
+// Replays a host that reads the store again because the one that read it for all has ended. Guards against an audit of many pages that
+// goes before the watch which tells of the changes since.
+func TestFirstReadAfterOthersReadIsWatch(t *testing.T) {
+	f, now := NewFollower(rand.New(rand.NewPCG(1, 1))), time.Second
+	for range 2 {
+		f.Done(now, f.Next(now), Page{Batch: Batch{Complete: true, Revision: 5}}, nil)
+	}
+	now += 10 * auditInterval
+	f.Resume(9)
+	if r := f.Next(now); r.Kind != ReadWatch || r.After != 9 {
+		t.Fatalf("first read is %v after %d", r.Kind, r.After)
+	}
+	audited := false
+	for end := now + auditInterval + watchWait; now < end && !audited; now += watchWait {
+		r := f.Next(now)
+		audited = r.Kind == ReadAudit
+		f.Done(now, r, Page{}, nil)
+	}
+	if !audited {
+		t.Error("no audit follows")
+	}
+}
+
+// Replays the start of a host before a list of one page and of many. Guards against a whole page that each of many hosts pays for before
+// it knows that others read the list, and against a cheap page, which may be behind, that is taken for the list.
+func TestFirstPageTellsLengthOfList(t *testing.T) {
+	for _, pageSize := range []int{0, 10} {
+		f, store := NewFollower(rand.New(rand.NewPCG(1, 1))), &fakeStore{pageSize: pageSize}
+		for i := range 95 {
+			store.write(fmt.Sprintf("t-%02d", i))
+		}
+		r := f.Next(0)
+		page, err := store.answer(r)
+		if err != nil || r.Kind != ReadAudit || r.Page != "" {
+			t.Fatalf("first read %v of page %q", r.Kind, r.Page)
+		}
+		if _, apply := f.Done(0, r, page, nil); apply || f.Paging() != (pageSize > 0) {
+			t.Errorf("page size %d: applied %t, paging %t", pageSize, apply, f.Paging())
+		}
+		if next := f.Next(0); next.Kind != ReadList || next.Page != "" {
+			t.Errorf("next read %v of page %q", next.Kind, next.Page)
+		}
+	}
+	// A store that refuses the cheap page is asked for the list.
+	f := NewFollower(rand.New(rand.NewPCG(1, 1)))
+	f.Done(0, f.Next(0), Page{}, resultcode.Errorf(resultcode.PlatformUnavailable, "", "refused"))
+	if next := f.Next(0); next.Kind != ReadList {
+		t.Errorf("after a refusal: %v", next.Kind)
+	}
+}
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -62,6 +62,7 @@
 	published    atomic.Pointer[string] // state, for the readiness check
 	reading      bool                   // a read of the store is under way
 	isRelay      bool
+	reads        bool // this host reads the store
 	storeFailing bool
 	calls        uint64                  // reads of the store
 	lostPeers    map[netip.AddrPort]bool // peers that did not answer the last report
--- a/internal/direct/control_test.go
+++ b/internal/direct/control_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/internal/settings"
+	"github.com/marigoldwood/marigoldwood/relay"
 	"github.com/marigoldwood/marigoldwood/steer"
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
@@ -74,6 +75,34 @@
 	}
 }
 
+// Replays the start of a whole fleet before a list of many pages. Guards against hosts that all read it, so that the store's link is the
+// limit and each call is paid for, and against a fleet in which nobody does.
+func TestLongListIsReadByFewAtStart(t *testing.T) {
+	now := relayUnknownWait / 2
+	readers := func(seeds ...netip.AddrPort) (n int) {
+		for i := range 200 {
+			c := newTestControl(t, func() time.Duration { return now }, logrus.New())
+			self := relay.Host{Name: fmt.Sprintf("h-%d", i), DataCentre: "a", Weight: 1, Address: c.settings.Address()}
+			c.settings.Host.Name, c.fleet = self.Name, relay.NewFleet(self, seeds)
+			c.follower.Done(now, directory.Read{Kind: directory.ReadList}, directory.Page{Next: "servers/i-1"}, nil)
+			if c.mustRead(now) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := readers(); n == 0 || n > 50 {
+		t.Errorf("%d of 200 hosts read on at once", n)
+	}
+	if n := readers(netip.MustParseAddrPort("127.0.0.1:9000")); n != 200 {
+		t.Errorf("%d of 200 seeds read on at once", n)
+	}
+	now = relayUnknownWait
+	if n := readers(); n != 200 {
+		t.Errorf("%d of 200 hosts read on when nobody has told them", n)
+	}
+}
+
 // Replays the start of a host of a large fleet, which is told of all targets at once. Guards against a log that grows with hosts
 // times targets, and against a removal among few changes that leaves no line of its own.
 func TestManyTargetsToldAtOnceAreOneLine(t *testing.T) {
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -13,15 +13,19 @@
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
-// relayWait is how long after its start a host waits for the relay's list when the store's list has many pages: if all hosts
-// start at once, the store cannot give all of it to each.
-const relayWait = 3 * time.Second
+const (
+	// relayWait is how long after its start a host waits for the relay's list when the store's list has many pages: if all hosts
+	// start at once, the store cannot give all of it to each.
+	relayWait = 3 * time.Second
+	// relayUnknownWait is the same for a host that knows of no relay yet: the time in which the first hosts have read the list of
+	// 600 targets.
+	relayUnknownWait = 400 * time.Millisecond
+)
 
 // sourceStore names the store in the log; a peer is named by its host.
 const sourceStore = "store"
 
-// readStore starts the next read of the store if this host is the relay of its data centre, or if no relay keeps it up
-// to date.
+// readStore starts the next read of the store if this host reads it for others, or if no other one keeps it up to date.
 func (c *Control) readStore() {
 	now := c.clock()
 	if c.reading || !c.mustRead(now) {
@@ -36,16 +40,27 @@
 }
 
 func (c *Control) mustRead(now time.Duration) bool {
-	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, c.standing(now))
+	standing := c.standing(now)
+	host, _ := c.fleet.Relay(c.settings.Host.DataCentre, standing)
 	own := host.Name == c.settings.Host.Name
 	if own != c.isRelay {
 		c.isRelay = own
-		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": c.isFresh(now)})
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": standing.Fresh})
 	}
-	if !c.directory.Ready() && !own && c.follower.Paging() && now < relayWait {
+	if !c.directory.Ready() && c.follower.Paging() && (!own && now < relayWait || own && now < relayUnknownWait && !c.fleet.ReadsFirst()) {
 		return false
 	}
-	return own || !c.isFresh(now)
+	age, known := c.directory.Age(now)
+	reads := c.fleet.MustRead(standing, age, known)
+	if reads != c.reads {
+		c.reads = reads
+		inputs := logrus.Fields{"own": reads, "relay": own}
+		if known {
+			inputs["age"] = age
+		}
+		c.record(logrus.InfoLevel, timeline.Event{Kind: "reader", Member: c.fleet.Reader(standing).Name}, inputs)
+	}
+	return reads
 }
 
 // isFresh reports whether the store, or a host that reads it, has answered a moment ago.
@@ -56,7 +71,7 @@
 
 // standing is what the other hosts will take this host for.
 func (c *Control) standing(now time.Duration) relay.Standing {
-	s := relay.Standing{Fresh: c.isFresh(now), Leaving: c.leaving()}
+	s := relay.Standing{Fresh: c.isFresh(now), Leaving: c.leaving(), Refused: c.storeFailing}
 	if _, known := c.directory.Age(now); known {
 		s.Revision = c.directory.Revision()
 	}
@@ -128,7 +143,7 @@
 func (c *Control) freshness(now time.Duration) relay.Freshness {
 	age, known := c.directory.Age(now)
 	confirmed, steady := c.directory.Confirmed(now)
-	return relay.Freshness{Known: known, Age: age, Confirmed: confirmed, Steady: steady, Revision: c.directory.Revision()}
+	return relay.Freshness{Known: known, Age: age, Confirmed: confirmed, Steady: steady, Revision: c.directory.Revision(), Refused: c.storeFailing}
 }
 
 // reply answers the report of another host with what it does not know yet.
--- a/internal/peer/ask_test.go
+++ b/internal/peer/ask_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strings"
@@ -70,6 +71,34 @@
 	}
 }
 
+// Replays the start of a fleet whose first hosts ask one that has no power yet. Guards against an attempt to connect that outlasts the
+// start of that host.
+func TestAskHostWithoutPower(t *testing.T) {
+	listener, address := listenLoopback(t)
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// With a full queue of connections opening packets are dropped, as by a host without power.
+	if err := errors.Join(raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }), err); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		conn, err := net.DialTimeout("tcp", address.String(), time.Second)
+		if err != nil {
+			break // the queue is full
+		}
+		defer conn.Close()
+	}
+	asker := NewAsker(NewIdentity("a", "x", 1), address, time.Minute)
+	defer asker.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := asker.Ask(ctx, &RelayReport{}); resultcode.Of(err) != resultcode.PeerUnreachable || ctx.Err() != nil {
+		t.Errorf("got %v, %v", err, ctx.Err())
+	}
+}
+
 // Guards against a server that takes memory or ends for bytes that are no message.
 func TestAnswererRefusesGarbage(t *testing.T) {
 	listener, address := listenLoopback(t)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -17,13 +17,21 @@
 	// firstInterval is the time between two reports of a host that has just started and knows nothing: packets wait for what it
 	// is told. A host that knows the store has its answer after one of them.
 	firstInterval = 100 * time.Millisecond
+	// firstReaders is the number of hosts of which one, beside the seeds, does not wait for others before it reads a long list of the
+	// store: 13 of 830 hosts and the seeds read the 100 pages of 4,600 targets in a second with 2,000 calls.
+	firstReaders = 64
 	// remoteInterval is the time between two reports to the relay of another data centre.
 	remoteInterval = 500 * time.Millisecond
 	// ownCandidates and otherCandidates bound the hosts that a reply tells of, for each data centre.
 	ownCandidates   = 4
 	otherCandidates = 2
-	// staleAfter is the age of the store's last answer at which a host reads the store itself. An idle watch answers
-	// every 1.5 s, and a configuration must be in force within 3 s.
+	// readerInterval is the time between two reports to the relay that reads the store for all data centres.
+	readerInterval = 250 * time.Millisecond
+	// followAge is the age of the store's last answer at which a relay reads the store itself although another one does so for
+	// all: an idle watch of that one answers every 1 s, is followed by a pause of 0.2 s, and is told within readerInterval.
+	followAge = 1900 * time.Millisecond
+	// staleAfter is the age of the store's last answer at which a host reads the store itself, beside the time between two
+	// reports. It is above followAge, so that the relay goes first; a configuration must be in force within 3 s.
 	staleAfter = 2200 * time.Millisecond
 	// firstWait is how long a host that knows nothing waits for the answer of one host before it asks another one: the
 	// directory of 4,600 targets takes about half a second on a link of 10 Mbit/s.
@@ -131,6 +139,48 @@
 	return best.host, true
 }
 
+// Reader returns the relay that reads the store for those of all data centres, so that calls to the store do not grow with the data
+// centres: the best one that the store answers, or else the best one. own is the standing of this host.
+func (f *Fleet) Reader(own Standing) Host {
+	self := &member{host: f.self, standing: own}
+	relays := map[string]*member{f.self.DataCentre: self}
+	for _, m := range f.members {
+		if best := relays[m.host.DataCentre]; m.answers() && (best == nil || better(m, best)) {
+			relays[m.host.DataCentre] = m
+		}
+	}
+	var reader *member
+	for _, m := range relays {
+		switch {
+		case reader == nil, reader.standing.Refused && !m.standing.Refused:
+			reader = m
+		case reader.standing.Refused == m.standing.Refused && better(m, reader):
+			reader = m
+		}
+	}
+	return reader.host
+}
+
+// MustRead reports whether this host reads the store: as the reader for all data centres, or because the store's last answer that it
+// knows of is so old that those who read for it have failed, or are cut off. own is the standing of this host, age that of the
+// answer; known is false when it knows of none.
+func (f *Fleet) MustRead(own Standing, age time.Duration, known bool) bool {
+	relay, _ := f.Relay(f.self.DataCentre, own)
+	switch {
+	case relay.Name != f.self.Name:
+		return !known || age >= f.StaleAfter()
+	case !known || age >= followAge:
+		return true
+	}
+	return f.Reader(own).Name == f.self.Name
+}
+
+// ReadsFirst reports whether this host is one of the few that read a long list of the store at once when the whole fleet starts: the
+// seeds, whom all others ask, and one host in firstReaders besides. If each host read it, the store's link would be the limit.
+func (f *Fleet) ReadsFirst() bool {
+	return slices.Contains(f.seeds, f.self.Address) || xxhash.Sum64String(f.self.Name)%firstReaders == 0
+}
+
 // better ranks candidates for the relay: those that know the store, then the heavier ones. Without the store the host that
 // knows most leads, so that the others learn from it. The hash keeps the duty from falling on the same place in every data
 // centre.
@@ -170,11 +220,15 @@
 	if !f.isRelay() {
 		add(relay.Address, f.ReportInterval(own, now))
 	} else {
+		reader := f.Reader(own)
 		for _, dc := range f.dataCentres() {
-			if other, found := f.Relay(dc, Standing{}); found {
+			if other, found := f.Relay(dc, Standing{}); found && other != reader {
 				add(other.Address, remoteInterval)
 			}
 		}
+		if reader != f.self {
+			add(reader.Address, readerInterval)
+		}
 		for _, address := range f.missing(now) {
 			add(address, remoteInterval)
 		}
@@ -189,9 +243,9 @@
 }
 
 // Wants reports whether to ask the host for its changes. own is the standing of this host. Changes come from hosts of the own data
-// centre. From another one they are wanted, and bytes between data centres paid for, only by a host that the store does not
-// answer, or when the other host is known to be ahead. A host that knows nothing asks one of those hosts at a time, because the
-// answer holds everything.
+// centre, and to a relay from the reader. From another data centre they are wanted otherwise, and bytes between data centres paid
+// for, only by a host that the store does not answer, or when the other host is known to be ahead. A host that knows nothing asks one
+// of those hosts at a time, because the answer holds everything.
 func (f *Fleet) Wants(to netip.AddrPort, own Standing, now time.Duration) bool {
 	ahead := false
 	for _, m := range f.members {
@@ -203,7 +257,7 @@
 		}
 	}
 	if own.Revision > 0 {
-		return ahead || !own.Fresh
+		return ahead || !own.Fresh || f.isRelay() && f.Reader(own).Address == to
 	}
 	if f.firstFrom.IsValid() && f.firstFrom != to && now-f.firstAsked < firstWait {
 		return false
@@ -281,7 +335,7 @@
 }
 
 func standing(k *Freshness, leaving bool) Standing {
-	s := Standing{Leaving: leaving}
+	s := Standing{Leaving: leaving, Refused: k.Refused}
 	if k.Known {
 		s.Fresh, s.Revision = k.Age < staleAfter, k.Revision
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -28,6 +28,10 @@
 	revision uint64 // up to which it knows the store, 0 for nothing
 	down     bool
 	loads    []directory.Load
+	// answered is when the store gave the last answer that the host knows of, in tests with a store; 0 in others.
+	answered time.Duration
+	calls    int  // to the store
+	refused  bool // by the store, at the last call
 }
 
 func newNetwork(perDataCentre int, dataCentres ...string) *network {
@@ -75,11 +79,16 @@
 	}
 }
 
-func (h *node) standing() Standing { return Standing{Fresh: h.fresh, Revision: h.revision} }
+func (h *node) standing() Standing {
+	return Standing{Fresh: h.fresh, Revision: h.revision, Refused: h.refused}
+}
 
-func (h *node) freshness() Freshness {
-	f := Freshness{Known: h.revision > 0, Age: 100 * time.Millisecond, Revision: h.revision}
-	if !h.fresh {
+func (h *node) freshness(now time.Duration) Freshness {
+	f := Freshness{Known: h.revision > 0, Age: 100 * time.Millisecond, Revision: h.revision, Refused: h.refused}
+	switch {
+	case h.answered > 0:
+		f.Age = now - h.answered
+	case !h.fresh:
 		f.Age = time.Minute
 	}
 	return f
@@ -93,11 +102,11 @@
 			h.fleet.Failed(to, n.now)
 			continue
 		}
-		report := &Report{Host: h.self, Freshness: h.freshness(), Wants: h.fleet.Wants(to, h.standing(), n.now)}
+		report := &Report{Host: h.self, Freshness: h.freshness(n.now), Wants: h.fleet.Wants(to, h.standing(), n.now)}
 		report.Loads, report.Centre = h.fleet.LoadsOf(to, h.loads, n.now)
 		peer.fleet.Reported(report, n.now)
 		h.fleet.Replied(&Reply{
-			Host: peer.self, Freshness: peer.freshness(), Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), Count: peer.fleet.Count(),
+			Host: peer.self, Freshness: peer.freshness(n.now), Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), Count: peer.fleet.Count(),
 			Loads: peer.fleet.LoadsFor(h.self.Name, h.self.DataCentre, peer.loads, n.now),
 		}, n.now)
 		if report.Wants && peer.revision > h.revision {
@@ -106,6 +115,9 @@
 				n.remoteChanges++
 			}
 		}
+		if h.answered > 0 && peer.revision <= h.revision {
+			h.answered = max(h.answered, peer.answered)
+		}
 	}
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -1,6 +1,7 @@
 // Package relay decides from whom a balancer learns of the store's changes and of other balancers' load. In each data
-// centre one balancer, the relay, reads the store for the others, so that the calls to the store do not grow with the
-// fleet. Any balancer can be the relay, and reads the store itself when no relay keeps up. The package does no I/O.
+// centre one balancer, the relay, tells the others, and one of the relays, the reader, reads the store for all of them, so that the
+// calls to the store do not grow with the fleet. Any balancer can be either, and reads the store itself when nobody keeps it up to
+// date. The package does no I/O.
 package relay
 
 import (
@@ -26,6 +27,7 @@
 	// without a break before that.
 	Confirmed, Steady time.Duration
 	Revision          uint64 // up to which every change is known
+	Refused           bool   // the store did not answer the sender's last read
 }
 
 // Report is what a balancer tells a relay.
@@ -65,4 +67,5 @@
 	Fresh    bool // it knows the store well
 	Leaving  bool
 	Revision uint64 // of the store, up to which it knows every change; 0 when it knows nothing
+	Refused  bool   // the store did not answer its last read
 }
--- a/steer/load.go
+++ b/steer/load.go
@@ -29,9 +29,9 @@
 	pending   int // flows and requests that wait for an answer
 	open      int // flows
 	answered  time.Duration
-	failed    int           // flows that went unanswered since the last answer
-	doubt     time.Duration // when the last of them went unanswered
-	until     time.Duration // when the suspicion ends
+	failed    int            // flows that went unanswered since the last answer
+	doubt     time.Duration  // when the last of them went unanswered
+	until     time.Duration  // when the suspicion ends
 	others    directory.Load // what other balancers have seen
 }
 
