Serve with a provisional list until a peer tells the complete one

A host now reads a cheap list of the store, which may be behind, and serves with it. It does not count as knowing the store: it tells nobody, goes on asking, and has the complete list from a peer, or after 1.5 s alone from the store. Flows of unknown routes are dropped in that time, not refused.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,6 +48,7 @@
 	records       map[string]*record
 	revision      uint64 // every change up to it is known
 	complete      bool   // the whole list was read once
+	provisional   bool   // a list that may be behind in parts was read
 	lastAnswer    time.Duration
 	confirmed     time.Duration // when the last read was sent whose answer left nothing unknown
 	steadySince   time.Duration // start of the present series of answers
@@ -66,8 +67,11 @@
 // Revision returns the revision up to which every change is known.
 func (d *Directory) Revision() uint64 { return d.revision }
 
-// Ready reports whether routes and the whole list of targets have been read.
-func (d *Directory) Ready() bool { return d.complete && d.configuration != nil }
+// Ready reports whether routes and a list of targets have been read.
+func (d *Directory) Ready() bool { return (d.complete || d.provisional) && d.configuration != nil }
+
+// Complete reports whether the whole list of targets has been read, and not only one that may be behind.
+func (d *Directory) Complete() bool { return d.complete }
 
 // Configuration returns the newest configuration, or nil.
 func (d *Directory) Configuration() *Configuration { return d.configuration }
@@ -157,6 +161,10 @@
 // Apply takes over a batch and returns what changed. Records and configurations that are older than what is known are
 // left out, so that batches of several sources may arrive in any order.
 func (d *Directory) Apply(b Batch, now time.Duration) []Event {
+	if b.Provisional && d.complete {
+		return nil
+	}
+	d.provisional = d.provisional || b.Provisional
 	var events []Event
 	if b.Configuration != nil {
 		events = d.configure(b.Configuration, events)
@@ -282,14 +290,16 @@
 	Configuration *Configuration
 	Targets       []Known // by name
 	Revision      uint64
-	At            time.Duration
+	// Provisional reports that routes and targets may be missing that the store has had for a while.
+	Provisional bool
+	At          time.Duration
 	// Next is when time alone changes the presence of a target, 0 when it does not.
 	Next time.Duration
 }
 
 // Snapshot returns the present state.
 func (d *Directory) Snapshot(now time.Duration) *Snapshot {
-	s := &Snapshot{Configuration: d.configuration, Revision: d.revision, At: now, Targets: make([]Known, 0, len(d.records))}
+	s := &Snapshot{Configuration: d.configuration, Revision: d.revision, Provisional: !d.complete, At: now, Targets: make([]Known, 0, len(d.records))}
 	for _, r := range d.records {
 		k := Known{Target: r.target, Presence: d.presence(r, now), ColdUntil: r.coldUntil, Revision: r.revision}
 		if r.removed && k.Presence != Gone {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -69,8 +69,8 @@
 // list is read anew. Audits bound the age of what a watch never tells.
 type Follower struct {
 	random   *rand.Rand
-	probed   bool // a cheap first page has shown how long the list is
-	long     bool // the list has further pages
+	probed   bool // a cheap list has shown how long the list is
+	long     bool // it has several pages
 	listed   bool
 	after    uint64
 	failures int
@@ -93,11 +93,11 @@
 	}
 }
 
-// Paging reports whether a list is due or under way that has further pages.
-func (f *Follower) Paging() bool { return !f.listed && f.long || f.page != "" && !f.auditing }
+// Paging reports whether a list of several pages is due or under way.
+func (f *Follower) Paging() bool { return !f.listed && f.probed && f.long }
 
-// Next returns the next read. The first one is a cheap page that tells how long the list is: when a whole fleet starts, few hosts are to
-// read a long one. A list that failed goes on with the page that failed. After a time in which the store was read elsewhere
+// Next returns the next read. The first one is a cheap page that may be behind. If the list has further pages they are read as cheaply,
+// because many hosts of a large fleet may start at once: Done returns them as a provisional batch. A list that failed goes on with the page that failed. After a time in which the store was read elsewhere
 // the next read is a watch: an audit tells nothing new, and its pages would delay the first change.
 func (f *Follower) Next(now time.Duration) Read {
 	delay := f.delay()
@@ -106,7 +106,7 @@
 	}
 	switch {
 	case !f.listed && !f.probed:
-		return Read{Kind: ReadAudit, Delay: delay}
+		return Read{Kind: ReadAudit, Page: f.page, Delay: delay}
 	case !f.listed:
 		return Read{Kind: ReadList, Page: f.page, Delay: delay}
 	case f.auditing || now-f.audited >= auditInterval:
@@ -141,8 +141,7 @@
 	case r.Kind == ReadList:
 		return f.listPage(now, r, p)
 	case r.Kind == ReadAudit && !f.listed:
-		f.probed, f.long = true, p.Next != ""
-		return Batch{}, false
+		return f.provisionalPage(r, p)
 	case r.Kind == ReadAudit:
 		f.auditPage(now, p)
 		return Batch{}, false
@@ -162,23 +161,45 @@
 	}
 }
 
+// provisionalPage collects the pages of a cheap list. A single page is not worth while: the list itself is one call.
+func (f *Follower) provisionalPage(r Read, p Page) (Batch, bool) {
+	if r.Page == "" {
+		f.long, f.pages = p.Next != "", Batch{Provisional: true}
+	}
+	f.collect(p)
+	if f.page = p.Next; f.page != "" {
+		return Batch{}, false
+	}
+	f.probed = true
+	return f.takePages(), f.long
+}
+
 // listPage collects the pages of a list. The revision of the first one counts, because pages are no snapshot: changes that
 // were made meanwhile come with the watch.
 func (f *Follower) listPage(now time.Duration, r Read, p Page) (Batch, bool) {
 	if r.Page == "" {
 		f.pages = Batch{Complete: true, Revision: p.Revision}
 	}
+	f.collect(p)
+	if f.page = p.Next; f.page != "" {
+		return Batch{}, false
+	}
+	batch := f.takePages()
+	f.listed, f.after, f.audited = true, batch.Revision, now
+	return batch, true
+}
+
+func (f *Follower) collect(p Page) {
 	f.pages.Changes = append(f.pages.Changes, p.Changes...)
 	if p.Configuration != nil {
 		f.pages.Configuration = p.Configuration
 	}
-	if f.page = p.Next; f.page != "" {
-		return Batch{}, false
-	}
+}
+
+func (f *Follower) takePages() Batch {
 	batch := f.pages
 	f.pages = Batch{}
-	f.listed, f.after, f.audited = true, batch.Revision, now
-	return batch, true
+	return batch
 }
 
 // auditPage compares a page with what is known, and starts a list when the watch has missed a change.
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -17,13 +17,16 @@
 	// relayWait is how long after its start a host waits for the relay's list when the store's list has many pages: if all hosts
 	// start at once, the store cannot give all of it to each.
 	relayWait = 3 * time.Second
-	// relayUnknownWait is the same for a host that knows of no relay yet: the time in which the first hosts have read the list of
-	// 600 targets.
-	relayUnknownWait = 400 * time.Millisecond
+	// relayUnknownWait is the same for a host that knows of no relay yet. Until then it serves with a provisional list: the seeds may
+	// have power later than others, and need some time for the list of 4,600 targets.
+	relayUnknownWait = 1500 * time.Millisecond
 )
 
-// sourceStore names the store in the log; a peer is named by its host.
-const sourceStore = "store"
+// sourceStore names the store in the log, and sourceProvisional a list of it that may be behind; a peer is named by its host.
+const (
+	sourceStore       = "store"
+	sourceProvisional = "store-provisional"
+)
 
 // readStore starts the next read of the store if this host reads it for others, or if no other one keeps it up to date.
 func (c *Control) readStore() {
@@ -31,7 +34,7 @@
 	if c.reading || !c.mustRead(now) {
 		return
 	}
-	if c.directory.Ready() {
+	if c.directory.Complete() {
 		c.follower.Resume(c.directory.Revision())
 	}
 	c.reading = true
@@ -47,7 +50,7 @@
 		c.isRelay = own
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": standing.Fresh})
 	}
-	if !c.directory.Ready() && c.follower.Paging() && (!own && now < relayWait || own && now < relayUnknownWait && !c.fleet.ReadsFirst()) {
+	if !c.directory.Complete() && c.follower.Paging() && (!own && now < relayWait || own && now < relayUnknownWait && !c.fleet.ReadsFirst()) {
 		return false
 	}
 	age, known := c.directory.Age(now)
@@ -96,9 +99,13 @@
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.took})
 	}
 	if apply {
-		// An audit, or a page of a list that has further ones, does not show that nothing is missing here.
-		c.directory.StoreConfirmed(r.asked)
-		c.apply(batch, sourceStore, now)
+		// An audit, a list that may be behind, or a page of a list that has further ones, does not show that nothing is missing here.
+		source := sourceProvisional
+		if !batch.Provisional {
+			c.directory.StoreConfirmed(r.asked)
+			source = sourceStore
+		}
+		c.apply(batch, source, now)
 	}
 }
 
@@ -155,7 +162,7 @@
 		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), Count: c.fleet.Count(),
 		Loads: c.fleet.LoadsFor(r.Host.Name, r.Host.DataCentre, c.traffic.Loads(), now),
 	}
-	if r.Wants && r.Freshness.Revision < c.directory.Revision() && c.directory.Ready() {
+	if r.Wants && r.Freshness.Revision < c.directory.Revision() && c.directory.Complete() && c.directory.Ready() {
 		reply.Changes = c.directory.Since(r.Freshness.Revision)
 	}
 	return reply
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -161,7 +161,10 @@
 func (e *Engine) open(p *Packet, now time.Duration) Decision {
 	e.sweep(now)
 	route := e.view.Route(p.Endpoint)
-	if route == nil {
+	switch {
+	case route == nil && e.view.snapshot.Provisional: // a moment later the route may be known, and the caller asks again
+		return Decision{Action: Drop, Code: resultcode.NotReady}
+	case route == nil:
 		return Decision{Action: Refuse, Code: resultcode.PacketUnknownEndpoint}
 	}
 	key := p.Flow()
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -187,6 +187,24 @@
 	}
 }
 
+// Replays the first moments of a host whose list may be behind. Guards against a refusal of a flow whose route was added a moment ago.
+func TestUnknownRouteInProvisionalView(t *testing.T) {
+	for provisional, want := range map[bool]Action{true: Drop, false: Refuse} {
+		s := snapshot(five(local)...)
+		s.Provisional = provisional
+		e := NewEngine()
+		e.SetView(NewView(s, local))
+		p := opening(1)
+		p.Endpoint.Port++
+		if d := e.Decide(p, time.Second); d.Action != want {
+			t.Errorf("provisional %t: %v, want %v", provisional, d.Action, want)
+		}
+		if d := e.Decide(opening(2), time.Second); d.Action != Forward {
+			t.Errorf("provisional %t: known route: %v", provisional, d.Action)
+		}
+	}
+}
+
 // Guards against a service of one target that is given up because a single flow went unanswered.
 func TestUnansweredCopyOfOnlyTarget(t *testing.T) {
 	e, at := engine(known(1, local)), 10*time.Second
