Let hosts that start beside others wait for their list, and give new targets no more than their share

A host reads on only when nobody has answered it after 0.12 s, or nobody has told it a list after 0.4 s; the seeds and one host in 64 read the complete list without a cheap one.

Placement no longer counts open flows that wait for nothing: after a release the new targets, still slow, got twice their share.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -93,6 +93,12 @@
 	}
 }
 
+// ListAtOnce leaves out the cheap list before the first one.
+func (f *Follower) ListAtOnce() { f.probed = true }
+
+// Probing reports whether a cheap list is under way that has further pages.
+func (f *Follower) Probing() bool { return !f.listed && !f.probed && f.long }
+
 // Paging reports whether a list of several pages is due or under way.
 func (f *Follower) Paging() bool { return !f.listed && f.probed && f.long }
 
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -96,6 +96,9 @@
 		queues: steer.NewQueueWatch(), chart: newLifecycle(), reader: p.Reader, exchange: p.Exchange, ask: p.Exchange.Ask, watch: p.Watch,
 		traffic: p.Traffic, metrics: p.Metrics, lostPeers: map[netip.AddrPort]bool{},
 	}
+	if c.fleet.ReadsFirst() {
+		c.follower.ListAtOnce()
+	}
 	c.enter(c.chart.Initial())
 	return c
 }
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -20,6 +20,11 @@
 	// relayUnknownWait is the same for a host that knows of no relay yet. Until then it serves with a provisional list: the seeds may
 	// have power later than others, and need some time for the list of 4,600 targets.
 	relayUnknownWait = 1500 * time.Millisecond
+	// aloneWait is how long after its start a host waits for the first answer of another host before it reads the further pages of a
+	// provisional list, and toldWait how long it waits for a list after such an answer. The store's link carries a list of 600
+	// targets to a few hosts in 0.1 s and to 300 in 0.5 s; the few then tell the others.
+	aloneWait = 120 * time.Millisecond
+	toldWait  = 400 * time.Millisecond
 )
 
 // sourceStore names the store in the log, and sourceProvisional a list of it that may be behind; a peer is named by its host.
@@ -50,7 +55,7 @@
 		c.isRelay = own
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "relay", Member: host.Name}, logrus.Fields{"own": own, "fresh": standing.Fresh})
 	}
-	if !c.directory.Complete() && c.follower.Paging() && (!own && now < relayWait || own && now < relayUnknownWait && !c.fleet.ReadsFirst()) {
+	if !c.directory.Complete() && c.mustWait(own, now) {
 		return false
 	}
 	age, known := c.directory.Age(now)
@@ -66,6 +71,20 @@
 	return reads
 }
 
+// mustWait reports whether a host that has just started leaves the pages of a long list to others. relay tells that it knows of no other
+// relay in its data centre.
+func (c *Control) mustWait(relay bool, now time.Duration) bool {
+	switch {
+	case c.follower.Probing() && c.fleet.IsAlone():
+		return now < aloneWait
+	case c.follower.Probing():
+		return now < toldWait
+	case c.follower.Paging() && relay:
+		return now < relayUnknownWait
+	}
+	return c.follower.Paging() && now < relayWait
+}
+
 // isFresh reports whether the store, or a host that reads it, has answered a moment ago.
 func (c *Control) isFresh(now time.Duration) bool {
 	age, known := c.directory.Age(now)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -175,6 +175,9 @@
 	return f.Reader(own).Name == f.self.Name
 }
 
+// IsAlone reports whether no other host is known.
+func (f *Fleet) IsAlone() bool { return len(f.members) == 0 }
+
 // ReadsFirst reports whether this host is one of the few that read a long list of the store at once when the whole fleet starts: the
 // seeds, whom all others ask, and one host in firstReaders besides. If each host read it, the store's link would be the limit.
 func (f *Fleet) ReadsFirst() bool {
--- a/steer/place.go
+++ b/steer/place.go
@@ -14,8 +14,6 @@
 const (
 	// coldWeight is the weight of a target that is slow after its start.
 	coldWeight = 0.5
-	// openFlowLoad is the part of a slot that an open flow takes on average between its requests.
-	openFlowLoad = 0.05
 	// remoteCost is by how much a target of another data centre must be less loaded than one of the own, in waiting
 	// requests for each slot. Bytes between data centres are paid for.
 	remoteCost = 2.0
@@ -142,11 +140,9 @@
 	return float64(t.Capacity)
 }
 
-// cost is the load of the target for each slot.
-func (t *Target) cost(now time.Duration) float64 {
-	open := float64(t.load.open) + float64(t.load.others.Open)
-	return (t.pending() + openFlowLoad*open) / t.slots(now)
-}
+// cost is the load of the target for each slot. Open flows that wait for nothing are no part of it: a target that has just started has
+// none, and would get every new flow that may go to it while it is slow.
+func (t *Target) cost(now time.Duration) float64 { return t.pending() / t.slots(now) }
 
 // score is the rank of the target for a flow, weighted by its slots.
 func (t *Target) score(hash uint64, now time.Duration) float64 {
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Replays a release: a target has just started, and the others hold long flows that wait for nothing. Guards against a new target that is
+// given most of the new flows while it is slow.
+func TestNewTargetIsNotFlooded(t *testing.T) {
+	targets := five(local)
+	var others []directory.Load
+	for i := range targets[1:] {
+		others = append(others, directory.Load{Token: targets[i+1].Token(), Open: 40})
+	}
+	const rounds, flows = 100, 20
+	fresh := 0
+	for round := range rounds {
+		e := engine(targets...)
+		e.SetOthers(others)
+		for n := round * flows; n < (round+1)*flows; n++ {
+			d := e.Decide(opening(n), 0)
+			answered(e, n, d.Target.Token, 0)
+			if d.Target.Name == targets[0].Name {
+				fresh++
+			}
+		}
+	}
+	if share := float64(fresh) / (rounds * flows); share < 0.15 || share > 0.25 {
+		t.Errorf("the new target got %.2f of the flows, a fifth is due", share)
+	}
+}
+
 // Guards against a route's weights that are ignored.
 func TestWeightedServices(t *testing.T) {
 	s := snapshot(known(1, local), known(2, local))
