--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// Replays a caller that uses a port again while copies of the old flow's packets are on their way. Guards against a late packet that
+// reaches the target of the new flow, whose caller would get an answer that is not its own, and against a new flow that goes on at the
+// target of the old one.
+func TestPortInUseAgain(t *testing.T) {
+	for n := range 50 {
+		e, at := engine(five(local)...), 10*time.Second
+		old := e.Decide(opening(n), at).Target
+		e.Decide(data(n, old.Token, 1), at+10*time.Millisecond)
+		e.SetOthers([]directory.Load{{Token: old.Token, Pending: 40}}) // so that the new flow goes to another target
+		again := e.Decide(opening(n), at+time.Second)
+		if !again.Placed || again.Target == old {
+			t.Fatalf("flow %d: placed %t, at the old target %t", n, again.Placed, again.Target == old)
+		}
+		for i, token := range []directory.Token{again.Target.Token, old.Token, again.Target.Token, old.Token} {
+			d := e.Decide(data(n, token, uint32(1000*i)), at+time.Second+time.Duration(i)*10*time.Millisecond)
+			if d.Action != Forward || d.Target.Token != token {
+				t.Fatalf("flow %d: packet of the target %d goes to %s", n, token, d.Target.Name)
+			}
+		}
+	}
+}
+
 // Replays the first moments of a host whose list may be behind. Guards against a refusal of a flow whose route was added a moment ago.
 func TestUnknownRouteInProvisionalView(t *testing.T) {
 	for provisional, want := range map[bool]Action{true: Drop, false: Refuse} {
