--- a/steer/lost_test.go
+++ b/steer/lost_test.go
@@ -118,3 +118,15 @@
 		}
 	}
 }
+
+// Guards against a suspicion of every target, for example when the balancer's own link fails, that empties a service.
+func TestAllSuspect(t *testing.T) {
+	e := engine(five(local)...)
+	for n := range 100 {
+		e.Decide(opening(n), 10*time.Second)
+		e.Decide(opening(n), 10*time.Second+200*time.Millisecond)
+	}
+	if d := e.Decide(opening(999), 10*time.Second+300*time.Millisecond); d.Action != Forward {
+		t.Fatalf("%v, %v", d.Action, d.Code)
+	}
+}
