--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/internal/standin/proxy"
+	"github.com/marigoldwood/marigoldwood/internal/status"
 	"github.com/marigoldwood/marigoldwood/platform/standin"
 )
 
@@ -230,6 +232,67 @@
 	d.expectNoFaults()
 }
 
+// status asks a host for its state, or returns nil when it does not answer.
+func (d *direct) status(h *directHost) *status.Status {
+	client := &http.Client{Timeout: 500 * time.Millisecond}
+	response, err := client.Get("http://" + d.address(balancers, h.number, metricsPort).String() + "/status")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var s status.Status
+	if json.NewDecoder(response.Body).Decode(&s) != nil {
+		return nil
+	}
+	return &s
+}
+
+// readers returns the hosts that read the store within d.
+func (d *direct) readers(within time.Duration) []*directHost {
+	before := map[*directHost]uint64{}
+	for _, h := range d.hosts {
+		if s := d.status(h); s != nil {
+			before[h] = s.Bundle.PlatformCalls
+		}
+	}
+	time.Sleep(within)
+	var readers []*directHost
+	for _, h := range d.hosts {
+		if s := d.status(h); s != nil && s.Bundle.PlatformCalls > before[h] {
+			readers = append(readers, h)
+		}
+	}
+	return readers
+}
+
+// Replays a change of the configuration right after the one host that reads the store has ended, or stands still. Guards against hosts
+// that all read the store, and against a fleet that waits for the reader.
+func TestDirectReaderIsLost(t *testing.T) {
+	t.Parallel()
+	for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			d := startDirect(t, 4, 6)
+			time.Sleep(2 * time.Second) // for the hosts to know each other
+			readers := d.readers(2 * time.Second)
+			if len(readers) != 1 {
+				t.Fatalf("%d hosts read the store", len(readers))
+			}
+			readers[0].signal(signal)
+			d.setPorts(443, 8443, 9443)
+			d.eventually("the new version is in force on the others", inForceBound, func() bool {
+				for _, h := range d.hosts {
+					if s := d.status(h); h != readers[0] && (s == nil || s.Bundle.InForce != d.version) {
+						return false
+					}
+				}
+				return true
+			})
+			d.expectNoFaults()
+		})
+	}
+}
+
 // Guards against changes that are lost with the store's history.
 func TestDirectHistoryDropped(t *testing.T) {
 	t.Parallel()
