Ask missing hosts of the data centre though another host is the relay now

A host that knows more hosts of its data centre than the relay asks the missing ones itself.

TestSurvivorAsksThoughAnotherHostIsRelay and the kept order of TestExplore fail before.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -182,13 +182,15 @@
 		if reader != f.self {
 			add(reader.Address, readerInterval)
 		}
-		for _, address := range f.missing(now) {
-			add(address, remoteInterval)
-		}
 		for _, seed := range f.unknownSeeds() {
 			add(seed, unknownSeedInterval)
 		}
 	}
+	if f.isRelay() || f.relayKnowsFewer(now) {
+		for _, address := range f.missing(now) {
+			add(address, remoteInterval)
+		}
+	}
 	if seed, found := f.dueSeed(own, now); found {
 		add(seed, remoteInterval)
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -107,6 +108,31 @@
 	}
 }
 
+// Replays a cut-off data centre in which all hosts but one are killed, and the first that is back becomes the relay. Guards against a host
+// that starts after it and is asked by nobody: the relay has never heard of it, and the survivor is no relay any more. TestExplore in
+// internal/direct plays the order of events that showed it.
+func TestSurvivorAsksThoughAnotherHostIsRelay(t *testing.T) {
+	host := func(n int, weight float64) Host {
+		return Host{Name: fmt.Sprintf("a-%d", n), DataCentre: "a", Weight: weight, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n)}), 1)}
+	}
+	for count, want := range map[int]bool{2: true, 3: false} {
+		f, known := NewFleet(host(1, 1), nil), Freshness{Known: true, Revision: 7}
+		for _, h := range []Host{host(2, 1), host(3, 4)} {
+			f.Reported(&Report{Host: h, Freshness: known}, time.Second)
+		}
+		now, asked := time.Second, false
+		for ; now < 4*time.Second; now += baseInterval {
+			f.Replied(&Reply{Host: host(3, 4), Freshness: known, Count: count}, now)
+			for _, to := range f.Ask(Standing{Revision: 7}, now) {
+				asked = asked || to == host(2, 1).Address
+			}
+		}
+		if asked != want {
+			t.Errorf("the relay knows %d of 3 hosts: the missing one is asked %t", count, asked)
+		}
+	}
+}
+
 // Replays the return of power to a fleet of 300 hosts: they start within 0.3 s of each other, and one host of each data centre has read
 // the store 0.2 s after its start. Guards against hosts that drop packets for a second more because they ask as rarely as in quiet times.
 func TestFleetThatStartsAtOnceLearnsSoon(t *testing.T) {
--- a/relay/lost.go
+++ b/relay/lost.go
@@ -54,7 +54,7 @@
 
 func newest(list []former, most int) []former { return list[max(0, len(list)-most):] }
 
-// missing returns hosts of the data centre that stopped reporting, those first that were asked longest ago. They may have
+// missing returns hosts of the data centre that stopped reporting here or to the relay, those first that were asked longest ago. They may have
 // started again with neither a seed nor a store that answers, and then know nobody.
 func (f *Fleet) missing(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
@@ -75,6 +75,23 @@
 	return out[:min(len(out), maxMissing)]
 }
 
+// relayKnowsFewer reports whether the relay knows fewer hosts of the data centre than this one: it may have started a moment ago, and
+// then never heard of hosts that have not started again yet.
+func (f *Fleet) relayKnowsFewer(now time.Duration) bool {
+	known := 1
+	for _, m := range f.members {
+		if m.host.DataCentre == f.self.DataCentre {
+			known++
+		}
+	}
+	for _, lost := range f.absent {
+		if now-lost.heard <= missingFor {
+			known++
+		}
+	}
+	return f.told > 0 && f.told < known
+}
+
 // unknownSeeds returns the seeds that no known host has.
 func (f *Fleet) unknownSeeds() []netip.AddrPort {
 	known := map[netip.AddrPort]bool{f.self.Address: true}
