Count the hosts of a data centre by one function, and recover from panics by one

The loop over the members of the own data centre stood three times, the one over hosts that were lost a while ago twice; the traffic goroutine had a recovery from panics of its own beside resultcode.Recover. The line of a panic carries its stack under error now. No change of behaviour otherwise.

--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,7 +115,9 @@
 			t.readFailed(ctx, err)
 			continue
 		}
-		t.guardedBatch(n)
+		if err := t.guardedBatch(n); err != nil {
+			t.batchFailed(n, err)
+		}
 	}
 }
 
@@ -127,15 +128,18 @@
 }
 
 // guardedBatch is batch, but a packet that makes it panic costs the rest of its batch and not the process.
-func (t *Traffic) guardedBatch(n int) {
-	defer func() {
-		if p := recover(); p != nil {
-			t.writer.Flush() // before the next read overwrites the packets that wait to be sent
-			t.metrics.count(steer.Drop, resultcode.Internal, 1)
-			t.logs.WithFields(logrus.Fields{"event": "panic", "code": resultcode.Internal, "packets": n, "stack": string(debug.Stack())}).Error(p)
-		}
-	}()
+func (t *Traffic) guardedBatch(n int) (err error) {
+	defer resultcode.Recover(&err)
 	t.batch(n)
+	return nil
+}
+
+// batchFailed tells of a batch of n packets that was given up. Those that were decided about are sent before the next read
+// overwrites them.
+func (t *Traffic) batchFailed(n int, err error) {
+	t.writer.Flush()
+	t.metrics.count(steer.Drop, resultcode.Internal, 1)
+	t.logs.WithError(err).WithFields(logrus.Fields{"event": "panic", "code": resultcode.Internal, "packets": n}).Error("the rest of a batch of packets is dropped")
 }
 
 // awaitView lets packets wait in the socket for the first view, as long as that is of use to their callers.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -95,14 +95,17 @@
 }
 
 // Count returns the number of hosts of this data centre. Hosts that are not the relay are told by it.
-func (f *Fleet) Count() int {
-	n := 1
+func (f *Fleet) Count() int { return max(1+f.ownMembers(), f.told) }
+
+// ownMembers returns the number of other hosts of this data centre that are known.
+func (f *Fleet) ownMembers() int {
+	n := 0
 	for _, m := range f.members {
 		if m.host.DataCentre == f.self.DataCentre {
 			n++
 		}
 	}
-	return max(n, f.told)
+	return n
 }
 
 // deadAfter returns how long a host is known after its last report. News of a host reach others within two intervals.
--- a/relay/lost.go
+++ b/relay/lost.go
@@ -54,8 +54,19 @@
 
 func newest(list []former, most int) []former { return list[max(0, len(list)-most):] }
 
-// missing returns hosts of the data centre that stopped reporting here or to the relay, those first that were asked longest ago. They may have
-// started again with neither a seed nor a store that answers, and then know nobody.
+// recentlyAbsent returns the hosts of the data centre that were lost but may start again.
+func (f *Fleet) recentlyAbsent(now time.Duration) []former {
+	var out []former
+	for _, lost := range f.absent {
+		if now-lost.heard <= missingFor {
+			out = append(out, lost)
+		}
+	}
+	return out
+}
+
+// missing returns hosts of the data centre that stopped reporting here or to the relay, those first that were asked longest ago.
+// They may have started again with neither a seed nor a store that answers, and then know nobody.
 func (f *Fleet) missing(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
 	silence := missingAfter + 2*f.Interval()
@@ -64,10 +75,8 @@
 			out = append(out, m.host.Address)
 		}
 	}
-	for _, lost := range f.absent {
-		if now-lost.heard <= missingFor {
-			out = append(out, lost.host.Address)
-		}
+	for _, lost := range f.recentlyAbsent(now) {
+		out = append(out, lost.host.Address)
 	}
 	slices.SortFunc(out, func(a, b netip.AddrPort) int {
 		return cmp.Or(cmp.Compare(f.reports[a], f.reports[b]), a.Compare(b))
@@ -78,17 +87,7 @@
 // relayKnowsFewer reports whether the relay knows fewer hosts of the data centre than this one: it may have started a moment ago, and
 // then never heard of hosts that have not started again yet.
 func (f *Fleet) relayKnowsFewer(now time.Duration) bool {
-	known := 1
-	for _, m := range f.members {
-		if m.host.DataCentre == f.self.DataCentre {
-			known++
-		}
-	}
-	for _, lost := range f.absent {
-		if now-lost.heard <= missingFor {
-			known++
-		}
-	}
+	known := 1 + f.ownMembers() + len(f.recentlyAbsent(now))
 	return f.told > 0 && f.told < known
 }
 
@@ -107,22 +106,12 @@
 	return out
 }
 
-// knowsOwn reports whether another host of the data centre is known.
-func (f *Fleet) knowsOwn() bool {
-	for _, m := range f.members {
-		if m.host.DataCentre == f.self.DataCentre {
-			return true
-		}
-	}
-	return false
-}
-
 // dueSeed returns a seed to ask. Seeds are asked often while no other host is known and in the first moments, and rarely by
 // relays afterwards, so that parts of the fleet that lost each other in a partition find together again.
 func (f *Fleet) dueSeed(own Standing, now time.Duration) (netip.AddrPort, bool) {
 	every := seedInterval
 	switch {
-	case f.starting(own, now) && !f.knowsOwn():
+	case f.starting(own, now) && f.ownMembers() == 0:
 		every = firstInterval
 	case len(f.members) == 0 || now-f.started < introduction:
 		every = remoteInterval
