Sum up the loads of targets that a message does not name

Cause: a message names the 64 busiest targets. When more are busy, the others looked idle: urgent flows went to them and were turned away, and the refusal of bulk flows saw about half of the waiting work. A suspicion of a target without pending requests was cut off too.

Change: a message also holds the pending requests of the other busy targets, summed up by service. A balancer spreads them over the targets that are not named. Suspect targets are named first.

--- a/directory/target.go
+++ b/directory/target.go
@@ -50,6 +50,19 @@
 	Suspect bool   // the target does not respond to flows
 }
 
+// Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
+// size does not grow with their number.
+type Loads struct {
+	Targets []Load
+	Rest    []ServiceLoad // of targets with pending requests that Targets leaves out
+}
+
+// ServiceLoad is the load of several targets of a service together.
+type ServiceLoad struct {
+	Service string
+	Pending uint32 // flows and requests waiting for a response
+}
+
 // Change is the write or removal of one target record in the store.
 type Change struct {
 	Name     string
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -254,5 +254,7 @@
 	}
 	snapshot := c.directory.Snapshot(now)
 	c.nextPublish = snapshot.NextChange
-	c.traffic.SetView(steer.NewView(snapshot, c.settings.Host.DataCentre))
+	view := steer.NewView(snapshot, c.settings.Host.DataCentre)
+	c.fleet.SetServices(view.ServiceOf)
+	c.traffic.SetView(view)
 }
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -221,7 +221,7 @@
 }
 
 // updateQueues updates the metrics of work waiting for each service, and records when a lasting queue builds up or disappears.
-func (c *Control) updateQueues(others []directory.Load, now time.Duration) {
+func (c *Control) updateQueues(others directory.Loads, now time.Duration) {
 	view := c.traffic.View()
 	if view == nil {
 		return
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -49,8 +49,8 @@
 	firstView       chan struct{} // closed when the first view is set
 	view            atomic.Pointer[steer.View]
 	ownLoads        atomic.Pointer[[]directory.Load] // loads observed by the engine
-	otherLoads      atomic.Pointer[[]directory.Load] // loads observed by other balancers
-	appliedLoads    *[]directory.Load                // otherLoads that the engine uses
+	otherLoads      atomic.Pointer[directory.Loads]  // loads observed by other balancers
+	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
 	loadsCollected  time.Duration                    // when ownLoads was last updated
 	batches         uint64
 	lastPacket      atomic.Int64
@@ -99,7 +99,7 @@
 }
 
 // SetOtherLoads sets the loads of targets that other balancers have observed.
-func (t *Traffic) SetOtherLoads(loads []directory.Load) { t.otherLoads.Store(&loads) }
+func (t *Traffic) SetOtherLoads(loads directory.Loads) { t.otherLoads.Store(&loads) }
 
 // Run forwards packets until ctx is done.
 func (t *Traffic) Run(ctx context.Context) error {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/marigoldwood/marigoldwood/directory"
 )
 
 const (
@@ -63,13 +65,20 @@
 	// initialSyncHost is the host that was asked for everything at initialSyncStart, invalid when no reply is awaited.
 	initialSyncHost  netip.AddrPort
 	initialSyncStart time.Duration
+	serviceOf        func(directory.Token) string
 }
 
 // NewFleet returns a fleet that knows no other host than self.
 func NewFleet(self Host, seeds []netip.AddrPort) *Fleet {
-	return &Fleet{self: self, seeds: seeds, members: map[string]*member{}, lastReports: map[netip.AddrPort]time.Duration{}}
+	return &Fleet{
+		self: self, seeds: seeds, members: map[string]*member{}, lastReports: map[netip.AddrPort]time.Duration{},
+		serviceOf: func(directory.Token) string { return "" },
+	}
 }
 
+// SetServices sets the function that returns the service of a target, or "" if the target is unknown.
+func (f *Fleet) SetServices(serviceOf func(directory.Token) string) { f.serviceOf = serviceOf }
+
 // SetSeeds replaces the addresses that get reports while no other host is known.
 func (f *Fleet) SetSeeds(seeds []netip.AddrPort) { f.seeds = seeds }
 
@@ -285,7 +294,7 @@
 	m.state = hostState(&r.Freshness, r.Leaving)
 	if r.Host.DataCentre == f.self.DataCentre {
 		m.peerLoads, f.relayHostCount = timedLoads{r.Loads, now}, r.HostCount
-	} else if len(r.Loads) > 0 {
+	} else if len(r.Loads.Targets) > 0 {
 		m.centreLoads = timedLoads{r.Loads, now}
 	}
 	for i := range r.Hosts {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,56 +13,58 @@
 const (
 	// maxLoadAge is how long reported loads are valid, in addition to the time between two reports.
 	maxLoadAge = time.Second
-	// maxLoads bounds the loads in one message to the busiest targets: the others are nearly idle.
+	// maxLoads bounds the targets that one message names.
 	maxLoads = 64
+	// maxServiceLoads bounds the services for which one message sums up the targets that it does not name.
+	maxServiceLoads = 64
 )
 
 // timedLoads are the loads from one message, with the time at which it arrived.
 type timedLoads struct {
-	list       []directory.Load
+	loads      directory.Loads
 	receivedAt time.Duration
 }
 
 func (f *Fleet) maxLoadAge() time.Duration { return maxLoadAge + f.Interval() }
 
 // ReplyLoads returns the loads for a reply to the named host, nil if this host is not the relay. own are its own loads.
-func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) []directory.Load {
+func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) directory.Loads {
 	if !f.isRelay() {
-		return nil
+		return directory.Loads{}
 	}
-	var sum loadSum
-	sum.add(own)
-	f.addLocal(&sum, name, now)
+	sum := newLoadSum()
+	sum.addTargets(own)
+	f.addLocal(sum, name, now)
 	if dataCentre == f.self.DataCentre {
-		f.addRemote(&sum, now)
+		f.addRemote(sum, now)
 	}
-	return sum.list()
+	return sum.loads(f.serviceOf)
 }
 
 // ReportLoads returns the loads for a report to a host, and whether they cover the whole data centre.
-func (f *Fleet) ReportLoads(to netip.AddrPort, own []directory.Load, now time.Duration) (list []directory.Load, whole bool) {
+func (f *Fleet) ReportLoads(to netip.AddrPort, own []directory.Load, now time.Duration) (loads directory.Loads, whole bool) {
 	for _, m := range f.members {
 		if m.host.Address == to && m.host.DataCentre != f.self.DataCentre && f.isRelay() {
 			return f.ReplyLoads(m.host.Name, m.host.DataCentre, own, now), true
 		}
 	}
-	var sum loadSum
-	sum.add(own)
-	return sum.list(), false
+	sum := newLoadSum()
+	sum.addTargets(own)
+	return sum.loads(f.serviceOf), false
 }
 
 // PeerLoads returns the sum of the loads of all other hosts.
-func (f *Fleet) PeerLoads(now time.Duration) []directory.Load {
+func (f *Fleet) PeerLoads(now time.Duration) directory.Loads {
 	if m := f.members[f.relay]; m != nil && !f.isRelay() {
 		if now-m.peerLoads.receivedAt > f.maxLoadAge() {
-			return nil
+			return directory.Loads{}
 		}
-		return m.peerLoads.list
+		return m.peerLoads.loads
 	}
-	var sum loadSum
-	f.addLocal(&sum, "", now)
-	f.addRemote(&sum, now)
-	return sum.list()
+	sum := newLoadSum()
+	f.addLocal(sum, "", now)
+	f.addRemote(sum, now)
+	return sum.loads(f.serviceOf)
 }
 
 // addLocal adds the loads that hosts of this data centre have reported, except those of the host named except.
@@ -70,7 +72,7 @@
 	age := f.maxLoadAge()
 	for _, m := range f.members {
 		if m.host.Name != except && now-m.loads.receivedAt <= age {
-			sum.add(m.loads.list)
+			sum.add(m.loads.loads)
 		}
 	}
 }
@@ -84,20 +86,31 @@
 		}
 	}
 	for _, l := range newest {
-		sum.add(l.list)
+		sum.add(l.loads)
 	}
 }
 
-// loadSum sums loads by target.
-type loadSum map[directory.Token]directory.Load
+// loadSum sums loads by target, and those of targets that the messages did not name by service.
+type loadSum struct {
+	targets map[directory.Token]directory.Load
+	rest    map[string]uint64 // pending requests by service
+}
+
+func newLoadSum() *loadSum {
+	return &loadSum{targets: map[directory.Token]directory.Load{}, rest: map[string]uint64{}}
+}
 
-func (s *loadSum) add(loads []directory.Load) {
-	if *s == nil {
-		*s = make(loadSum, len(loads))
+func (s *loadSum) add(loads directory.Loads) {
+	s.addTargets(loads.Targets)
+	for _, l := range loads.Rest {
+		s.rest[l.Service] += uint64(l.Pending)
 	}
+}
+
+func (s *loadSum) addTargets(loads []directory.Load) {
 	for _, l := range loads {
-		sum := (*s)[l.Token]
-		(*s)[l.Token] = directory.Load{
+		sum := s.targets[l.Token]
+		s.targets[l.Token] = directory.Load{
 			Token: l.Token, Pending: saturate(sum.Pending, l.Pending), Open: saturate(sum.Open, l.Open),
 			Suspect: sum.Suspect || l.Suspect,
 		}
@@ -106,12 +119,46 @@
 
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
-// list returns at most maxLoads loads, with the busiest targets first. Targets without pending requests are left out,
-// unless they are suspect.
-func (s *loadSum) list() []directory.Load {
-	maps.DeleteFunc(*s, func(_ directory.Token, l directory.Load) bool { return l.Pending == 0 && !l.Suspect })
-	loads := slices.SortedFunc(maps.Values(*s), func(a, b directory.Load) int {
-		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+// loads returns the sum for a message. It names at most maxLoads targets, the suspect ones and then the busiest. Targets without
+// pending requests are left out unless they are suspect. serviceOf returns the service of a target, and "" if the target is
+// unknown.
+func (s *loadSum) loads(serviceOf func(directory.Token) string) directory.Loads {
+	named := make([]directory.Load, 0, len(s.targets))
+	for _, l := range s.targets {
+		if l.Pending > 0 || l.Suspect {
+			named = append(named, l)
+		}
+	}
+	slices.SortFunc(named, func(a, b directory.Load) int {
+		return cmp.Or(compareSuspect(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+	})
+	for _, l := range named[min(len(named), maxLoads):] {
+		if service := serviceOf(l.Token); service != "" {
+			s.rest[service] += uint64(l.Pending)
+		}
+	}
+	return directory.Loads{Targets: named[:min(len(named), maxLoads)], Rest: s.restList()}
+}
+
+// compareSuspect orders suspect targets before others.
+func compareSuspect(a, b directory.Load) int {
+	switch {
+	case a.Suspect == b.Suspect:
+		return 0
+	case a.Suspect:
+		return -1
+	}
+	return 1
+}
+
+// restList returns the loads of the targets that are not named, for at most maxServiceLoads services, the busiest first.
+func (s *loadSum) restList() []directory.ServiceLoad {
+	list := make([]directory.ServiceLoad, 0, len(s.rest))
+	for service, pending := range s.rest {
+		list = append(list, directory.ServiceLoad{Service: service, Pending: uint32(min(pending, math.MaxUint32))})
+	}
+	slices.SortFunc(list, func(a, b directory.ServiceLoad) int {
+		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Service, b.Service))
 	})
-	return loads[:min(len(loads), maxLoads)]
+	return list[:min(len(list), maxServiceLoads)]
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -35,7 +35,7 @@
 	Host      Host
 	Leaving   bool
 	Freshness Freshness
-	Loads     []directory.Load
+	Loads     directory.Loads
 	// WholeDataCentre reports that Loads cover the sender's whole data centre, as in reports between relays.
 	WholeDataCentre bool
 	// WantsChanges requests the changes after the revision in Freshness.
@@ -52,7 +52,7 @@
 	Hosts []Member
 	// HostCount is the number of hosts that the sender knows in its own data centre, including itself.
 	HostCount int
-	Loads     []directory.Load // of all balancers but the recipient
+	Loads     directory.Loads // of all balancers but the recipient
 }
 
 // Member describes a balancer that the sender of a reply knows.
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -21,8 +21,13 @@
 		return invalid("invalid name, data centre, address or weight of host %q", r.Host.Name)
 	case !r.Freshness.valid():
 		return invalid("negative time in freshness %+v", r.Freshness)
-	case len(r.Loads) > maxLoads:
-		return invalid("too many loads: %d", len(r.Loads))
+	case len(r.Loads.Targets) > maxLoads || len(r.Loads.Rest) > maxServiceLoads:
+		return invalid("too many loads: %d targets, %d services", len(r.Loads.Targets), len(r.Loads.Rest))
+	}
+	for _, l := range r.Loads.Rest {
+		if l.Service == "" {
+			return invalid("load of %d requests of a service without a name", l.Pending)
+		}
 	}
 	return nil
 }
--- a/steer/load.go
+++ b/steer/load.go
@@ -33,6 +33,7 @@
 	lastMiss     time.Duration  // time at which a flow was last found unanswered
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
+	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
 }
 
 // recordAnswer records an answer of the target, which clears all evidence against it.
@@ -99,18 +100,39 @@
 func saturate(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
 
 // SetPeerLoads replaces the loads that other balancers have reported.
-func (e *Engine) SetPeerLoads(loads []directory.Load) {
+func (e *Engine) SetPeerLoads(loads directory.Loads) {
 	for _, l := range e.loads {
-		l.peers = directory.Load{}
+		l.peers, l.peersMean = directory.Load{}, 0
 	}
 	if e.view == nil {
 		return
 	}
-	for _, l := range loads {
+	for _, l := range loads.Targets {
 		if t := e.view.Resolve(l.Token); t != nil {
 			t.load.peers = l
 		}
 	}
+	for _, rest := range loads.Rest {
+		if p := e.view.pools[rest.Service]; p != nil {
+			p.spreadRest(float64(rest.Pending))
+		}
+	}
+}
+
+// spreadRest distributes pending requests evenly over the targets that the reports of other balancers do not name. When most
+// targets are busy, the reports name only some of them, and the others would look idle.
+func (p *pool) spreadRest(pending float64) {
+	var unnamed []*load
+	for _, targets := range [...][]*Target{p.local, p.remote} {
+		for _, t := range targets {
+			if t.load.peers.Pending == 0 {
+				unnamed = append(unnamed, t.load)
+			}
+		}
+	}
+	for _, l := range unnamed {
+		l.peersMean = pending / float64(len(unnamed))
+	}
 }
 
 // releaseFlow removes a flow that has ended from the counts.
--- a/steer/place.go
+++ b/steer/place.go
@@ -130,7 +130,9 @@
 }
 
 // pending returns the number of requests that wait for the target, here and by the reports of other balancers.
-func (t *Target) pending() float64 { return float64(t.load.pending) + float64(t.load.peers.Pending) }
+func (t *Target) pending() float64 {
+	return float64(t.load.pending) + float64(t.load.peers.Pending) + t.load.peersMean
+}
 
 // slots returns the number of requests that the target works on concurrently, reduced while it is cold.
 func (t *Target) slots(now time.Duration) float64 {
--- a/steer/queue.go
+++ b/steer/queue.go
@@ -25,8 +25,9 @@
 	Slots   int // requests that the ready targets work on concurrently
 }
 
-// Queues returns the queue of each service in the snapshot, sorted by service name. Loads of unknown targets are ignored.
-func Queues(s *directory.Snapshot, loads ...[]directory.Load) []Queue {
+// Queues returns the queue of each service in the snapshot, sorted by service name. own are the loads that this balancer has
+// observed, peers those of the others. Loads of unknown targets and services are ignored.
+func Queues(s *directory.Snapshot, own []directory.Load, peers directory.Loads) []Queue {
 	services := map[directory.Token]string{}
 	queues := map[string]*Queue{}
 	for i := range s.Targets {
@@ -41,13 +42,18 @@
 			q.Slots += t.Capacity
 		}
 	}
-	for _, list := range loads {
+	for _, list := range [...][]directory.Load{own, peers.Targets} {
 		for _, l := range list {
 			if q := queues[services[l.Token]]; q != nil {
 				q.Waiting += int(l.Pending)
 			}
 		}
 	}
+	for _, l := range peers.Rest {
+		if q := queues[l.Service]; q != nil {
+			q.Waiting += int(l.Pending)
+		}
+	}
 	out := make([]Queue, 0, len(queues))
 	for _, q := range queues {
 		out = append(out, *q)
--- a/steer/view.go
+++ b/steer/view.go
@@ -130,6 +130,14 @@
 // Route returns the route of an endpoint, or nil when there is none.
 func (v *View) Route(e directory.Endpoint) *directory.Route { return v.routes[e] }
 
+// ServiceOf returns the service of the target with the token, or "" when there is none.
+func (v *View) ServiceOf(t directory.Token) string {
+	if target := v.tokens[t]; target != nil {
+		return target.Service
+	}
+	return ""
+}
+
 // Resolve returns the target with the token, or nil when there is none.
 func (v *View) Resolve(t directory.Token) *Target { return v.tokens[t] }
 
