Do not count flows that are not tracked, and ignore the late end of an old flow

Two doubts of docs/open-questions.md, both shown by a test that failed first: - At the limit of tracked flows, opened and adopted flows counted as pending or open until their target restarted: 500 of 131,572 after a flood. They do not count now. - A late FIN or reset of an old flow on a reused port ended the tracking of the new flow, and its acknowledgement counted as an answer. Its token is compared now.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -186,9 +186,10 @@
 	case e.overloaded(route, t, key, now):
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.wait, Suspected: suspected}
 	}
-	e.addFlow(key, flowState{token: t.Token, waiting: true, missCounted: t == earlier, waitStart: now, lastPacket: now})
-	e.addWait(key, now, now)
-	t.load.pending++
+	if e.addFlow(key, flowState{token: t.Token, waiting: true, missCounted: t == earlier, waitStart: now, lastPacket: now}) {
+		e.addWait(key, now, now)
+		t.load.pending++
+	}
 	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
 }
 
@@ -206,12 +207,14 @@
 	return t, now-f.waitStart >= answerTimeout
 }
 
-func (e *Engine) addFlow(key FlowKey, f flowState) {
+// addFlow starts to track a flow. It returns false at the limit of tracked flows; such a flow does not count as load.
+func (e *Engine) addFlow(key FlowKey, f flowState) bool {
 	if len(e.flows) >= MaxFlows {
-		return
+		return false
 	}
 	e.flows[key] = f
 	e.expiryOrder = append(e.expiryOrder, key)
+	return true
 }
 
 // addWait schedules a check of a wait that began at since, for a flow whose last packet arrived at last.
--- a/steer/load.go
+++ b/steer/load.go
@@ -152,7 +152,7 @@
 	f, found := e.flows[key]
 	switch {
 	case p.Reset || p.Finish:
-		if found {
+		if found && f.token == p.Token { // otherwise the caller uses the port for another flow by now
 			f.handleAck(p, t, now)
 			e.flows[key] = f
 			e.removeFlow(key)
@@ -185,10 +185,11 @@
 // adopt starts to track an open flow whose earlier packets went through another balancer.
 func (e *Engine) adopt(p *Packet, t *Target, now time.Duration) {
 	e.removeFlow(p.Flow())
-	e.addFlow(p.Flow(), flowState{
+	if e.addFlow(p.Flow(), flowState{
 		token: p.Token, opened: true, sentEnd: p.endSequence(), lastAck: p.Acknowledgement, waitStart: now, lastPacket: now,
-	})
-	t.load.open++
+	}) {
+		t.load.open++
+	}
 }
 
 // handleAck processes the caller's acknowledgement. If it covers new data, the target has answered.
