--- a/relay/loads.go
+++ b/relay/loads.go
@@ -27,7 +27,7 @@
 
 func (f *Fleet) maxLoadAge() time.Duration { return maxLoadAge + f.Interval() }
 
-// ReplyLoads returns the loads for a reply to the named host, nil if this host is not the relay. own are its own loads.
+// ReplyLoads returns the loads for a reply to the named host, none if this host is not the relay. own are its own loads.
 func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) directory.Loads {
 	if !f.isRelay() {
 		return directory.Loads{}
