--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -47,6 +47,11 @@
 	}
 	close(out.release)
 	b.Close()
+	select {
+	case <-b.stopped: // Close waits for closeTimeout only, and the lines may still be written then
+	case <-time.After(10 * time.Second):
+		t.Fatal("the writer does not end")
+	}
 	written, size, dropped := 0, 0, 0
 	for line := range strings.Lines(out.got.String()) {
 		var count int
