Review case 4: configuration late after a storm of large versions

Cause: the limit of 8 MiB for a response of the store also holds for a watch, which returns every version since the known one. The balancers that take over the reading repeat the same watch until the next audit. Change: case with its claim and script.

--- a/review/trial/cases_more.go
+++ b/review/trial/cases_more.go
@@ -148,12 +148,9 @@
 	end := time.Now().Add(20 * time.Second)
 	wg := w.sessions(clients, 4, w.routeAddr(routeTally.port), between(500*time.Millisecond, 2*time.Second), end)
 	time.Sleep(2 * time.Second)
-	reader := w.hosts[0]
+	reader := w.reader()
 	for _, h := range w.hosts {
 		w.record.say("%s: last byte on its link to the store %.2f s ago", h.name, time.Since(h.link.lastByte()).Seconds())
-		if h.link.lastByte().After(reader.link.lastByte()) {
-			reader = h
-		}
 	}
 	if silent {
 		for _, h := range w.hosts {
@@ -163,9 +160,7 @@
 		}
 	}
 	time.Sleep(stableWindow + 2*time.Second)
-	for time.Since(reader.link.lastByte()) > 100*time.Millisecond { // the answer to its last watch
-		time.Sleep(10 * time.Millisecond)
-	}
+	w.reader() // waits for the answer to a watch
 	switch {
 	case cut && os.Getenv("TROUBLE") == "term":
 		reader.signal(syscall.SIGTERM)
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -23,6 +23,7 @@
 	"full-backends":  fullBackends,
 	"silent-idle":    silentIdle,
 	"no-version":     noVersion,
+	"config-storm":   configStorm,
 }
 
 func main() { os.Exit(run()) }
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -60,6 +60,7 @@
 	sent     int
 	// maxConnections is the number of flows that a backend holds.
 	maxConnections int
+	idle           time.Duration // idle_timeout_ms of the configuration
 }
 
 // addr returns an address of this trial's block.
@@ -74,7 +75,7 @@
 func newWorld(rec *record, trouble bool) (*world, error) {
 	w := &world{
 		record: rec, trouble: trouble, allowed: map[uint16]map[string]bool{}, requests: map[string]netip.AddrPort{},
-		runs: map[string]int{}, maxConnections: 2000,
+		runs: map[string]int{}, maxConnections: 2000, idle: idleTimeout,
 	}
 	w.ports.data, w.ports.ready, w.ports.peer, w.ports.store, w.ports.backend = 8172, 8167, 8166, 8169, 8080
 	var err error
@@ -157,7 +158,7 @@
 func (w *world) configure(routes ...route) time.Time {
 	w.mu.Lock()
 	w.version += uint64(1 + rand.IntN(4))
-	version := w.version
+	version, idle := w.version, w.idle
 	services := map[string]bool{}
 	var list, serviceList []map[string]any
 	for _, r := range routes {
@@ -180,7 +181,7 @@
 	value, _ := json.Marshal(map[string]any{
 		"version": version, "routes": list, "services": serviceList,
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": idleTimeout.Milliseconds(),
+			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": idle.Milliseconds(),
 		},
 	})
 	w.store.put("op/config", value, 0)
