Name the connection in the error of a failed read of the store

A read that timed out looked the same whether the store accepted no connection, did not answer a new one, or the read was sent on a pooled connection that had gone silent.

--- a/internal/httpread/httpread.go
+++ b/internal/httpread/httpread.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"time"
@@ -65,6 +67,8 @@
 func (c *Client) Get(ctx context.Context, path string, query url.Values, wait time.Duration, limit int64) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
+	connection := "no connection"
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { connection = describe(i) }})
 	target := c.base
 	target.Path, target.RawQuery = path, query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -73,13 +77,22 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return Response{}, Unavailable("%v", err)
+		return Response{}, Unavailable("%s: %v", connection, err)
 	}
 	defer response.Body.Close()
 	body, err := readBody(response.Body, limit)
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, err
 }
 
+// describe names the connection of a request in the error of a failed one: a connection that has gone silent while unused fails
+// differently from a server that does not accept any.
+func describe(i httptrace.GotConnInfo) string {
+	if !i.Reused {
+		return "new connection"
+	}
+	return fmt.Sprintf("connection reused after %v", i.IdleTime.Round(time.Millisecond))
+}
+
 // readBody reads a body of at most limit bytes. A longer or incomplete body is an error.
 func readBody(body io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
