Do not reuse connections to the store that were unused for seconds

Cause: the pool kept an unused connection for a minute. A host that took over the reading sent its watch on it, and a watch on a silent connection fails only after its wait and the timeout, 2 s, on top of the 2.0 to 2.4 s of the takeover. Evidence: 'connection reused after 19.051s ... context deadline exceeded' on all seven hosts 2.000 s after event=reader own=true; the next watch, on a new connection, answered in 1 ms. Ruled out thereby: a store that refuses or delays, the retry delay (0.1 s), a late takeover. Fix: an unused connection is closed after 2 s. A host in regular use pauses for 0.8 s at most and keeps its connection; one that takes over opens a new one. The soak silences connections too, from a random source of its own.

--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -300,6 +300,36 @@
 	}
 }
 
+// Changes the configuration right after the host that reads the store was cut off from it, while the other hosts' connections
+// to the store, unused since the start, have gone silent. Guards against hosts that take over the reading on such a connection.
+func TestDirectReaderIsCutOffWhileUnusedConnectionsAreSilent(t *testing.T) {
+	t.Parallel()
+	d := startDirect(t, 4, 6)
+	time.Sleep(2 * time.Second) // until the hosts have discovered each other and agree on the reader
+	readers := d.readers(2 * time.Second)
+	if len(readers) != 1 {
+		t.Fatalf("%d hosts read the store, expected 1", len(readers))
+	}
+	for _, h := range d.hosts {
+		if h != readers[0] {
+			d.proxy.Silence(fmt.Sprint("store-", h.number))
+		}
+	}
+	time.Sleep(5 * time.Second)
+	cut := proxy.LinkFaults{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}}
+	d.proxy.SetFaults(fmt.Sprint("store-", readers[0].number), netip.Addr{}, cut)
+	d.setPorts(443, 8443, 9443)
+	d.eventually("the new version is in force on all hosts", propagationLimit, func() bool {
+		for _, h := range d.hosts {
+			if s := d.status(h); s == nil || s.Bundle.InForce != d.version {
+				return false
+			}
+		}
+		return true
+	})
+	d.expectNoViolations()
+}
+
 // Guards against changes that are lost when the store drops its history and watches from earlier revisions fail.
 func TestDirectHistoryDropped(t *testing.T) {
 	t.Parallel()
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -41,6 +41,7 @@
 type soak struct {
 	*directDeployment
 	random      *rand.Rand
+	silences    *rand.Rand // of the silent connections, apart so that the other faults of a seed stay the same
 	wg          sync.WaitGroup
 	hostLocks   [soakHosts]sync.Mutex // held while a signal to the host takes effect
 	targetLocks [soakTargets]sync.Mutex
@@ -64,7 +65,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0))}
+	s := &soak{directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)), silences: rand.New(rand.NewPCG(seed, 1))}
 	tr := s.startTraffic(12, 4)
 	tr.recorder = s.recorder
 	for range 2 {
@@ -93,6 +94,7 @@
 		s.kill, s.stopGracefully, s.freeze, s.reload, s.degradeStoreLink, s.degradePeerLink, s.failStore, s.dropHistory,
 		s.degradeTargetLink, s.crashTarget, s.removeTargetRecord, s.changeRoutes,
 	}
+	s.undoAfter(time.Duration(s.silences.Int64N(int64(d))), s.silenceConnections)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 		faults[s.random.IntN(len(faults))](time.Duration(300+s.random.IntN(2500)) * time.Millisecond)
@@ -177,6 +179,15 @@
 	}[s.random.IntN(5)]
 }
 
+// silenceConnections makes the open connections of all hosts to the store and to each other carry nothing more. New ones work.
+func (s *soak) silenceConnections() {
+	for _, h := range s.hosts {
+		for _, link := range []string{"store-", "peer-"} {
+			s.proxy.Silence(fmt.Sprint(link, h.number))
+		}
+	}
+}
+
 func (s *soak) degradeLink(name string, faults proxy.LinkFaults, d time.Duration) {
 	s.logf("link %s: %+v for %v", name, faults, d)
 	s.proxy.SetFaults(name, netip.Addr{}, faults)
--- a/internal/httpread/httpread.go
+++ b/internal/httpread/httpread.go
@@ -23,6 +23,11 @@
 // other requests.
 const maxConnections = 4
 
+// maxIdle is the maximum time for which a connection is kept without a request. A connection can go silent without being closed,
+// and a request on it then fails only when its time is over. Pauses between the requests of a client that is in regular use are
+// shorter; one that starts to be used again opens a new connection.
+const maxIdle = 2 * time.Second
+
 // Client sends GET requests to one server. It is safe for concurrent use.
 type Client struct {
 	base    url.URL
@@ -37,7 +42,7 @@
 		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
 		MaxConnsPerHost:        maxConnections,
-		IdleConnTimeout:        time.Minute,
+		IdleConnTimeout:        maxIdle,
 		DisableCompression:     true, // a small compressed response could expand to a very large one
 	}
 	return &Client{
--- a/internal/httpread/httpread_test.go
+++ b/internal/httpread/httpread_test.go
@@ -47,6 +47,38 @@
 	return New(netip.MustParseAddrPort(s.Listener.Addr().String()), timeout)
 }
 
+// Guards against a request that waits until its time is over because its connection went silent while it was unused. A host
+// that takes over the reading of the store would learn of a configuration too late.
+func TestConnectionSilentWhileUnused(t *testing.T) {
+	t.Parallel()
+	s := newSilentServer(t)
+	c := s.client(time.Second)
+	if _, err := c.Get(t.Context(), "/", nil, 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	s.generation.Add(1)
+	time.Sleep(4 * time.Second) // hosts whose connections went silent within the last 4 s may be late
+	if _, err := c.Get(t.Context(), "/", nil, 0, 1); err != nil {
+		t.Errorf("got %v, want an answer on a new connection", err)
+	}
+}
+
+// Guards against a new connection for each request of a client that sends one after the other with the pauses of a retry.
+func TestConnectionInUseIsKept(t *testing.T) {
+	t.Parallel()
+	s := newSilentServer(t)
+	c := s.client(time.Second)
+	for range 4 {
+		if _, err := c.Get(t.Context(), "/", nil, 0, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(800 * time.Millisecond)
+	}
+	if n := s.accepted.Load(); n != 1 {
+		t.Errorf("%d connections for requests 0.8 s apart, want 1", n)
+	}
+}
+
 // Guards against an error from which an operator cannot tell a silent connection from a server that does not answer at all.
 func TestErrorNamesConnection(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -77,7 +77,10 @@
 }
 
 // sourceState is the state of both directions of a link for one source.
-type sourceState struct{ forward, back direction }
+type sourceState struct {
+	forward, back direction
+	silenced      atomic.Uint64 // number of calls of Silence; TCP connections opened before the last one carry nothing
+}
 
 func newSourceState(b LinkFaults) *sourceState {
 	p := &sourceState{}
@@ -206,6 +209,21 @@
 	return found
 }
 
+// Silence makes the open TCP connections of the named link carry nothing from now on, without closing them. New ones work.
+func (p *Proxy) Silence(name string) {
+	for _, l := range p.links {
+		if l.Name != name {
+			continue
+		}
+		l.mu.Lock()
+		for _, state := range l.sources {
+			state.silenced.Add(1)
+		}
+		l.mu.Unlock()
+	}
+	p.log.WithFields(logrus.Fields{"event": "silence", "link": name}).Info("open connections silenced")
+}
+
 // Counters are the counters of the traffic of one source on one link.
 type Counters struct {
 	Link           string     `json:"link"`
--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -62,8 +62,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = client.Close(); _ = server.Close() })
 	defer stop()
 	done := make(chan struct{}, 2)
-	go func() { l.copyTCP(ctx, &p.forward, server, client); done <- struct{}{} }()
-	go func() { l.copyTCP(ctx, &p.back, client, server); done <- struct{}{} }()
+	opened := p.silenced.Load()
+	silent := func() bool { return p.silenced.Load() != opened }
+	go func() { l.copyTCP(ctx, &p.forward, server, client, silent); done <- struct{}{} }()
+	go func() { l.copyTCP(ctx, &p.back, client, server, silent); done <- struct{}{} }()
 	<-done
 	// The second direction may still have bytes to send after one side has closed.
 	select {
@@ -91,8 +93,9 @@
 	data  []byte
 }
 
-// copyTCP copies the bytes of one direction in order. Each chunk is written after its delay.
-func (l *link) copyTCP(ctx context.Context, d *direction, to, from net.Conn) {
+// copyTCP copies the bytes of one direction in order. Each chunk is written after its delay, and discarded while the connection
+// is silent.
+func (l *link) copyTCP(ctx context.Context, d *direction, to, from net.Conn, silent func() bool) {
 	queue := make(chan chunk, maxQueuedChunks)
 	written := make(chan struct{})
 	go func() {
@@ -103,7 +106,7 @@
 	for ctx.Err() == nil && !d.faults.Load().ResetConns {
 		_ = from.SetReadDeadline(time.Now().Add(readPollInterval))
 		n, err := from.Read(buffer)
-		if n > 0 {
+		if n > 0 && !silent() {
 			wait := l.proxy.delay(d.faults.Load())
 			if l.proxy.chance(d.faults.Load().Loss) {
 				wait += retransmissionDelay
