Count the pause before a read of the store from the last read

A host that stopped reading after failures, or after a read with changes, kept the pause for as long as another host read the store, and waited for it when it took over minutes later: up to 0.8 s more until a configuration was in force. TestTakeoverWithoutOldBackoff failed before (delays of 774 ms and 200 ms after a minute).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -109,7 +109,7 @@
 // batch. A list that failed continues with the failed page. After an interval without reads, in which other hosts read the
 // store, the next read is a watch: an audit would find nothing new, and its pages would delay the first change.
 func (f *Follower) Next(now time.Duration) Read {
-	delay := f.delay()
+	delay := f.delay(now)
 	if now-f.lastRead >= auditInterval && !f.auditing {
 		f.lastAudit = now
 	}
@@ -125,9 +125,12 @@
 	return Read{Kind: ReadWatch, After: f.watchRevision, Wait: watchWait, Delay: delay}
 }
 
-// delay returns the exponential backoff after failures, up to retryMax. Half of it is random, so that hosts do not retry in
-// step.
-func (f *Follower) delay() time.Duration {
+// delay returns the rest of the pause after the last read, which may be long ago if other hosts have read the store meanwhile.
+func (f *Follower) delay(now time.Duration) time.Duration { return max(f.pause()-(now-f.lastRead), 0) }
+
+// pause returns the pause after the last read: the exponential backoff after failures, up to retryMax. Half of it is random, so
+// that hosts do not retry in step.
+func (f *Follower) pause() time.Duration {
 	if f.failures == 0 {
 		if f.pauseAfterChanges {
 			return watchDelay
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -234,6 +234,28 @@
 	}
 }
 
+// A host stops reading the store after failed reads, or after one with changes, because another host reads it, and takes over
+// minutes later. Guards against a first read that still waits for the pause after the last one.
+func TestTakeoverWithoutOldBackoff(t *testing.T) {
+	for name, last := range map[string]error{
+		"after failures": resultcode.Errorf(resultcode.PlatformUnavailable, "", "refused"), "after changes": nil,
+	} {
+		f, now := NewFollower(rand.New(rand.NewPCG(1, 1))), time.Second
+		for range 2 {
+			f.Done(now, f.Next(now), Page{Batch: Batch{Complete: true, Revision: 5}}, nil)
+		}
+		for range 5 {
+			f.Done(now, f.Next(now), Page{Batch: Batch{Revision: 6, Changes: []Change{{Name: "a", Revision: 6}}}}, last)
+		}
+		if r := f.Next(now); r.Delay == 0 {
+			t.Errorf("%s: no delay before the next read", name)
+		}
+		if r := f.Next(now + time.Minute); r.Kind != ReadWatch || r.Delay != 0 {
+			t.Errorf("%s: after a minute: got %v after a delay of %v, want a watch at once", name, r.Kind, r.Delay)
+		}
+	}
+}
+
 // A host starts and reads a list of one page or of many. Guards against an expensive up-to-date read of all pages by each of
 // many hosts that start at once, and against a stale list that counts as the up-to-date one.
 func TestLongListIsReadStaleFirst(t *testing.T) {
