Check claimed lengths and counts before msgpack is decoded

Cause: the library allocates memory for what the data claims to hold. internal/peer skipped through each message first; bundle.ApplyDelta, bundle.DecodeEnvelope and the test body of FuzzPeerMessage did not. The skip is recursive and its depth was not bounded. Fix: internal/safedecode checks all claims against the bytes that are left, and the nesting, without memory of its own. All decoders of received msgpack use it.

--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -78,7 +79,7 @@
 // the result to Evaluate. The error is a *resultcode.Error.
 func ApplyDelta(older, data []byte) ([]byte, error) {
 	var d delta
-	if err := msgpack.Unmarshal(data, &d); err != nil {
+	if err := safedecode.Msgpack(data, &d); err != nil {
 		return nil, deltaError("%v", err)
 	}
 	if d.Base != xxhash.Sum64(older) {
--- a/bundle/envelope.go
+++ b/bundle/envelope.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -77,7 +78,7 @@
 		return nil, resultcode.Errorf(resultcode.BundleTooLarge, "", "%d bytes, at most %d allowed", len(data), MaxEnvelopeBytes)
 	}
 	e := &Envelope{}
-	if err := msgpack.Unmarshal(data, e); err != nil {
+	if err := safedecode.Msgpack(data, e); err != nil {
 		return nil, resultcode.Errorf(resultcode.BundleEnvelope, "", "%v", err)
 	}
 	if len(e.KeyID) > maxKeyIDBytes {
--- a/bundle/evaluate_test.go
+++ b/bundle/evaluate_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -248,9 +249,32 @@
 	})
 }
 
+// Guards against memory for operations or bytes that a received delta or envelope only claims to hold.
+func TestClaimsBeyondReceivedData(t *testing.T) {
+	for name, decode := range map[string]func() error{
+		"delta": func() error {
+			_, err := bundle.ApplyDelta([]byte("old"), []byte("\x81\xa1o\xdd\x04\x00\x00\x00\x01"))
+			return err
+		},
+		"envelope": func() error {
+			_, err := bundle.DecodeEnvelope([]byte("\x81\xa7payload\xc6\x40\x00\x00\x00a"))
+			return err
+		},
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := decode()
+		runtime.ReadMemStats(&after)
+		if n := after.TotalAlloc - before.TotalAlloc; resultcode.Of(err) != resultcode.BundleEnvelope || n > 1<<20 {
+			t.Errorf("%s: got %v after %d bytes of memory, want an invalid envelope and at most 1 MiB", name, err, n)
+		}
+	}
+}
+
 // FuzzDelta guards against a delta that does not reproduce the new content, and against results over the size limit.
 func FuzzDelta(f *testing.F) {
 	f.Add([]byte("old content"), []byte("new content"))
+	f.Add([]byte("\x94H!"), []byte("\x94H!\xdd\xff\x80i\aK\aK"))
 	f.Fuzz(func(t *testing.T, older, newer []byte) {
 		got, err := bundle.ApplyDelta(older, bundle.MakeDelta(older, newer))
 		if err != nil || !bytes.Equal(got, newer) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -83,7 +84,7 @@
 		return nil, unexpectedEOF(err)
 	}
 	var f Frame
-	if err := decode(b, &f); err != nil {
+	if err := safedecode.Msgpack(b, &f); err != nil {
 		return nil, resultcode.Errorf(resultcode.PeerFrame, frameType.String(), "%v", err)
 	}
 	return &f, nil
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/health"
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/limits"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/ownership"
@@ -242,7 +243,7 @@
 		return nil, resultcode.Errorf(resultcode.PeerFrame, f.Type.String(), "unknown message type")
 	}
 	m := create()
-	if err := decode(f.Body, m); err != nil {
+	if err := safedecode.Msgpack(f.Body, m); err != nil {
 		return nil, resultcode.Errorf(resultcode.PeerFrame, f.Type.String(), "%v", err)
 	}
 	return m, nil
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -13,6 +13,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/membership"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 	"github.com/marigoldwood/marigoldwood/timeline"
@@ -114,7 +115,7 @@
 		b = body
 	}
 	var w probeWire
-	if err := decode(b, &w); err != nil {
+	if err := safedecode.Msgpack(b, &w); err != nil {
 		return nil, resultcode.Errorf(resultcode.PeerFrame, "probe", "%v", err)
 	}
 	if w.Version != probeVersion {
@@ -237,19 +238,3 @@
 	err := e.Encode(v)
 	return buf.Bytes(), err
 }
-
-// decode decodes exactly one value. It skips through the whole value first, because the library allocates memory for the
-// element count that a message claims, even if the message is too short to hold that many.
-func decode(b []byte, v any) error {
-	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
-		return err
-	}
-	r := bytes.NewReader(b)
-	if err := msgpack.NewDecoder(r).Decode(v); err != nil {
-		return err
-	}
-	if r.Len() > 0 {
-		return Error.New("%d trailing bytes after the message", r.Len())
-	}
-	return nil
-}
--- a/internal/standin/message/message.go
+++ b/internal/standin/message/message.go
@@ -8,6 +8,8 @@
 	"hash/crc32"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 )
 
 // MaxBytes is the size of the largest message, without its length prefix.
@@ -81,7 +83,7 @@
 
 // Decode decodes a message without its length prefix into v. It returns ErrMessage if that fails.
 func Decode(b []byte, v any) error {
-	if msgpack.Unmarshal(b, v) != nil {
+	if safedecode.Msgpack(b, v) != nil {
 		return ErrMessage
 	}
 	return nil
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/marigoldwood/marigoldwood/bundle"
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/membership"
 )
 
@@ -218,14 +218,14 @@
 		core.Handle(0, PlatformBundle{"5", content})
 		core.Handle(0, PeerInForce{From: peer, Version: 5})
 		a, r, d := Announcement{}, Request{}, Data{}
-		if msgpack.Unmarshal(body, &a) == nil {
+		if safedecode.Msgpack(body, &a) == nil {
 			a.Host, a.DataCentre = peer, "dc0"
 			core.Handle(n.now, PeerAnnounced{a})
 		}
-		if msgpack.Unmarshal(body, &r) == nil {
+		if safedecode.Msgpack(body, &r) == nil {
 			core.Handle(n.now, PeerRequested{peer, r})
 		}
-		if msgpack.Unmarshal(body, &d) == nil {
+		if safedecode.Msgpack(body, &d) == nil {
 			core.Handle(n.now, PeerData{peer, d})
 		}
 		if core.InForce().Version != 5 {
