Do not take an unusable record for the removal of its target

Cause: the adapter turned a record that it could not use into a removal, and the removal of a draining target counts as its end. Evidence: record-rejected and target-removed draining=true for the same revision, then flow-break code=target-gone on all hosts, while the target's own record came 0.8 s later at most. Fix: an unusable record is a change of its own kind, decided in one place in directory. The target is obscured: it keeps its flows by its last usable record and gets no new ones until the next one. A removal of an unusable record is no announced end.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,12 +24,13 @@
 const (
 	Ready    Presence = iota // accepts new flows
 	Draining                 // keeps its flows and accepts no new ones
+	Obscured                 // its last record is unusable: it keeps its flows and gets no new ones until the next usable record
 	Lapsed                   // its record disappeared during a store failure; the target may be alive
 	Departed                 // its record was removed; datagrams of its flows are still sent to it
 	Gone                     // has certainly terminated: its flows can be reset
 )
 
-var presenceNames = [...]string{"ready", "draining", "lapsed", "departed", "gone"}
+var presenceNames = [...]string{"ready", "draining", "obscured", "lapsed", "departed", "gone"}
 
 // String returns the name used in logs.
 func (p Presence) String() string { return presenceNames[p] }
@@ -39,6 +40,7 @@
 	target    Target
 	revision  uint64
 	coldUntil time.Duration
+	obscured  bool // the last record before a removal was unusable
 	removed   bool
 	removedAt time.Duration
 }
@@ -128,7 +130,7 @@
 	}
 	for name, r := range d.targets {
 		if r.revision > after || b.Complete {
-			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Target: &r.target})
+			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target})
 		}
 	}
 	return b
@@ -150,13 +152,14 @@
 	TargetListed EventKind = iota
 	TargetChanged
 	TargetRestarted
+	TargetObscured
 	TargetRemoved
 	ConfigurationAccepted
 	ConfigurationStale
 )
 
 var eventNames = [...]string{
-	"target-listed", "target-changed", "target-restarted", "target-removed", "configuration-accepted", "configuration-stale",
+	"target-listed", "target-changed", "target-restarted", "target-obscured", "target-removed", "configuration-accepted", "configuration-stale",
 }
 
 // String returns the name used in logs.
@@ -201,8 +204,8 @@
 	if known != nil && c.Revision <= known.revision {
 		return events
 	}
-	if c.Removed {
-		return d.applyRemoval(c, known, now, events)
+	if c.Removed || c.Unusable {
+		return d.applyWithoutRecord(c, known, now, events)
 	}
 	kind := TargetListed
 	if known != nil && !known.removed {
@@ -215,7 +218,9 @@
 	return append(events, Event{Kind: kind, Target: c.Target, Revision: c.Revision})
 }
 
-func (d *Directory) applyRemoval(c *Change, known *targetState, now time.Duration, events []Event) []Event {
+// applyWithoutRecord applies a removal or an unusable record. The target keeps its last usable record, by which its open flows are
+// forwarded.
+func (d *Directory) applyWithoutRecord(c *Change, known *targetState, now time.Duration, events []Event) []Event {
 	if known == nil {
 		if c.Target == nil {
 			return events // no flow can be open at a target that was never known
@@ -224,7 +229,16 @@
 		d.targets[c.Name] = known
 	}
 	known.revision = c.Revision
-	return d.markRemoved(known, now, events)
+	if c.Removed {
+		known.obscured = known.obscured || c.Unusable
+		return d.markRemoved(known, now, events)
+	}
+	if known.obscured && !known.removed {
+		return events
+	}
+	// After a removal too: the target may have written its record again before it was overwritten.
+	known.obscured, known.removed = true, false
+	return append(events, Event{Kind: TargetObscured, Target: &known.target, Revision: c.Revision})
 }
 
 func (d *Directory) markRemoved(r *targetState, now time.Duration, events []Event) []Event {
@@ -267,14 +281,16 @@
 // evidence, because this process may have been paused.
 func (d *Directory) presence(r *targetState, now time.Duration) Presence {
 	switch {
+	case !r.removed && r.obscured:
+		return Obscured
 	case !r.removed && r.target.Draining:
 		return Draining
 	case !r.removed:
 		return Ready
 	case d.answering && d.confirmedAt-max(d.answeringSince, r.removedAt) >= relistGrace:
 		return Gone
-	case r.target.Draining && d.answering && r.removedAt-d.answeringSince >= relistGrace:
-		return Gone // it announced its shutdown
+	case r.target.Draining && !r.obscured && d.answering && r.removedAt-d.answeringSince >= relistGrace:
+		return Gone // it announced its shutdown, and removed the record itself
 	case !r.target.Draining && now-r.removedAt < relistGrace && (!d.answering || r.removedAt-d.answeringSince < relistGrace):
 		return Lapsed
 	}
--- a/directory/target.go
+++ b/directory/target.go
@@ -67,9 +67,12 @@
 type Change struct {
 	Name     string
 	Revision uint64 // orders all changes of the store
-	Removed  bool   // also set if the record does not describe a usable target
-	// Target is the target's record. For a removed target it is the last known record, or nil if the sender of the change
-	// does not have it.
+	Removed  bool   // the record was removed
+	// Unusable reports that the record was written, but describes no usable target, for example because another program wrote
+	// it. It says nothing about the target itself.
+	Unusable bool
+	// Target is the target's record. For a removed target and an unusable record it is the last usable record, or nil if the
+	// sender of the change does not have it.
 	Target *Target
 }
 
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -64,10 +64,11 @@
 
 func (k *Freshness) valid() bool { return k.Age >= 0 && k.Confirmed >= 0 && k.Steady >= 0 }
 
-// validChange reports whether a change describes a valid target, or the removal of one, with or without its description.
+// validChange reports whether a change describes a valid target, or the removal or an unusable record of one, with or without its
+// description.
 func validChange(c *directory.Change) bool {
 	if c.Target == nil {
-		return c.Removed && c.Name != ""
+		return (c.Removed || c.Unusable) && c.Name != ""
 	}
 	t := c.Target
 	return c.Name != "" && t.Name == c.Name && t.Service != "" && t.Capacity > 0 && t.ColdFor >= 0 &&
--- a/steer/open_test.go
+++ b/steer/open_test.go
@@ -119,6 +119,7 @@
 		used     bool
 	}{
 		"draining":     {directory.Draining, 4, false},
+		"obscured":     {directory.Obscured, 4, false},
 		"departed":     {directory.Departed, 4, false},
 		"few lapsed":   {directory.Lapsed, 2, false},
 		"most lapsed":  {directory.Lapsed, 4, true},
