Check records alike on all hosts, and reject single changes of a reply

Seen: a record under a new name, sound but for cold_remaining_ms, makes every other host refuse the replies of the one that reads the store. A host that is cut off from the store then follows nothing. Cause: the adapter accepted it (the milliseconds overflow to -1 ms), the check of replies did not, and one change cost the whole reply. Evidence: target-listed cold=-1ms on the reader, 'peer-frame: relay: invalid change of target' on the others, once for each report. A change that a host cannot use counts as an unusable record there and is logged; the rest of the reply applies. TestValidate asked for the refusal of the whole reply, which is the fault. Its rows on changes are now in TestUnusableRecordInReplyCostsOnlyItself, which asks that the one change is rejected and all others are applied.

--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -330,6 +332,53 @@
 	d.expectNoViolations()
 }
 
+// Another program writes odd records, under new names and over that of a target that drains, while one host only learns from its
+// peers. Guards against records that end a process or keep it from following changes, and against resets of the target's sessions.
+func TestDirectOddRecords(t *testing.T) {
+	t.Parallel()
+	d := startDirect(t, 3, 6)
+	tr := d.startTraffic(20, 3)
+	tr.recorder = d.recorder
+	time.Sleep(2 * time.Second)
+	readers := d.readers(2 * time.Second)
+	for _, h := range d.hosts {
+		if !slices.Contains(readers, h) {
+			d.proxy.SetFaults(fmt.Sprint("store-", h.number), netip.Addr{}, proxy.LinkFaults{Forward: proxy.Faults{ResetConns: true}})
+		}
+	}
+	d.putTargetRecord(1, "draining")
+	sound, err := json.Marshal(d.targets[targetName(2)].Record("ready", d.address(targetLinkSubnet, 2, targetPort)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		for j, odd := range [][2]string{
+			{`"cold_remaining_ms":0`, `"cold_remaining_ms":9223372036854775807`}, {`"capacity":2`, `"capacity":9223372036854775807`},
+			{`"capacity":2`, `"capacity":1e999`}, {`"service":"ingest"`, `"service":"` + strings.Repeat("s", 1<<19) + `"`},
+			{fmt.Sprint(":", targetPort), ":99999"}, {`"version"`, `"nested":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `,"version"`},
+			{`"version"`, `"Version"`}, {string(sound), "{"},
+		} {
+			record := strings.Replace(string(sound), odd[0], odd[1], 1)
+			if record == string(sound) {
+				t.Fatalf("%s is not in %s", odd[0], sound)
+			}
+			d.store.PutRaw(fmt.Sprintf("servers/i-0dd%x%x", i, j), []byte(record))
+		}
+		d.store.PutRaw("servers/"+targetName(1), []byte("\xff{"))
+		d.setPorts(443, 8443, uint16(9443+i))
+		d.eventually("a new route is served everywhere", propagationLimit, func() bool { return d.hostsServing(uint16(9443+i)) == len(d.hosts) })
+	}
+	tr.finish()
+	for _, h := range d.hosts {
+		select {
+		case <-h.done:
+			t.Errorf("the process of host %d has ended", h.number)
+		default:
+		}
+	}
+	tr.expectUninterrupted()
+}
+
 // Guards against changes that are lost when the store drops its history and watches from earlier revisions fail.
 func TestDirectHistoryDropped(t *testing.T) {
 	t.Parallel()
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -31,7 +31,9 @@
 	to     netip.AddrPort
 	sentAt time.Duration // when the report was sent
 	reply  *relay.Reply
-	err    error
+	// rejected holds an error for each change in the reply that this host cannot use.
+	rejected []error
+	err      error
 }
 
 // Exchange carries reports and replies between the control goroutine and other balancers.
@@ -146,5 +148,8 @@
 		return result
 	}
 	result.reply, result.err = &reply.Reply, reply.Validate()
+	if result.err == nil {
+		result.rejected = reply.Changes.RejectUnusable()
+	}
 	return result
 }
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -26,11 +26,15 @@
 }
 
 func provideStore(s *settings.Direct, log *logrus.Entry) *platform.Store {
-	return platform.NewStore(s.Platform.Address, s.Platform.Timeout, func(err error) {
-		log.WithError(err).WithFields(logrus.Fields{
-			"event": "record-rejected", "code": resultcode.Of(err),
-		}).Warn("ignored an unusable record of the store")
-	})
+	log = log.WithField("source", sourceStore)
+	return platform.NewStore(s.Platform.Address, s.Platform.Timeout, func(err error) { logRejectedRecord(log, err) })
+}
+
+// logRejectedRecord logs that a record of the store is not used, where log names the source that it came from.
+func logRejectedRecord(log *logrus.Entry, err error) {
+	log.WithError(err).WithFields(logrus.Fields{
+		"event": "record-rejected", "code": resultcode.Of(err),
+	}).Warn("ignored an unusable record")
 }
 
 // provideRandom derives the seed from the host name and the process ID, so that hosts that start at the same time do not act in
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -209,6 +209,9 @@
 		delete(c.lostPeers, r.to)
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "peer-regained", Member: reply.Host.Name}, logrus.Fields{"peer": r.to})
 	}
+	for _, err := range r.rejected {
+		logRejectedRecord(c.log.WithField("source", reply.Host.Name), err)
+	}
 	c.fleet.HandleReply(reply, now)
 	if len(reply.Changes.Changes) > 0 || reply.Changes.Configuration != nil {
 		c.apply(reply.Changes, reply.Host.Name, now)
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -2,9 +2,7 @@
 
 import (
 	"math"
-	"slices"
 
-	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -32,7 +30,8 @@
 	return nil
 }
 
-// Validate checks a reply from the network. The error has the code PeerFrame.
+// Validate checks a reply from the network, except its changes: directory.Batch.RejectUnusable checks each of them by itself, so that
+// one that this host cannot use costs no other. The error has the code PeerFrame.
 func (r *Reply) Validate() error {
 	report := Report{Host: r.Host, Freshness: r.Freshness, Loads: r.Loads}
 	if err := report.Validate(); err != nil {
@@ -46,14 +45,6 @@
 			return invalid("invalid member %q", r.Hosts[i].Host.Name)
 		}
 	}
-	for i := range r.Changes.Changes {
-		if !validChange(&r.Changes.Changes[i]) {
-			return invalid("invalid change of target %q", r.Changes.Changes[i].Name)
-		}
-	}
-	if c := r.Changes.Configuration; c != nil && !validConfiguration(c) {
-		return invalid("invalid configuration version %d", c.Version)
-	}
 	return nil
 }
 
@@ -64,31 +55,6 @@
 
 func (k *Freshness) valid() bool { return k.Age >= 0 && k.Confirmed >= 0 && k.Steady >= 0 }
 
-// validChange reports whether a change describes a valid target, or the removal or an unusable record of one, with or without its
-// description.
-func validChange(c *directory.Change) bool {
-	if c.Target == nil {
-		return (c.Removed || c.Unusable) && c.Name != ""
-	}
-	t := c.Target
-	return c.Name != "" && t.Name == c.Name && t.Service != "" && t.Capacity > 0 && t.ColdFor >= 0 &&
-		t.Address.Addr().Is4() && t.Address.Port() != 0
-}
-
-// validConfiguration reports whether each route has services, all with positive weights, as placement requires.
-func validConfiguration(c *directory.Configuration) bool {
-	if c.Version == 0 || c.Revision == 0 {
-		return false
-	}
-	for i := range c.Routes {
-		services := c.Routes[i].Services
-		if len(services) == 0 || slices.ContainsFunc(services, func(s directory.WeightedService) bool { return s.Weight <= 0 }) {
-			return false
-		}
-	}
-	return true
-}
-
 func invalid(format string, args ...any) error {
 	return resultcode.Errorf(resultcode.PeerFrame, "relay", format, args...)
 }
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"math"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +16,7 @@
 
 func validReply() Reply {
 	host := Host{Name: "h", DataCentre: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Weight: 1}
-	target := &directory.Target{Name: "i-1", ID: 1, Service: "s", Address: netip.MustParseAddrPort("127.0.0.2:1"), Capacity: 1}
+	target := &directory.Target{Name: "i-1", ID: 1, Service: "s", DataCentre: "a", Address: netip.MustParseAddrPort("127.0.0.2:1"), Capacity: 1}
 	return Reply{
 		Host: host, Freshness: Freshness{Known: true, Revision: 5}, Hosts: []Member{{Host: host}}, HostCount: 2,
 		Loads: directory.Loads{Targets: []directory.Load{{Token: 1}}, Rest: []directory.ServiceLoad{{Service: "ingest", Pending: 7}}},
@@ -35,13 +37,6 @@
 		"no weight":                  func(r *Reply) { r.Host.Weight = 0 },
 		"store answer in the future": func(r *Reply) { r.Freshness.Age = -time.Second },
 		"member seen in the future":  func(r *Reply) { r.Hosts[0].LastSeen = -1 },
-		"target without a record":    func(r *Reply) { r.Changes.Changes[0].Target = nil },
-		"target under another name":  func(r *Reply) { r.Changes.Changes[0].Name = "i-9" },
-		"target without capacity":    func(r *Reply) { r.Changes.Changes[0].Target.Capacity = 0 },
-		"target over IPv6":           func(r *Reply) { r.Changes.Changes[0].Target.Address = netip.MustParseAddrPort("[::1]:1") },
-		"route without a service":    func(r *Reply) { r.Changes.Configuration.Routes[0].Services = nil },
-		"service without a weight":   func(r *Reply) { r.Changes.Configuration.Routes[0].Services[0].Weight = -1 },
-		"configuration, no revision": func(r *Reply) { r.Changes.Configuration.Revision = 0 },
 		"too many loads":             func(r *Reply) { r.Loads.Targets = make([]directory.Load, maxLoads+1) },
 		"too many services":          func(r *Reply) { r.Loads.Rest = make([]directory.ServiceLoad, maxServiceLoads+1) },
 		"load without a service":     func(r *Reply) { r.Loads.Rest = []directory.ServiceLoad{{Pending: 3}} },
@@ -57,6 +52,51 @@
 	}
 }
 
+// Guards against a record in a reply that this host cannot use and that costs the whole reply, with the sound records beside it, and
+// against such a record that is applied.
+func TestUnusableRecordInReplyCostsOnlyItself(t *testing.T) {
+	target := func(r *Reply) *directory.Target { return r.Changes.Changes[0].Target }
+	for name, corrupt := range map[string]func(*Reply){
+		"target without a record":    func(r *Reply) { r.Changes.Changes[0].Target = nil },
+		"target under another name":  func(r *Reply) { r.Changes.Changes[0].Name = "i-9" },
+		"target without a name":      func(r *Reply) { r.Changes.Changes[0].Name, target(r).Name = "", "" },
+		"target with a long name":    func(r *Reply) { target(r).Service = strings.Repeat("s", 1<<16) },
+		"target without capacity":    func(r *Reply) { target(r).Capacity = 0 },
+		"target with huge capacity":  func(r *Reply) { target(r).Capacity = math.MaxInt },
+		"target that was never warm": func(r *Reply) { target(r).ColdFor = -time.Millisecond },
+		"target that is never warm":  func(r *Reply) { target(r).ColdFor = math.MaxInt64 },
+		"target over IPv6":           func(r *Reply) { target(r).Address = netip.MustParseAddrPort("[::1]:1") },
+		"target without a port":      func(r *Reply) { target(r).Address = netip.MustParseAddrPort("127.0.0.2:0") },
+		"target on every host":       func(r *Reply) { target(r).Address = netip.MustParseAddrPort("0.0.0.0:1") },
+	} {
+		r := validReply()
+		r.Changes.Changes = append(r.Changes.Changes, directory.Change{Name: "i-3", Revision: 5, Target: &directory.Target{
+			Name: "i-3", Service: "s", DataCentre: "a", Address: netip.MustParseAddrPort("127.0.0.3:1"), Capacity: 1,
+		}})
+		corrupt(&r)
+		err, rejected := r.Validate(), r.Changes.RejectUnusable()
+		d := directory.New()
+		d.Apply(r.Changes, time.Second)
+		d.Apply(directory.Batch{Complete: true, Revision: 1}, time.Second) // makes the directory ready
+		targets := d.Snapshot(time.Second).Targets
+		if err != nil || len(rejected) != 1 || len(targets) != 1 || targets[0].Name != "i-3" || d.Configuration() == nil {
+			t.Errorf("%s: error %v, rejected %v, targets %+v, want only the change rejected", name, err, rejected, targets)
+		}
+	}
+	for name, corrupt := range map[string]func(*directory.Configuration){
+		"route without a service":    func(c *directory.Configuration) { c.Routes[0].Services = nil },
+		"service without a weight":   func(c *directory.Configuration) { c.Routes[0].Services[0].Weight = -1 },
+		"service with a huge weight": func(c *directory.Configuration) { c.Routes[0].Services[0].Weight = math.MaxInt },
+		"configuration, no revision": func(c *directory.Configuration) { c.Revision = 0 },
+	} {
+		r := validReply()
+		corrupt(r.Changes.Configuration)
+		if err, rejected := r.Validate(), r.Changes.RejectUnusable(); err != nil || len(rejected) != 1 || r.Changes.Configuration != nil || len(r.Changes.Changes) != 2 {
+			t.Errorf("%s: error %v, rejected %v, changes %+v, want only the configuration rejected", name, err, rejected, r.Changes)
+		}
+	}
+}
+
 // Replays a rolling upgrade, in which hosts of two versions exchange messages. Guards against a field that one version
 // decodes as another one: a message with other fields is refused, and the hosts of each version continue among
 // themselves. A field that is not encoded changes no message.
@@ -114,6 +154,10 @@
 		if msgpack.Unmarshal(b, &r) != nil || r.Validate() != nil {
 			return
 		}
+		r.Changes.RejectUnusable()
+		if rejected := r.Changes.RejectUnusable(); len(rejected) > 0 {
+			t.Fatalf("rejected what was accepted: %v", rejected)
+		}
 		d := directory.New()
 		d.Apply(r.Changes, time.Second)
 		d.Snapshot(2 * time.Second)
