Read the list after a watch whose response is of no use

Cause: the response to a watch from an old revision holds every version since. Above 8 MiB the read stopped, this counted as a store that does not answer, and the same watch was sent again until an audit was due. Evidence: 'the response is larger than 8388608 bytes' after 50 ms for each watch, the takeover itself in time. Fix: a watch whose response is too large, incomplete or not decodable has a code of its own, and the list follows at once. If this happens again and again the reads are delayed as after failures. Before: TestListAfterUnusableWatch failed, TestDirectReaderIsCutOffDuringLargeConfigurations failed (not in force within 3 s).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -9,7 +9,7 @@
 )
 
 // Source is a store that can be listed and watched. Errors are of type *resultcode.Error; the code PlatformHistoryGone means
-// that a watch cannot continue from the given revision.
+// that a watch cannot continue from the given revision, PlatformResponse that the response is too large or cannot be decoded.
 type Source interface {
 	// List reads one page of records. The first page has the name "". A stale read is cheaper, and may miss the changes of
 	// the last few seconds.
@@ -67,7 +67,9 @@
 //
 // A watch continues from the newest record seen and not from the revision that an empty response names: a response without
 // changes does not prove that there were none. If the store no longer has the history since then, the list is read again.
-// Audits bound the delay of changes that no watch delivers.
+// The same watch would fail again if its response is of no use, for example because it holds too many versions of a large record:
+// the list, which has one version of each and bounded pages, is read in its place. Audits bound the delay of changes that no watch
+// delivers.
 type Follower struct {
 	rng               *rand.Rand // for retry jitter
 	staleListDone     bool       // the stale list was read, failed or is skipped
@@ -75,6 +77,7 @@
 	fullListDone      bool
 	watchRevision     uint64
 	failures          int
+	unusableWatches   int // watches since the last usable one whose response was of no use
 	lastAudit         time.Duration
 	lastRead          time.Duration // end of the last read
 	pauseAfterChanges bool
@@ -131,13 +134,14 @@
 // pause returns the pause after the last read: the exponential backoff after failures, up to retryMax. Half of it is random, so
 // that hosts do not retry in step.
 func (f *Follower) pause() time.Duration {
-	if f.failures == 0 {
+	failures := f.failures + max(f.unusableWatches-1, 0) // the first one is followed by the list at once
+	if failures == 0 {
 		if f.pauseAfterChanges {
 			return watchDelay
 		}
 		return 0
 	}
-	d := min(retryMin<<min(f.failures-1, 8), retryMax)
+	d := min(retryMin<<min(failures-1, 8), retryMax)
 	return d/2 + time.Duration(f.rng.Int64N(int64(d/2)+1))
 }
 
@@ -159,6 +163,7 @@
 		f.checkAuditPage(now, p)
 		return Batch{}, false
 	}
+	f.unusableWatches = 0
 	f.watchRevision = max(f.watchRevision, p.Revision)
 	f.pauseAfterChanges = len(p.Changes) > 0 || p.Configuration != nil
 	return p.Batch, true
@@ -166,8 +171,12 @@
 
 func (f *Follower) readFailed(now time.Duration, r Read, err error) {
 	f.failures++
-	if resultcode.Of(err) == resultcode.PlatformHistoryGone {
+	switch code := resultcode.Of(err); {
+	case code == resultcode.PlatformHistoryGone:
 		f.fullListDone, f.failures = false, 0
+	case code == resultcode.PlatformResponse && r.Kind == ReadWatch:
+		f.fullListDone, f.failures = false, 0
+		f.unusableWatches++
 	}
 	if r.Kind == ReadAudit { // the next audit starts with the first page
 		f.staleListDone, f.auditing, f.nextPage, f.lastAudit = true, false, "", now
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -19,6 +19,8 @@
 	silent    bool   // watches return no changes
 	pageSize  int    // records per page, 0 for no limit
 	failures  int    // number of next calls that fail
+	// maxVersions is the number of changes above which the response of a watch is of no use, 0 for no limit.
+	maxVersions int
 }
 
 func (s *fakeStore) write(name string) {
@@ -46,6 +48,9 @@
 			b.Changes, b.Revision = append(b.Changes, c), c.Revision
 		}
 	}
+	if s.maxVersions > 0 && len(b.Changes) > s.maxVersions {
+		return Page{}, resultcode.Errorf(resultcode.PlatformResponse, "watch", "too large")
+	}
 	return b, nil
 }
 
@@ -163,6 +168,71 @@
 	}
 }
 
+// A record is written more often than the response of a watch can hold. Guards against the same watch again and again until an audit is
+// due: the newest version must be known within a few calls.
+func TestListAfterUnusableWatch(t *testing.T) {
+	r := newSimulatedReader()
+	r.store.write("a")
+	r.read()
+	r.store.maxVersions = 10
+	for range 26 {
+		r.store.write("a")
+	}
+	started := r.now
+	for reads := 0; r.known < r.store.revision; reads++ {
+		if reads == 3 {
+			t.Fatalf("newest version is not known after %d reads", reads)
+		}
+		r.read()
+	}
+	if took := r.now - started; took > 100*time.Millisecond {
+		t.Errorf("newest version is known after %v, want it after a watch and a list without a delay", took)
+	}
+	r.store.write("b")
+	if next := r.read(); next.Kind != ReadWatch || r.known != r.store.revision {
+		t.Errorf("got %v and revision %d after the list, want a watch from its revision that returns %d", next.Kind, r.known, r.store.revision)
+	}
+}
+
+// Guards against an audit that cannot be read and keeps the host from watching the store.
+func TestAuditTooLarge(t *testing.T) {
+	f, now := NewFollower(rand.New(rand.NewPCG(1, 1))), time.Second
+	for range 2 {
+		f.Done(now, f.Next(now), Page{Batch: Batch{Complete: true, Revision: 5}}, nil)
+	}
+	watches := 0
+	for end := now + 4*auditInterval; now < end; now += watchWait {
+		r := f.Next(now)
+		now += r.Delay
+		if r.Kind == ReadWatch {
+			watches++
+			f.Done(now, r, Page{}, nil)
+		} else {
+			f.Done(now, r, Page{}, resultcode.Errorf(resultcode.PlatformResponse, "audit", "too large"))
+		}
+	}
+	if watches < 6 {
+		t.Errorf("%d watches beside failing audits in %v, want at least 6", watches, 4*auditInterval)
+	}
+}
+
+// Guards against a flood of calls to a store whose watches all end with a response that is of no use.
+func TestUnusableWatchesAreDelayed(t *testing.T) {
+	r := newSimulatedReader()
+	r.store.write("a")
+	r.read()
+	r.store.maxVersions = 1
+	before, started := r.reads, r.now
+	for r.now-started < 10*time.Second {
+		r.store.write("a")
+		r.store.write("a")
+		r.read()
+	}
+	if n := r.reads - before; n > 50 {
+		t.Errorf("%d calls in 10 s, want at most 50", n)
+	}
+}
+
 // Guards against one call for each of many changes that are made within a short time.
 func TestChangesShareAnswers(t *testing.T) {
 	r := newSimulatedReader()
--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -61,6 +61,7 @@
 	rotation []netip.AddrPort // data addresses of the hosts in rotation
 	version  uint64
 	ports    []uint16 // endpoint ports that have a route
+	unused   int      // number of further routes, which no caller uses
 }
 
 // directHost is a host with its balancer process.
@@ -175,6 +176,12 @@
 			"route_type": routeType, "timeout_ms": 500, "target_latency_ms": 100, "priority": 1, "service": "ingest", "max_attempts": 2,
 		})
 	}
+	for i := range d.unused {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("unused-%05d", i), "host": d.address(10, 1, 1).Addr().String(), "prefix": fmt.Sprintf("/%d/", 1000+i),
+			"route_type": "safe", "timeout_ms": 500, "target_latency_ms": 100, "priority": 2, "service": "ingest", "max_attempts": 2,
+		})
+	}
 	d.store.Put("op/config", map[string]any{
 		"version": d.version, "routes": routes, "services": []map[string]any{{"name": "ingest"}},
 		"limits": map[string]any{"idle_timeout_ms": 15000},
--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -379,6 +379,35 @@
 	tr.expectUninterrupted()
 }
 
+// Cuts the host that reads the store off from it while large configurations follow each other. Guards against hosts that take over the
+// reading with a watch whose response is larger than they read, and repeat it.
+func TestDirectReaderIsCutOffDuringLargeConfigurations(t *testing.T) {
+	t.Parallel()
+	d := startDirect(t, 4, 6)
+	time.Sleep(2 * time.Second) // until the hosts have discovered each other and agree on the reader
+	readers := d.readers(2 * time.Second)
+	if len(readers) != 1 {
+		t.Fatalf("%d hosts read the store, expected 1", len(readers))
+	}
+	cut := proxy.LinkFaults{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}}
+	d.proxy.SetFaults(fmt.Sprint("store-", readers[0].number), netip.Addr{}, cut)
+	d.unused = 1700 // about 0.3 MB
+	d.setPorts(443, 8443, 9443)
+	first, changed := d.version, time.Now()
+	for range 29 {
+		d.publish()
+	}
+	d.eventually("the new route is in force on all hosts", propagationLimit-time.Since(changed), func() bool {
+		for _, h := range d.hosts {
+			if s := d.status(h); s == nil || s.Bundle.InForce < first {
+				return false
+			}
+		}
+		return true
+	})
+	d.expectNoViolations()
+}
+
 // Guards against changes that are lost when the store drops its history and watches from earlier revisions fail.
 func TestDirectHistoryDropped(t *testing.T) {
 	t.Parallel()
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -133,9 +133,14 @@
 func (c *Control) handleReadFailure(r readResult) {
 	code := resultcode.Of(r.err)
 	inputs := logrus.Fields{"read": r.read.Kind, "after": r.read.After, "took": r.duration, "error": r.err}
-	if code == resultcode.PlatformHistoryGone {
+	switch {
+	case code == resultcode.PlatformHistoryGone:
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "history-gone", Code: uint16(code)}, inputs)
 		return
+	case code == resultcode.PlatformResponse && r.read.Kind == directory.ReadWatch: // the list is read next
+		c.directory.StoreFailed()
+		c.record(logrus.WarnLevel, timeline.Event{Kind: "response-unusable", Code: uint16(code)}, inputs)
+		return
 	}
 	c.directory.StoreFailed()
 	if !c.storeUnavailable {
--- a/internal/httpread/httpread.go
+++ b/internal/httpread/httpread.go
@@ -68,7 +68,7 @@
 
 // Get requests path with the given query. The server may take up to wait longer than the timeout of the client. The error is a
 // *resultcode.Error: BundleTooLarge if the body has more than limit bytes, PlatformUnavailable for any other failure. It is
-// nil for a complete response of any status.
+// nil for a complete response of any status. With an error, the status of the response is set if its header has arrived.
 func (c *Client) Get(ctx context.Context, path string, query url.Values, wait time.Duration, limit int64) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
--- a/resultcode/codes.go
+++ b/resultcode/codes.go
@@ -145,6 +145,7 @@
 	PlatformRecord
 	ConfigurationInvalid
 	ConfigurationStale
+	PlatformResponse
 )
 
 var peerCodes = []Info{
@@ -163,6 +164,7 @@
 	{PlatformRecord, "platform-record", "a record of the store describes no usable target", "identify what wrote it; other records are not affected"},
 	{ConfigurationInvalid, "configuration-invalid", "the operator's configuration cannot be decoded", "correct it; the last one stays in force"},
 	{ConfigurationStale, "configuration-stale", "a read returned an older configuration than the one in force", "none; expected from a replica that lags"},
+	{PlatformResponse, "platform-response", "a response of the store is too large or cannot be decoded", "none after a watch; the list is read instead"},
 }
 
 // Codes of the process lifecycle, 600 to 699.
