Leave the changes out of a reply that is too large for a frame

A reply above 1 MiB closed the connection, and hosts lost the loads and the contact with each other. Fix: the reply is sent without its changes and the fact is logged. The other host reads the store itself. Before: TestTooLargeReplyIsReduced failed (unexpected EOF).

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/marigoldwood/marigoldwood/directory"
 	"github.com/marigoldwood/marigoldwood/forward"
 	"github.com/marigoldwood/marigoldwood/health"
 	"github.com/marigoldwood/marigoldwood/internal/safedecode"
@@ -61,6 +62,9 @@
 // Message is the body of a frame: a pointer to one of the structs of this file.
 type Message interface{ Type() Type }
 
+// reducible is a message that has a shorter form, for the case that it is too large for a frame.
+type reducible interface{ Reduced() Message }
+
 // Hello is the first message on a connection, in both directions.
 type Hello struct {
 	Host, DataCentre string
@@ -169,6 +173,13 @@
 // RelayReply is the response to a RelayReport.
 type RelayReply struct{ relay.Reply }
 
+// Reduced returns the reply without its changes. The other host then still gets the loads and the hosts, and reads the store itself.
+func (m *RelayReply) Reduced() Message {
+	reduced := *m
+	reduced.Changes = directory.Batch{}
+	return &reduced
+}
+
 // Type returns TypeRelayReport.
 func (*RelayReport) Type() Type { return TypeRelayReport }
 
--- a/internal/peer/rpc.go
+++ b/internal/peer/rpc.go
@@ -122,7 +122,7 @@
 	Identity *Identity
 	// Handler returns the response to a request. It is called from several goroutines. An error closes the connection.
 	Handler func(context.Context, Message) (Message, error)
-	// Refused is called for every refused connection or message, and when accept fails. It is called from several goroutines.
+	// Refused is called for every refused connection or message, for a response that is too large, and when accept fails. It is called from several goroutines.
 	Refused func(Refusal)
 }
 
@@ -201,12 +201,22 @@
 		if err != nil {
 			return err
 		}
-		if err := writeMessage(conn, s.Identity, response); err != nil {
+		if err := s.respond(conn, response); err != nil {
 			return err
 		}
 	}
 }
 
+// respond writes a response, or its reduced form if it is too large for a frame.
+func (s *Server) respond(conn net.Conn, response Message) error {
+	err := writeMessage(conn, s.Identity, response)
+	if r, ok := response.(reducible); ok && resultcode.Of(err) == resultcode.PeerFrameTooLarge {
+		s.Refused(Refusal{Code: resultcode.PeerFrameTooLarge, Remote: remoteOf(conn), Err: err})
+		err = writeMessage(conn, s.Identity, r.Reduced())
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"strings"
@@ -71,6 +72,57 @@
 	}
 }
 
+// Guards against a list that is too large for a frame and costs the whole response: hosts would lose contact with each other. The largest
+// configuration and the targets of the planned fleet must fit.
+func TestTooLargeReplyIsReduced(t *testing.T) {
+	for _, tt := range []struct {
+		targets, routes int
+		reduced         bool
+	}{{4600, 6000, false}, {100000, 0, true}} {
+		listener, address := listenLoopback(t)
+		reply := relay.Reply{HostCount: 7, Freshness: relay.Freshness{Known: true, Revision: 9}}
+		reply.Changes.Configuration = &directory.Configuration{Version: 1, Revision: 1}
+		for i := range tt.routes { // about 1 MiB in the store
+			reply.Changes.Configuration.Routes = append(reply.Changes.Configuration.Routes, directory.Route{
+				Name: fmt.Sprintf("route-%05d", i), Endpoint: directory.Endpoint{Port: uint16(i)}, Timeout: time.Second, Objective: time.Second,
+				Services: []directory.WeightedService{{Name: "service-1", Weight: 90}, {Name: "service-2", Weight: 10}},
+			})
+		}
+		for i := range tt.targets {
+			name := fmt.Sprintf("i-%016x", i)
+			reply.Changes.Changes = append(reply.Changes.Changes, directory.Change{Name: name, Revision: 1 << 30, Target: &directory.Target{
+				Name: name, ID: 1 << 60, Service: "service-1", DataCentre: "daugavpils", Capacity: 2, StartedMS: 1 << 40,
+				Address: netip.MustParseAddrPort("127.0.0.9:8080"),
+			}})
+		}
+		var refused atomic.Int64
+		server := Server{
+			Identity: NewIdentity("b", "x", 1),
+			Handler:  func(context.Context, Message) (Message, error) { return &RelayReply{Reply: reply}, nil },
+			Refused: func(r Refusal) {
+				if r.Code == resultcode.PeerFrameTooLarge {
+					refused.Add(1)
+				}
+			},
+		}
+		go func() { _ = server.Serve(t.Context(), listener) }() // returns when the test ends
+		client := NewClient(NewIdentity("a", "x", 1), address, 5*time.Second)
+		m, err := client.Call(t.Context(), &RelayReport{})
+		client.Close()
+		if err != nil {
+			t.Fatalf("%d targets: %v", tt.targets, err)
+		}
+		got, want := m.(*RelayReply), tt.targets
+		if tt.reduced {
+			want = 0
+		}
+		if len(got.Changes.Changes) != want || got.HostCount != 7 || got.Freshness.Revision != 9 || (refused.Load() > 0) != tt.reduced {
+			t.Errorf("%d targets: got %d changes, %d hosts, %d logged, want %d changes and 7 hosts", tt.targets, len(got.Changes.Changes),
+				got.HostCount, refused.Load(), want)
+		}
+	}
+}
+
 // Guards against a connection attempt that still waits when its peer is already up: when a fleet starts, the first hosts call
 // hosts that are still powered off, which drop all packets.
 func TestCallToUnreachableHost(t *testing.T) {
