Do not take full targets for ended ones

Cause: an opening packet without an answer counted like data without one. A full target leaves opening packets unanswered at every balancer, and flows that pause show no answer within 1 s, so it counted as ended. Evidence: target-suspect for opening packets on all hosts, then flow-break code=target-lost, while the targets answered what reached them. Fix: opening packets and data of open flows are counted apart. Flows are reset only if data went unanswered too, here and at another balancer. An answer on an open flow does not clear the evidence that a target opens no flows, so that new flows go elsewhere. Rows of TestFlowsOfLostTargetAreReset now tell whether the other balancer's open flows go unanswered; a row for openings alone is added.

--- a/directory/target.go
+++ b/directory/target.go
@@ -48,6 +48,7 @@
 	Pending uint16 // flows and requests waiting for a response
 	Open    uint16 // open flows
 	Suspect bool   // the target does not respond to flows
+	Silent  bool   // nor to data of open flows, to which a target at its limit of flows responds
 }
 
 // Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -112,7 +112,7 @@
 		sum := s.targets[l.Token]
 		s.targets[l.Token] = directory.Load{
 			Token: l.Token, Pending: saturate(sum.Pending, l.Pending), Open: saturate(sum.Open, l.Open),
-			Suspect: sum.Suspect || l.Suspect,
+			Suspect: sum.Suspect || l.Suspect, Silent: sum.Silent || l.Silent,
 		}
 	}
 }
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -175,7 +175,7 @@
 	}
 	var suspected *Target
 	if unanswered && !e.flows[key].missCounted {
-		suspected = earlier.load.recordMiss(earlier, now)
+		suspected = earlier.load.recordOpenMiss(earlier, now)
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
--- a/steer/engine_test.go
+++ b/steer/engine_test.go
@@ -265,23 +265,23 @@
 // late, and against resets while the target may be alive: unresponsive only here, only elsewhere, or answered just now.
 func TestFlowsOfLostTargetAreReset(t *testing.T) {
 	now := 10 * time.Second
-	suspect := func(token directory.Token) []directory.Load { return []directory.Load{{Token: token, Suspect: true}} }
+	silent, full := directory.Load{Suspect: true, Silent: true}, directory.Load{Suspect: true}
 	for name, c := range map[string]struct {
 		flows     int
-		elsewhere bool
+		elsewhere directory.Load
 		answered  time.Duration
 		want      Action
 	}{
-		"unresponsive here and elsewhere": {suspectThreshold, true, now - 2*time.Second, Break},
-		"unresponsive here":               {suspectThreshold, false, now - 2*time.Second, Forward},
-		"one unanswered flow here":        {suspectThreshold - 1, true, now - 2*time.Second, Forward},
-		"recent answer":                   {suspectThreshold, true, now - lostTimeout/2, Forward},
+		"unresponsive here and elsewhere":         {suspectThreshold, silent, now - 2*time.Second, Break},
+		"unresponsive here":                       {suspectThreshold, directory.Load{}, now - 2*time.Second, Forward},
+		"unresponsive here, opens none elsewhere": {suspectThreshold, full, now - 2*time.Second, Forward},
+		"one unanswered flow here":                {suspectThreshold - 1, silent, now - 2*time.Second, Forward},
+		"recent answer":                           {suspectThreshold, silent, now - lostTimeout/2, Forward},
 	} {
 		e := engine(knownTarget(1, local))
 		token := leaveUnanswered(e, c.flows, c.answered, now)
-		if c.elsewhere {
-			e.SetPeerLoads(directory.Loads{Targets: suspect(token)})
-		}
+		c.elsewhere.Token = token
+		e.SetPeerLoads(directory.Loads{Targets: []directory.Load{c.elsewhere}})
 		d := e.Decide(dataPacket(0, token, 101), now)
 		if d.Action != c.want {
 			t.Errorf("%s: unexpected action %v", name, d.Action)
@@ -303,7 +303,7 @@
 		acknowledge(e, n, token, at)
 		e.Decide(dataPacket(n, token, 1), at)
 	}
-	e.SetPeerLoads(directory.Loads{Targets: []directory.Load{{Token: token, Suspect: true}}})
+	e.SetPeerLoads(directory.Loads{Targets: []directory.Load{{Token: token, Suspect: true, Silent: true}}})
 	resumed := at + 3*time.Second
 	for range 2 {
 		for n := range flows {
@@ -319,7 +319,7 @@
 	now := 10 * time.Second
 	e := engine(knownTarget(1, local))
 	token := leaveUnanswered(e, suspectThreshold, now-2*time.Second, now)
-	e.SetPeerLoads(directory.Loads{Targets: []directory.Load{{Token: token, Suspect: true}}})
+	e.SetPeerLoads(directory.Loads{Targets: []directory.Load{{Token: token, Suspect: true, Silent: true}}})
 	for at := now; at < now+lostSuspectFor; at += 50 * time.Millisecond {
 		e.Decide(dataPacket(9, token, 1), at)
 	}
--- a/steer/load.go
+++ b/steer/load.go
@@ -21,6 +21,8 @@
 	// lostTimeout is how long a target that two balancers suspect must have sent no answer here before its flows are
 	// reset. Few requests take longer.
 	lostTimeout = time.Second
+	// missRetention is how long an unanswered packet is evidence: its flow may have moved to another balancer, which saw the answer.
+	missRetention = 3 * time.Second
 )
 
 // load is the state of a target as this balancer has observed it.
@@ -29,23 +31,53 @@
 	pending      int            // flows and requests that wait for an answer
 	open         int            // open flows
 	lastAnswer   time.Duration  // time of the last answer, 0 for none
-	misses       int            // flows that went unanswered since the last answer
+	lastOpened   time.Duration  // time of the last answer to an opening packet, 0 for none
+	openMisses   int            // flows that were not opened since the last one was
+	dataMisses   int            // open flows whose data went unanswered since the last answer
 	lastMiss     time.Duration  // time at which a flow was last found unanswered
+	lastDataMiss time.Duration  // the same for data of an open flow
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
 	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
 }
 
-// recordAnswer records an answer of the target, which clears all evidence against it.
+// recordOpened records that the target has opened a flow, which clears all evidence against it.
+func (l *load) recordOpened(now time.Duration) {
+	l.lastAnswer, l.lastOpened = now, now
+	l.clearMisses()
+}
+
+// recordAnswer records an answer of the target on an open flow. It shows that the target runs, but not that it opens flows: a target at
+// its limit of flows goes on answering the open ones. If it left those unanswered too, it is back, and all evidence is cleared.
 func (l *load) recordAnswer(now time.Duration) {
-	l.lastAnswer, l.misses, l.suspectUntil = now, 0, 0
+	l.lastAnswer = now
+	if l.dataMisses > 0 || l.openMisses == 0 {
+		l.clearMisses()
+	}
+}
+
+func (l *load) clearMisses() { l.openMisses, l.dataMisses, l.suspectUntil = 0, 0, 0 }
+
+// recordOpenMiss records that an opening packet went unanswered. It returns t when that makes the target suspect, else nil.
+func (l *load) recordOpenMiss(t *Target, now time.Duration) *Target {
+	if now-l.lastMiss >= missRetention {
+		l.openMisses = 0
+	}
+	l.openMisses++
+	return l.recordMiss(t, l.lastOpened, now)
 }
 
-// recordMiss records that a flow went unanswered. It returns t when that makes the target suspect, else nil.
-func (l *load) recordMiss(t *Target, now time.Duration) *Target {
-	l.misses++
+// recordDataMiss records that data of an open flow went unanswered. It returns t when that makes the target suspect, else nil.
+func (l *load) recordDataMiss(t *Target, now time.Duration) *Target {
+	l.dataMisses++
+	l.lastDataMiss = now
+	return l.recordMiss(t, l.lastAnswer, now)
+}
+
+// recordMiss updates the suspicion after a miss. answered is the time of the last answer to a packet of this kind.
+func (l *load) recordMiss(t *Target, answered, now time.Duration) *Target {
 	l.lastMiss = now
-	if l.misses < suspectThreshold || now < l.suspectUntil || now-l.lastAnswer < answerTimeout {
+	if l.openMisses+l.dataMisses < suspectThreshold || now < l.suspectUntil || now-answered < answerTimeout {
 		return nil
 	}
 	l.suspectUntil = now + suspectFor
@@ -55,24 +87,36 @@
 	return t
 }
 
-// isLost reports whether the target is taken to have ended: it answered before, but not within lostTimeout, and several
-// flows went unanswered both here and at another balancer.
+// isSilent reports whether the target is suspect and also leaves data of open flows unanswered, which a running target answers even if
+// it opens no more flows.
+func (l *load) isSilent(now time.Duration) bool { return now < l.suspectUntil && l.missesData(now) }
+
+// missesData reports whether data of an open flow recently went unanswered, and none has been answered since.
+func (l *load) missesData(now time.Duration) bool {
+	return l.dataMisses > 0 && now-l.lastDataMiss < missRetention
+}
+
+// isLost reports whether the target is taken to have ended: it answered before, but not within lostTimeout, and several flows, open
+// ones among them, went unanswered both here and at another balancer.
 func (l *load) isLost(now time.Duration) bool {
-	return now < l.suspectUntil && l.peers.Suspect && l.lastAnswer > 0 && now-l.lastAnswer >= lostTimeout
+	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && l.lastAnswer > 0 && now-l.lastAnswer >= lostTimeout
 }
 
 // clearSuspicions drops the evidence against all targets. After a long time without packets the process may have been
 // paused, and retransmissions that queued up meanwhile prove nothing.
 func (e *Engine) clearSuspicions() {
 	for _, l := range e.loads {
-		l.lastAnswer, l.misses, l.suspectUntil = 0, 0, 0
+		l.lastAnswer, l.lastOpened = 0, 0
+		l.clearMisses()
 	}
 }
 
 // recentMiss reports whether a flow went unanswered within the last suspectFor. In a large fleet a balancer has few
 // flows at each target; without this check each of them would be sent to an unresponsive target again. A lost datagram
 // looks the same, so this is not reported to other balancers.
-func (l *load) recentMiss(now time.Duration) bool { return l.misses > 0 && now-l.lastMiss < suspectFor }
+func (l *load) recentMiss(now time.Duration) bool {
+	return l.openMisses+l.dataMisses > 0 && now-l.lastMiss < suspectFor
+}
 
 // isSuspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) isSuspect(now time.Duration) bool {
@@ -89,6 +133,7 @@
 	for token, t := range e.view.tokens {
 		l := directory.Load{
 			Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.suspectUntil,
+			Silent: t.load.isSilent(now),
 		}
 		if l.Pending > 0 || l.Open > 0 || l.Suspect {
 			loads = append(loads, l)
@@ -170,7 +215,7 @@
 		f.sentEnd, f.lastAck = p.Sequence, p.Acknowledgement
 		t.load.pending = max(t.load.pending-1, 0)
 		t.load.open++
-		t.load.recordAnswer(now)
+		t.load.recordOpened(now)
 	}
 	f.lastPacket = now
 	f.handleAck(p, t, now)
@@ -221,7 +266,7 @@
 		}
 	case f.waiting && !f.missCounted && now-f.waitStart >= answerTimeout:
 		f.missCounted = true
-		return t.load.recordMiss(t, now)
+		return t.load.recordDataMiss(t, now)
 	}
 	return nil
 }
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// updatePeerLoads gives engine i the sum of the loads of the others, and whether one of them suspects the target.
+// updatePeerLoads gives engine i the sum of the loads of the others, and whether one of them suspects the target, or finds it silent.
 func updatePeerLoads(engines []*Engine, i int, now time.Duration) {
 	sums := map[directory.Token]directory.Load{}
 	for j, e := range engines {
@@ -71,6 +71,7 @@
 			sum := sums[l.Token]
 			sums[l.Token] = directory.Load{
 				Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect,
+				Silent: sum.Silent || l.Silent,
 			}
 		}
 	}
