Refuse new flows at once when all targets of a service are full

When all targets of a service held as many flows as they can, each try of a caller waited 1.4 s for nothing. Change: if all targets answer open flows and leave several opening packets unanswered, new flows of the service's main routes are refused, with the code refused-connections. One flow every 0.2 s is placed all the same, to find room. Silence of the open flows is no such evidence. Before: TestNewFlowsWhenAllTargetsAreFull failed (0 of 800 flows refused, 800 waited until their callers gave up). After: it passes.

--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -40,6 +40,7 @@
 	{steer.Refuse, resultcode.PacketUnknownEndpoint},
 	{steer.Refuse, resultcode.RefusedNoTarget},
 	{steer.Refuse, resultcode.RefusedNoSlot},
+	{steer.Refuse, resultcode.RefusedConnections},
 	{steer.Break, resultcode.TargetGone},
 	{steer.Break, resultcode.TargetLost},
 	{steer.Drop, resultcode.TargetGone},
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -45,6 +45,8 @@
 	lastNoQueue time.Duration // when wait was last no longer than serviceTime
 	routes      map[directory.Endpoint]*routeDemand
 	lastHalved  time.Duration // when the flows of routes last lost half of their weight
+	lastAnswer  time.Duration // of any target of the service, 0 for none
+	lastProbe   time.Duration // when a new flow was last placed although all targets seem to be full
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
@@ -133,17 +135,28 @@
 
 // isBulk reports whether the route has a significant share of the service's new flows and none that has is less urgent.
 func (d *demand) isBulk(r *directory.Route) bool {
-	total := 0.0
-	for _, other := range d.routes {
-		total += other.flows
-	}
-	isSignificant := func(other *routeDemand) bool { return other != nil && other.flows >= minDemandShare*total }
+	least := d.leastSignificantFlows()
 	for _, other := range d.routes {
-		if isSignificant(other) && other.priority > r.Priority {
+		if other.flows >= least && other.priority > r.Priority {
 			return false
 		}
 	}
-	return isSignificant(d.routes[r.Endpoint])
+	return d.isSignificant(r)
+}
+
+// isSignificant reports whether the route has a significant share of the service's new flows.
+func (d *demand) isSignificant(r *directory.Route) bool {
+	route := d.routes[r.Endpoint]
+	return route != nil && route.flows >= d.leastSignificantFlows()
+}
+
+// leastSignificantFlows returns the number of new flows from which a route counts for the load of the service.
+func (d *demand) leastSignificantFlows() float64 {
+	total := 0.0
+	for _, other := range d.routes {
+		total += other.flows
+	}
+	return minDemandShare * total
 }
 
 // meetsObjective reports whether the target is expected to answer a new flow of the route within the route's objective.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -185,6 +185,8 @@
 	case p.Acknowledgement > 0: // a copy: another balancer may have sent the first one to a target
 	case e.overloaded(route, t, key, now):
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.wait, Suspected: suspected}
+	case e.isFull(route, t, now):
+		return Decision{Action: Refuse, Code: resultcode.RefusedConnections, Suspected: suspected}
 	}
 	if e.addFlow(key, flowState{token: t.Token, waiting: true, missCounted: t == earlier, waitStart: now, lastPacket: now}) {
 		e.addWait(key, now, now)
--- a/steer/full_test.go
+++ b/steer/full_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -150,3 +151,68 @@
 		t.Errorf("%d packets of open flows were answered with a reset, want none; %d flows opened, want %d", s.breaks, s.opened, fullTargets*fullRoom)
 	}
 }
+
+// Replays the same. Guards against callers that wait until they give up although no target has room, and against a service that
+// refuses flows after a target has room again.
+func TestNewFlowsWhenAllTargetsAreFull(t *testing.T) {
+	s := newFullService()
+	s.run(time.Second, 4*time.Second, 5*time.Millisecond)
+	s.refused, s.silent = 0, 0
+	s.run(4*time.Second, 8*time.Second, 5*time.Millisecond)
+	if s.refused < 4*s.silent {
+		t.Errorf("%d flows were refused at once and %d waited until their callers gave up, want at least four of five refused", s.refused, s.silent)
+	}
+	for name := range s.room {
+		s.room[name] = 1000
+	}
+	s.opened = 0
+	s.run(8*time.Second, 8500*time.Millisecond, 5*time.Millisecond)
+	s.refused, s.opened = 0, 0
+	s.run(8500*time.Millisecond, 10*time.Second, 5*time.Millisecond)
+	if s.refused > 0 || s.opened < 250 {
+		t.Errorf("0.5 s after targets have room: %d flows refused, %d opened in 1.5 s, want none refused and nearly 300 opened", s.refused, s.opened)
+	}
+}
+
+// Replays targets of which one has room, and callers that find it by their copies. Guards against refusals while a target has room.
+func TestNoRefusalWhileATargetHasRoom(t *testing.T) {
+	s := newFullService()
+	for name := range s.room {
+		s.room[name] = 0
+	}
+	s.room["t-1"] = 1 << 20
+	s.run(time.Second, 10*time.Second, 5*time.Millisecond)
+	if s.refused > 0 || s.opened < 1700 {
+		t.Errorf("%d flows refused, %d opened in 9 s, want none refused and nearly 1,800 opened", s.refused, s.opened)
+	}
+}
+
+// Replays services whose targets all fall silent, with open flows or without. Guards against refusals that take silence for a lack of
+// room: the network between may be cut for a moment, and the copies of opening packets reach the targets later.
+func TestSilentTargetsAreNotFull(t *testing.T) {
+	for _, withFlows := range []bool{false, true} {
+		e, random, refused := engine(fiveTargets(local)...), rand.New(rand.NewPCG(1, 1)), 0
+		now := 10 * time.Second
+		var tokens []*Target
+		for n := range 50 {
+			d := e.Decide(openingPacket(n), now)
+			tokens = append(tokens, d.Target)
+			if withFlows {
+				acknowledge(e, n, d.Target.Token, now)
+			}
+		}
+		for n := 100; n < 1000; n++ {
+			now += 10 * time.Millisecond
+			if i := random.IntN(50); withFlows {
+				e.Decide(dataPacket(i, tokens[i].Token, 1), now)
+			}
+			e.Decide(openingPacket(n-20), now) // a copy of a flow that was opened 0.2 s ago
+			if d := e.Decide(openingPacket(n), now); d.Action == Refuse {
+				refused++
+			}
+		}
+		if refused > 0 {
+			t.Errorf("with open flows %t: %d flows were refused, want none", withFlows, refused)
+		}
+	}
+}
--- a/steer/load.go
+++ b/steer/load.go
@@ -216,6 +216,7 @@
 		t.load.pending = max(t.load.pending-1, 0)
 		t.load.open++
 		t.load.recordOpened(now)
+		t.demand.lastAnswer = now
 	}
 	f.lastPacket = now
 	f.handleAck(p, t, now)
@@ -244,6 +245,7 @@
 	}
 	f.lastAck = p.Acknowledgement
 	t.load.recordAnswer(now)
+	t.demand.lastAnswer = now
 	if f.waiting {
 		if f.foundFreeSlot {
 			t.demand.recordServiceTime(now - f.waitStart)
