Bound the time for which unanswered opening packets outweigh answers

An opening packet that was lost minutes ago counted together with later data that went unanswered, if the target had opened no flow here since.

--- a/steer/full.go
+++ b/steer/full.go
@@ -40,5 +40,5 @@
 
 // opensNoFlows reports whether the target has left several opening packets unanswered here, but no data of open flows.
 func (l *load) opensNoFlows(now time.Duration) bool {
-	return l.openMisses >= suspectThreshold && now-l.lastMiss < missRetention && !l.missesData(now) && !l.peers.Silent
+	return l.openMisses >= suspectThreshold && now-l.lastOpenMiss < missRetention && !l.missesData(now) && !l.peers.Silent
 }
--- a/steer/full_test.go
+++ b/steer/full_test.go
@@ -50,7 +50,7 @@
 func newFullService() *fullService {
 	s := &fullService{room: map[string]int{}}
 	for range fullBalancer {
-		var targets = fiveTargets(local)[:fullTargets]
+		targets := fiveTargets(local)[:fullTargets]
 		s.engines = append(s.engines, engine(targets...))
 		for i := range targets {
 			s.room[targets[i].Name] = fullRoom
--- a/steer/load.go
+++ b/steer/load.go
@@ -21,7 +21,8 @@
 	// lostTimeout is how long a target that two balancers suspect must have sent no answer here before its flows are
 	// reset. Few requests take longer.
 	lostTimeout = time.Second
-	// missRetention is how long an unanswered packet is evidence: its flow may have moved to another balancer, which saw the answer.
+	// missRetention is how long unanswered data of open flows is evidence of silence, since a flow may move to another balancer and be
+	// answered there, and how long unanswered opening packets outweigh answers on open flows.
 	missRetention = 3 * time.Second
 )
 
@@ -34,8 +35,8 @@
 	lastOpened   time.Duration  // time of the last answer to an opening packet, 0 for none
 	openMisses   int            // flows that were not opened since the last one was
 	dataMisses   int            // open flows whose data went unanswered since the last answer
-	lastMiss     time.Duration  // time at which a flow was last found unanswered
-	lastDataMiss time.Duration  // the same for data of an open flow
+	lastOpenMiss time.Duration  // time at which an opening packet was last found unanswered
+	lastDataMiss time.Duration  // time at which data of an open flow was last found unanswered
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
 	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
@@ -48,10 +49,11 @@
 }
 
 // recordAnswer records an answer of the target on an open flow. It shows that the target runs, but not that it opens flows: a target at
-// its limit of flows goes on answering the open ones. If it left those unanswered too, it is back, and all evidence is cleared.
+// its limit of flows goes on answering the open ones. Recent opening packets that went unanswered remain evidence, unless data of
+// open flows went unanswered too: the target was silent and is back.
 func (l *load) recordAnswer(now time.Duration) {
 	l.lastAnswer = now
-	if l.dataMisses > 0 || l.openMisses == 0 {
+	if l.dataMisses > 0 || now-l.lastOpenMiss >= missRetention {
 		l.clearMisses()
 	}
 }
@@ -60,10 +62,8 @@
 
 // recordOpenMiss records that an opening packet went unanswered. It returns t when that makes the target suspect, else nil.
 func (l *load) recordOpenMiss(t *Target, now time.Duration) *Target {
-	if now-l.lastMiss >= missRetention {
-		l.openMisses = 0
-	}
 	l.openMisses++
+	l.lastOpenMiss = now
 	return l.recordMiss(t, l.lastOpened, now)
 }
 
@@ -76,7 +76,6 @@
 
 // recordMiss updates the suspicion after a miss. answered is the time of the last answer to a packet of this kind.
 func (l *load) recordMiss(t *Target, answered, now time.Duration) *Target {
-	l.lastMiss = now
 	if l.openMisses+l.dataMisses < suspectThreshold || now < l.suspectUntil || now-answered < answerTimeout {
 		return nil
 	}
@@ -115,7 +114,7 @@
 // flows at each target; without this check each of them would be sent to an unresponsive target again. A lost datagram
 // looks the same, so this is not reported to other balancers.
 func (l *load) recentMiss(now time.Duration) bool {
-	return l.openMisses+l.dataMisses > 0 && now-l.lastMiss < suspectFor
+	return l.openMisses+l.dataMisses > 0 && now-max(l.lastOpenMiss, l.lastDataMiss) < suspectFor
 }
 
 // isSuspect reports whether the target gets no new flows because it does not answer here or at another balancer.
