--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -274,6 +273,33 @@
 	return readers
 }
 
+// soleReader waits until the hosts have discovered each other, and returns the only one that reads the store.
+func (d *directDeployment) soleReader() *directHost {
+	d.t.Helper()
+	time.Sleep(2 * time.Second)
+	readers := d.readers(2 * time.Second)
+	if len(readers) != 1 {
+		d.t.Fatalf("%d hosts read the store, expected 1", len(readers))
+	}
+	return readers[0]
+}
+
+// cutFromStore makes the connections of a host to the store carry nothing in either direction.
+func (d *directDeployment) cutFromStore(h *directHost) {
+	cut := proxy.LinkFaults{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}}
+	d.proxy.SetFaults(fmt.Sprint("store-", h.number), netip.Addr{}, cut)
+}
+
+// inForce reports whether all hosts, except one that may be nil, have the version of the configuration or a later one.
+func (d *directDeployment) inForce(version uint64, except *directHost) bool {
+	for _, h := range d.hosts {
+		if s := d.status(h); h != except && (s == nil || s.Bundle.InForce < version) {
+			return false
+		}
+	}
+	return true
+}
+
 // Changes the configuration right after the one host that reads the store was killed or suspended. Guards against several
 // hosts that read the store, and against hosts that keep waiting for a failed reader.
 func TestDirectReaderIsLost(t *testing.T) {
@@ -282,20 +308,11 @@
 		t.Run(signal.String(), func(t *testing.T) {
 			t.Parallel()
 			d := startDirect(t, 4, 6)
-			time.Sleep(2 * time.Second) // until the hosts have discovered each other and agree on the reader
-			readers := d.readers(2 * time.Second)
-			if len(readers) != 1 {
-				t.Fatalf("%d hosts read the store, expected 1", len(readers))
-			}
-			readers[0].signal(signal)
+			reader := d.soleReader()
+			reader.signal(signal)
 			d.setPorts(443, 8443, 9443)
 			d.eventually("the new version is in force on the other hosts", propagationLimit, func() bool {
-				for _, h := range d.hosts {
-					if s := d.status(h); h != readers[0] && (s == nil || s.Bundle.InForce != d.version) {
-						return false
-					}
-				}
-				return true
+				return d.inForce(d.version, reader)
 			})
 			d.expectNoViolations()
 		})
@@ -307,28 +324,16 @@
 func TestDirectReaderIsCutOffWhileUnusedConnectionsAreSilent(t *testing.T) {
 	t.Parallel()
 	d := startDirect(t, 4, 6)
-	time.Sleep(2 * time.Second) // until the hosts have discovered each other and agree on the reader
-	readers := d.readers(2 * time.Second)
-	if len(readers) != 1 {
-		t.Fatalf("%d hosts read the store, expected 1", len(readers))
-	}
+	reader := d.soleReader()
 	for _, h := range d.hosts {
-		if h != readers[0] {
+		if h != reader {
 			d.proxy.Silence(fmt.Sprint("store-", h.number))
 		}
 	}
 	time.Sleep(5 * time.Second)
-	cut := proxy.LinkFaults{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}}
-	d.proxy.SetFaults(fmt.Sprint("store-", readers[0].number), netip.Addr{}, cut)
+	d.cutFromStore(reader)
 	d.setPorts(443, 8443, 9443)
-	d.eventually("the new version is in force on all hosts", propagationLimit, func() bool {
-		for _, h := range d.hosts {
-			if s := d.status(h); s == nil || s.Bundle.InForce != d.version {
-				return false
-			}
-		}
-		return true
-	})
+	d.eventually("the new version is in force on all hosts", propagationLimit, func() bool { return d.inForce(d.version, nil) })
 	d.expectNoViolations()
 }
 
@@ -339,10 +344,9 @@
 	d := startDirect(t, 3, 6)
 	tr := d.startTraffic(20, 3)
 	tr.recorder = d.recorder
-	time.Sleep(2 * time.Second)
-	readers := d.readers(2 * time.Second)
+	reader := d.soleReader()
 	for _, h := range d.hosts {
-		if !slices.Contains(readers, h) {
+		if h != reader {
 			d.proxy.SetFaults(fmt.Sprint("store-", h.number), netip.Addr{}, proxy.LinkFaults{Forward: proxy.Faults{ResetConns: true}})
 		}
 	}
@@ -353,10 +357,14 @@
 	}
 	for i := range 3 {
 		for j, odd := range [][2]string{
-			{`"cold_remaining_ms":0`, `"cold_remaining_ms":9223372036854775807`}, {`"capacity":2`, `"capacity":9223372036854775807`},
-			{`"capacity":2`, `"capacity":1e999`}, {`"service":"ingest"`, `"service":"` + strings.Repeat("s", 1<<19) + `"`},
-			{fmt.Sprint(":", targetPort), ":99999"}, {`"version"`, `"nested":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `,"version"`},
-			{`"version"`, `"Version"`}, {string(sound), "{"},
+			{`"cold_remaining_ms":0`, `"cold_remaining_ms":9223372036854775807`},
+			{`"capacity":2`, `"capacity":9223372036854775807`},
+			{`"capacity":2`, `"capacity":1e999`},
+			{`"service":"ingest"`, `"service":"` + strings.Repeat("s", 1<<19) + `"`},
+			{fmt.Sprint(":", targetPort), ":99999"},
+			{`"version"`, `"nested":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `,"version"`},
+			{`"version"`, `"Version"`},
+			{string(sound), "{"},
 		} {
 			record := strings.Replace(string(sound), odd[0], odd[1], 1)
 			if record == string(sound) {
@@ -384,27 +392,15 @@
 func TestDirectReaderIsCutOffDuringLargeConfigurations(t *testing.T) {
 	t.Parallel()
 	d := startDirect(t, 4, 6)
-	time.Sleep(2 * time.Second) // until the hosts have discovered each other and agree on the reader
-	readers := d.readers(2 * time.Second)
-	if len(readers) != 1 {
-		t.Fatalf("%d hosts read the store, expected 1", len(readers))
-	}
-	cut := proxy.LinkFaults{Forward: proxy.Faults{Cut: true}, Back: proxy.Faults{Cut: true}}
-	d.proxy.SetFaults(fmt.Sprint("store-", readers[0].number), netip.Addr{}, cut)
+	reader := d.soleReader()
+	d.cutFromStore(reader)
 	d.unused = 1700 // about 0.3 MB
 	d.setPorts(443, 8443, 9443)
 	first, changed := d.version, time.Now()
 	for range 29 {
 		d.publish()
 	}
-	d.eventually("the new route is in force on all hosts", propagationLimit-time.Since(changed), func() bool {
-		for _, h := range d.hosts {
-			if s := d.status(h); s == nil || s.Bundle.InForce < first {
-				return false
-			}
-		}
-		return true
-	})
+	d.eventually("the new route is in force on all hosts", propagationLimit-time.Since(changed), func() bool { return d.inForce(first, nil) })
 	d.expectNoViolations()
 }
 
--- a/internal/direct/records_test.go
+++ b/internal/direct/records_test.go
@@ -27,8 +27,15 @@
 
 func soundRecord() []recordField {
 	return []recordField{
-		{"service", `"ingest"`}, {"address", `"127.0.0.9:80"`}, {"zone", `"a"`}, {"version", `"v1"`}, {"capacity", "2"},
-		{"state", `"ready"`}, {"cold_remaining_ms", "0"}, {"sequence_number", "4"}, {"born", "1700000000000"},
+		{"service", `"ingest"`},
+		{"address", `"127.0.0.9:80"`},
+		{"zone", `"a"`},
+		{"version", `"v1"`},
+		{"capacity", "2"},
+		{"state", `"ready"`},
+		{"cold_remaining_ms", "0"},
+		{"sequence_number", "4"},
+		{"born", "1700000000000"},
 	}
 }
 
