--- a/internal/peer/rpc.go
+++ b/internal/peer/rpc.go
@@ -122,7 +122,8 @@
 	Identity *Identity
 	// Handler returns the response to a request. It is called from several goroutines. An error closes the connection.
 	Handler func(context.Context, Message) (Message, error)
-	// Refused is called for every refused connection or message, for a response that is too large, and when accept fails. It is called from several goroutines.
+	// Refused is called for every refused connection or message, for a response that is too large, and when accept fails. It is
+	// called from several goroutines.
 	Refused func(Refusal)
 }
 
