Expect new flows at a rewritten record only when hosts must know it

4,000 orders of TestExplore found one in which a new flow is refused although a target is ready: its own record, the first usable one of the service, had been written in the same step (store revision 34, host at 33). The check, new with the overwritten records, now allows such a record the time in which changes must be in force, as it does for all others; flows at the target are checked all the while.

--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -63,6 +63,7 @@
 	addressReused  bool // its address belongs to another target
 	listed         bool
 	obscuredAt     time.Duration // when another program overwrote its record, 0 if the record is its own
+	rewrittenAt    time.Duration // when it last replaced the record of another program by its own
 	renewed        time.Duration // last renewal of the record
 	reachableSince time.Duration // since when it is alive and reaches the store
 }
@@ -207,6 +208,9 @@
 	}
 	copied := t.Target
 	s.store.write(directory.Change{Name: t.Name, Target: &copied})
+	if t.obscuredAt > 0 {
+		t.rewrittenAt = s.now
+	}
 	t.listed, t.renewed, t.obscuredAt = true, s.now, 0
 }
 
