Tell other hosts how many hosts a relay knows itself

Seen: in a data centre that is cut off and has no seed, a host that restarted got no routes and targets although another one had them. One of 4,000 orders of TestExplore. Cause: the relay, itself restarted, told the number of hosts that it had been told before it became the relay, 3, while it knew 2. The host that knew the missing one so sent it no reports. Fix: a reply also holds the number of hosts that the sender knows itself, and only this number decides. The interval between reports follows the other number as before. TestSurvivorReportsToMissingHosts now tells 3 hosts and knows 2; it fails without the fix, as does the kept order.

--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -187,7 +187,7 @@
 	c.fleet.HandleReport(r, now)
 	reply := &relay.Reply{
 		Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now),
-		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), HostCount: c.fleet.HostCount(),
+		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), HostCount: c.fleet.HostCount(), KnownHosts: c.fleet.KnownHosts(),
 		Loads: c.fleet.ReplyLoads(r.Host.Name, r.Host.DataCentre, c.traffic.Loads(), now),
 	}
 	if r.WantsChanges && r.Freshness.Revision < c.directory.Revision() && c.directory.Complete() {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -59,6 +59,7 @@
 	lastReports    map[netip.AddrPort]time.Duration // time of the last report by address
 	nextSeed       int                              // index of the next seed to report to, modulo their number
 	relayHostCount int                              // number of hosts of this data centre as the relay counts them
+	relayKnown     int                              // number of hosts of this data centre that the relay itself knows, 0 before its first reply
 	lastSeedReport time.Duration                    // time of the last report to a seed
 	started        time.Duration                    // time of the first report
 	relay          string                           // name of the relay of this data centre at the last report
@@ -105,7 +106,10 @@
 }
 
 // HostCount returns the number of known hosts of this data centre. Hosts other than the relay get it from the relay.
-func (f *Fleet) HostCount() int { return max(1+f.localMembers(), f.relayHostCount) }
+func (f *Fleet) HostCount() int { return max(f.KnownHosts(), f.relayHostCount) }
+
+// KnownHosts returns the number of hosts of this data centre that this host knows itself, including itself.
+func (f *Fleet) KnownHosts() int { return 1 + f.localMembers() }
 
 // localMembers returns the number of other known hosts of this data centre.
 func (f *Fleet) localMembers() int {
@@ -293,7 +297,7 @@
 	m := f.updateMember(r.Host, now)
 	m.state = hostState(&r.Freshness, r.Leaving)
 	if r.Host.DataCentre == f.self.DataCentre {
-		m.peerLoads, f.relayHostCount = timedLoads{r.Loads, now}, r.HostCount
+		m.peerLoads, f.relayHostCount, f.relayKnown = timedLoads{r.Loads, now}, r.HostCount, r.KnownHosts
 	} else if len(r.Loads.Targets) > 0 {
 		m.centreLoads = timedLoads{r.Loads, now}
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -111,7 +111,8 @@
 
 // Replays a partitioned data centre in which all hosts but one are killed, and the first to restart becomes the relay.
 // Guards against a host that restarts after it and gets no reports: the relay has never seen it, and the remaining host
-// is no longer the relay. TestExplore in internal/direct replays the sequence of events that showed this.
+// is no longer the relay. The relay may have been told the right number of hosts, and know fewer. TestExplore in internal/direct replays
+// the sequences of events that showed this.
 func TestSurvivorReportsToMissingHosts(t *testing.T) {
 	host := func(n int, weight float64) Host {
 		return Host{
@@ -126,7 +127,7 @@
 		}
 		now, reported := time.Second, false
 		for ; now < 4*time.Second; now += baseInterval {
-			f.HandleReply(&Reply{Host: host(3, 4), Freshness: known, HostCount: count}, now)
+			f.HandleReply(&Reply{Host: host(3, 4), Freshness: known, HostCount: 3, KnownHosts: count}, now)
 			for _, to := range f.DueReports(HostState{Revision: 7}, now) {
 				reported = reported || to == host(2, 1).Address
 			}
--- a/relay/lost.go
+++ b/relay/lost.go
@@ -84,10 +84,11 @@
 }
 
 // relayKnowsFewer reports whether the relay knows fewer hosts of this data centre than this host does. The relay may
-// have started a moment ago, and has then never seen hosts that restart after it.
+// have started a moment ago, and has then never seen hosts that restart after it. The number of hosts that it was told does not
+// count: it cannot send reports to hosts that it does not know.
 func (f *Fleet) relayKnowsFewer(now time.Duration) bool {
-	known := 1 + f.localMembers() + len(f.recentlyLost(now))
-	return f.relayHostCount > 0 && f.relayHostCount < known
+	known := f.KnownHosts() + len(f.recentlyLost(now))
+	return f.relayKnown > 0 && f.relayKnown < known
 }
 
 // unknownSeeds returns the seeds that are not the address of a known host.
--- a/relay/message.go
+++ b/relay/message.go
@@ -50,9 +50,11 @@
 	Changes   directory.Batch // after the revision in the report, if they were requested
 	// Hosts are the best candidates for the relay in the data centre of the recipient and in the others.
 	Hosts []Member
-	// HostCount is the number of hosts that the sender knows in its own data centre, including itself.
+	// HostCount is the number of hosts in the sender's data centre, including itself, that it knows or was told by the relay.
 	HostCount int
-	Loads     directory.Loads // of all balancers but the recipient
+	// KnownHosts is the number of those that the sender itself knows.
+	KnownHosts int
+	Loads      directory.Loads // of all balancers but the recipient
 }
 
 // Member describes a balancer that the sender of a reply knows.
--- a/relay/network_test.go
+++ b/relay/network_test.go
@@ -110,7 +110,7 @@
 		peer.fleet.HandleReport(report, n.now)
 		h.fleet.HandleReply(&Reply{
 			Host: peer.self, Freshness: peer.freshness(n.now),
-			Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), HostCount: peer.fleet.HostCount(),
+			Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, n.now), HostCount: peer.fleet.HostCount(), KnownHosts: peer.fleet.KnownHosts(),
 			Loads: peer.fleet.ReplyLoads(h.self.Name, h.self.DataCentre, peer.loads, n.now),
 		}, n.now)
 		if report.WantsChanges && peer.revision > h.revision {
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -37,8 +37,8 @@
 	if err := report.Validate(); err != nil {
 		return err
 	}
-	if len(r.Hosts) > maxMembers || r.HostCount < 0 {
-		return invalid("too many hosts or negative host count: %d hosts, count %d", len(r.Hosts), r.HostCount)
+	if len(r.Hosts) > maxMembers || r.HostCount < 0 || r.KnownHosts < 0 {
+		return invalid("too many hosts or negative host count: %d hosts, counts %d, %d", len(r.Hosts), r.HostCount, r.KnownHosts)
 	}
 	for i := range r.Hosts {
 		if !r.Hosts[i].Host.valid() || r.Hosts[i].LastSeen < 0 {
