Decode in FuzzReply as peers do, and name a target a target in a test

FuzzReply kept a skip of its own before it decoded, with a comment on code that internal/safedecode has replaced; it now calls that. The field token of the openings in full_test.go holds a target. Product code and assertions are unchanged.

--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/internal/safedecode"
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
@@ -146,12 +147,8 @@
 	}
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		// Messages are skipped through once before they are decoded, as in internal/peer.
-		if msgpack.NewDecoder(bytes.NewReader(b)).Skip() != nil {
-			return
-		}
 		var r Reply
-		if msgpack.Unmarshal(b, &r) != nil || r.Validate() != nil {
+		if safedecode.Msgpack(b, &r) != nil || r.Validate() != nil { // as internal/peer decodes messages
 			return
 		}
 		r.Changes.RejectUnusable()
--- a/steer/full_test.go
+++ b/steer/full_test.go
@@ -37,7 +37,7 @@
 	number int
 	sentAt time.Duration
 	copies uint32
-	token  *Target
+	target *Target       // that answers, nil while none has
 	openAt time.Duration // when the caller acknowledges the target's answer, 0 while no target has answered
 }
 
@@ -94,7 +94,7 @@
 		o.sentAt = -1
 	case d.Action == Forward && o.openAt == 0 && s.room[d.Target.Name] > 0:
 		s.room[d.Target.Name]--
-		o.token, o.openAt = d.Target, now+10*time.Millisecond
+		o.target, o.openAt = d.Target, now+10*time.Millisecond
 	}
 }
 
@@ -105,10 +105,10 @@
 	case o.sentAt < 0:
 		return false
 	case o.openAt > 0 && now >= o.openAt:
-		acknowledge(o.engine, o.number, o.token.Token, now)
+		acknowledge(o.engine, o.number, o.target.Token, now)
 		s.opened++
 		s.sessions = append(s.sessions, fullSession{
-			engine: o.engine, number: o.number, target: o.token, received: 7, nextRequest: now + time.Duration(1+o.number%5)*time.Second,
+			engine: o.engine, number: o.number, target: o.target, received: 7, nextRequest: now + time.Duration(1+o.number%5)*time.Second,
 		})
 		return false
 	case o.openAt == 0 && (o.copies == 0 && waited >= 200*time.Millisecond || o.copies == 1 && waited >= 600*time.Millisecond):
