Honour the operator's evacuation of a data centre

Open flows stay. Batches between hosts have a new field, so hosts of an earlier version read the store by themselves.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -50,9 +50,10 @@
 type Directory struct {
 	configuration  *Configuration
 	targets        map[string]*targetState
-	revision       uint64 // all changes up to it are known
-	complete       bool   // a full list has been applied
-	provisional    bool   // a list that may be stale in parts has been applied
+	evacuations    map[string]*evacuationState // by data centre
+	revision       uint64                      // all changes up to it are known
+	complete       bool                        // a full list has been applied
+	provisional    bool                        // a list that may be stale in parts has been applied
 	answeredAt     time.Duration
 	confirmedAt    time.Duration // send time of the last read whose response brought this directory up to date
 	answeringSince time.Duration // start of the current run of successful reads
@@ -65,7 +66,9 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{targets: map[string]*targetState{}, answeredAt: never, confirmedAt: never}
+	return &Directory{
+		targets: map[string]*targetState{}, evacuations: map[string]*evacuationState{}, answeredAt: never, confirmedAt: never,
+	}
 }
 
 // Revision returns the revision up to which every change is known.
@@ -133,15 +136,17 @@
 			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target})
 		}
 	}
+	b.Evacuations = d.evacuationsSince(after, b.Complete)
 	return b
 }
 
 // Event describes a change of the directory, for the log.
 type Event struct {
-	Kind     EventKind
-	Target   *Target
-	Revision uint64
-	Version  uint64 // of the configuration
+	Kind       EventKind
+	Target     *Target
+	DataCentre string // of an evacuation
+	Revision   uint64
+	Version    uint64 // of the configuration
 }
 
 // EventKind is the kind of an event.
@@ -156,10 +161,13 @@
 	TargetRemoved
 	ConfigurationAccepted
 	ConfigurationStale
+	EvacuationStarted
+	EvacuationEnded
 )
 
 var eventNames = [...]string{
 	"target-listed", "target-changed", "target-restarted", "target-obscured", "target-removed", "configuration-accepted", "configuration-stale",
+	"evacuation-started", "evacuation-ended",
 }
 
 // String returns the name used in logs.
@@ -179,10 +187,15 @@
 	for i := range b.Changes {
 		events = d.applyChange(&b.Changes[i], now, events)
 	}
+	for i := range b.Evacuations {
+		events = d.applyEvacuation(&b.Evacuations[i], now, events)
+	}
 	if b.Complete {
+		events = d.removeUnlistedEvacuations(&b, now, events)
 		events = d.removeUnlisted(&b, now, events)
 		d.complete = true
 	}
+	d.limitEvacuations()
 	d.revision = max(d.revision, b.Revision)
 	return events
 }
@@ -265,8 +278,9 @@
 	return events
 }
 
-// Prune deletes targets that were removed so long ago that none of their flows can be open.
+// Prune deletes targets that were removed so long ago that none of their flows can be open, and evacuations that ended as long ago.
 func (d *Directory) Prune(now time.Duration) {
+	d.pruneEvacuations(now)
 	maps.DeleteFunc(d.targets, func(_ string, r *targetState) bool {
 		if !r.removed || now-r.removedAt <= removedRetention {
 			return false
@@ -309,7 +323,9 @@
 type Snapshot struct {
 	Configuration *Configuration
 	Targets       []TargetEntry // sorted by name
-	Revision      uint64
+	// Evacuations holds the evacuations of data centres that have targets, also those that have ended.
+	Evacuations map[string]EvacuationEntry
+	Revision    uint64
 	// Provisional reports that no complete list has been applied: routes and targets that the store holds may be missing.
 	Provisional bool
 	TakenAt     time.Duration
@@ -322,7 +338,7 @@
 func (d *Directory) Snapshot(now time.Duration) *Snapshot {
 	s := &Snapshot{
 		Configuration: d.configuration, Revision: d.revision, Provisional: !d.complete, TakenAt: now,
-		Targets: make([]TargetEntry, 0, len(d.targets)),
+		Targets: make([]TargetEntry, 0, len(d.targets)), Evacuations: d.evacuationEntries(),
 	}
 	for _, r := range d.targets {
 		k := TargetEntry{Target: r.target, Presence: d.presence(r, now), ColdUntil: r.coldUntil, Revision: r.revision}
@@ -334,3 +350,6 @@
 	slices.SortFunc(s.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
+
+// Evacuated reports whether the targets of a data centre get no new flows.
+func (s *Snapshot) Evacuated(dataCentre string) bool { return s.Evacuations[dataCentre].Active }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -165,7 +165,7 @@
 	}
 	f.unusableWatches = 0
 	f.watchRevision = max(f.watchRevision, p.Revision)
-	f.pauseAfterChanges = len(p.Changes) > 0 || p.Configuration != nil
+	f.pauseAfterChanges = !p.IsEmpty()
 	return p.Batch, true
 }
 
@@ -214,6 +214,7 @@
 
 func (f *Follower) collect(p Page) {
 	f.partial.Changes = append(f.partial.Changes, p.Changes...)
+	f.partial.Evacuations = append(f.partial.Evacuations, p.Evacuations...)
 	if p.Configuration != nil {
 		f.partial.Configuration = p.Configuration
 	}
@@ -236,7 +237,7 @@
 	}
 }
 
-// newestRevision returns the highest revision of the configuration and the records in a batch.
+// newestRevision returns the highest revision of the records in a batch.
 func newestRevision(b Batch) uint64 {
 	var revision uint64
 	if b.Configuration != nil {
@@ -245,5 +246,8 @@
 	for i := range b.Changes {
 		revision = max(revision, b.Changes[i].Revision)
 	}
+	for i := range b.Evacuations {
+		revision = max(revision, b.Evacuations[i].Revision)
+	}
 	return revision
 }
--- a/directory/target.go
+++ b/directory/target.go
@@ -118,7 +118,7 @@
 	IdleTimeout time.Duration // after which an idle flow may be discarded
 }
 
-// Batch is the result of one read of the store.
+// Batch is the result of one read of the store, or what another host knows of its content.
 type Batch struct {
 	// Complete reports that the batch lists every target, so that targets missing from it no longer exist.
 	Complete bool
@@ -127,7 +127,13 @@
 	Revision      uint64
 	Configuration *Configuration // nil if the batch holds none
 	Changes       []Change
+	Evacuations   []Evacuation // at most one for each data centre
 	// Provisional reports that parts of the batch may be stale. A host without any data uses such a batch until it gets a
 	// complete one, and does not send it to other hosts.
 	Provisional bool `msgpack:"-"`
 }
+
+// IsEmpty reports whether the batch holds no records.
+func (b *Batch) IsEmpty() bool {
+	return b.Configuration == nil && len(b.Changes) == 0 && len(b.Evacuations) == 0
+}
--- a/directory/validate.go
+++ b/directory/validate.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -84,8 +85,8 @@
 	return nil
 }
 
-// RejectUnusable replaces the changes that cannot be used by unusable records, leaves out those without a valid name and an
-// unusable configuration, and returns a *resultcode.Error for each. The other changes of the batch are not affected.
+// RejectUnusable replaces the changes that cannot be used by unusable records, leaves out those without a valid name, unusable
+// evacuations and an unusable configuration, and returns a *resultcode.Error for each. The other changes of the batch are not affected.
 func (b *Batch) RejectUnusable() []error {
 	var rejected []error
 	kept := b.Changes[:0]
@@ -100,6 +101,13 @@
 		kept = append(kept, c)
 	}
 	b.Changes = kept
+	b.Evacuations = slices.DeleteFunc(b.Evacuations, func(e Evacuation) bool {
+		err := e.Validate()
+		if err != nil {
+			rejected = append(rejected, resultcode.Errorf(resultcode.PlatformRecord, "", "%v", err))
+		}
+		return err != nil
+	})
 	if b.Configuration != nil {
 		if err := b.Configuration.Validate(); err != nil {
 			rejected = append(rejected, resultcode.Errorf(resultcode.ConfigurationInvalid, "", "%v", err))
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -237,6 +237,9 @@
 func (c *Control) recordChange(e *directory.Event, source string) {
 	inputs := logrus.Fields{"revision": e.Revision, "source": source}
 	event := timeline.Event{Kind: e.Kind.String(), Version: e.Version}
+	if e.DataCentre != "" {
+		inputs["data_centre"] = e.DataCentre
+	}
 	if e.Target != nil {
 		event.Target, event.Service = e.Target.Name, e.Target.Service
 		inputs["address"], inputs["draining"], inputs["cold"] = e.Target.Address, e.Target.Draining, e.Target.ColdFor
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -218,7 +218,7 @@
 		logRejectedRecord(c.log.WithField("source", reply.Host.Name), err)
 	}
 	c.fleet.HandleReply(reply, now)
-	if len(reply.Changes.Changes) > 0 || reply.Changes.Configuration != nil {
+	if !reply.Changes.IsEmpty() {
 		c.apply(reply.Changes, reply.Host.Name, now)
 	}
 	// The other host's freshness applies to this host only if it has all of the other's changes. The time of the freshness is
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -203,7 +203,7 @@
 		return nil, false
 	}
 	t := e.view.Resolve(f.token)
-	if t == nil || t.Presence > directory.Lapsed {
+	if t == nil || t.Presence > directory.Lapsed || t.evacuated {
 		return nil, false
 	}
 	return t, now-f.waitStart >= answerTimeout
--- a/steer/view.go
+++ b/steer/view.go
@@ -12,8 +12,9 @@
 // Target is a target in a view.
 type Target struct {
 	directory.TargetEntry
-	Token directory.Token
-	seed  uint64
+	Token     directory.Token
+	seed      uint64
+	evacuated bool // its data centre is evacuated: it keeps its flows and gets no new ones
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
@@ -66,7 +67,9 @@
 // add indexes a target by its token. Of two targets with the same token the one that started first keeps it, because
 // its flows are open under that token; the other gets no flows until the first is forgotten.
 func (v *View) add(k *directory.TargetEntry, dataCentre string) {
-	t := &Target{TargetEntry: *k, Token: k.Token(), seed: xxhash.Sum64String(k.Name)}
+	t := &Target{
+		TargetEntry: *k, Token: k.Token(), seed: xxhash.Sum64String(k.Name), evacuated: v.snapshot.Evacuated(k.DataCentre),
+	}
 	if other := v.tokens[t.Token]; other != nil {
 		if !startedBefore(t, other) {
 			return
@@ -80,9 +83,9 @@
 		v.pools[t.Service] = p
 	}
 	switch {
-	case t.Presence == directory.Lapsed:
+	case t.Presence == directory.Lapsed && !t.evacuated:
 		p.lapsed = append(p.lapsed, t)
-	case t.Presence != directory.Ready:
+	case t.Presence != directory.Ready || t.evacuated:
 	case t.DataCentre == dataCentre:
 		p.local = append(p.local, t)
 	default:
