Evacuate data centres in the soak and with real processes

Cause: the evacuation had unit tests only.

Change: TestDirectEvacuation evacuates a data centre while one host is cut off from the store and another restarts; the soak draws an evacuation in each phase of faults and checks one after it.

--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -222,6 +222,26 @@
 	d.store.Put("servers/"+target.Name, target.Record(state, d.address(targetLinkSubnet, number, targetPort)))
 }
 
+// evacuate writes or removes the operator's request that no new flows go to the targets of a data centre.
+func (d *directDeployment) evacuate(dataCentre string, evacuated bool) {
+	if evacuated {
+		d.store.Put("op/evacuate/"+dataCentre, map[string]any{})
+	} else {
+		d.store.Delete("op/evacuate/" + dataCentre)
+	}
+}
+
+// openingsIn returns the number of opening packets that targets of a data centre have received since the given time.
+func (d *directDeployment) openingsIn(dataCentre string, since time.Time) int {
+	n := 0
+	for _, o := range d.recorder.OpeningPackets() {
+		if o.DataCentre == dataCentre && o.At.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // stopTarget stops a target and deletes its record from the store.
 func (d *directDeployment) stopTarget(number int) {
 	d.mu.Lock()
--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -272,3 +272,32 @@
 	}
 	d.expectNoViolations()
 }
+
+// Guards against new flows to an evacuated data centre, also from a host that starts during the evacuation and from one that is cut off from
+// the store, against sessions that the evacuation breaks, and against a data centre that stays empty after it.
+func TestDirectEvacuation(t *testing.T) {
+	t.Parallel()
+	d := startDirect(t, 4, 6)
+	tr := d.startTraffic(20, 3)
+	d.cutFromStore(d.hosts[2])
+	d.evacuate(dataCentres[0], true)
+	begun := time.Now()
+	d.hosts[3].signal(syscall.SIGTERM)
+	<-d.hosts[3].done
+	d.startHost(d.hosts[3])
+	time.Sleep(2 * propagationLimit)
+	if n := d.openingsIn(dataCentres[0], begun.Add(propagationLimit)); n > 0 {
+		t.Errorf("%d new flows went to the evacuated data centre later than %v after the request", n, propagationLimit)
+	}
+	d.evacuate(dataCentres[0], false)
+	ended := time.Now()
+	d.eventually("new flows go to the data centre again", propagationLimit, func() bool { return d.openingsIn(dataCentres[0], ended) > 0 })
+	tr.finish()
+	for _, m := range tr.movedSessions {
+		t.Error(m)
+	}
+	if tr.balancerResets.Load() > 0 || tr.targetResets.Load() > 0 {
+		t.Error("open flows were reset; the counts are logged above")
+	}
+	d.expectNoViolations()
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -42,6 +42,7 @@
 	*directDeployment
 	random      *rand.Rand
 	silences    *rand.Rand // of the silent connections, apart so that the other faults of a seed stay the same
+	evacuations *rand.Rand // of the evacuations, apart for the same reason
 	wg          sync.WaitGroup
 	hostLocks   [soakHosts]sync.Mutex // held while a signal to the host takes effect
 	targetLocks [soakTargets]sync.Mutex
@@ -50,7 +51,7 @@
 
 // TestSoak guards against violated guarantees under overlapping faults: packets of a service that reach a target of another
 // one, requests that are not idempotent and run twice, sessions that are reset while their target is live, and, after the
-// faults, changes that are not in force in time and requests that fail.
+// faults, changes that are not in force in time, new flows in an evacuated data centre and requests that fail.
 func TestSoak(t *testing.T) {
 	var seeds []uint64
 	if *soakRunRegressions {
@@ -65,7 +66,10 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)), silences: rand.New(rand.NewPCG(seed, 1))}
+	s := &soak{
+		directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)), silences: rand.New(rand.NewPCG(seed, 1)),
+		evacuations: rand.New(rand.NewPCG(seed, 2)),
+	}
 	tr := s.startTraffic(12, 4)
 	tr.recorder = s.recorder
 	for range 2 {
@@ -95,6 +99,7 @@
 		s.degradeTargetLink, s.crashTarget, s.removeTargetRecord, s.changeRoutes,
 	}
 	s.undoAfter(time.Duration(s.silences.Int64N(int64(d))), s.silenceConnections)
+	s.evacuateFor(time.Duration(s.evacuations.Int64N(int64(d))))
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 		faults[s.random.IntN(len(faults))](time.Duration(300+s.random.IntN(2500)) * time.Millisecond)
@@ -240,6 +245,14 @@
 	s.undoAfter(1500*time.Millisecond, func() { s.putTargetRecord(i+1, "ready"); s.targetLocks[i].Unlock() })
 }
 
+// evacuateFor evacuates a data centre, and takes that back after the given time.
+func (s *soak) evacuateFor(d time.Duration) {
+	dataCentre := dataCentres[s.evacuations.IntN(len(dataCentres))]
+	s.logf("data centre %s is evacuated for %v", dataCentre, d)
+	s.evacuate(dataCentre, true)
+	s.undoAfter(d, func() { s.evacuate(dataCentre, false) })
+}
+
 func (s *soak) changeRoutes(time.Duration) {
 	port := uint16(9000 + s.random.IntN(3))
 	s.logf("a route for port %d is published", port)
@@ -253,6 +266,8 @@
 	s.eventually("all hosts are in rotation", 3*time.Second, func() bool { return s.hostsInRotation() == soakHosts })
 	drained, number := time.Now(), 1+s.random.IntN(soakTargets)
 	s.putTargetRecord(number, "draining")
+	evacuated := dataCentres[s.evacuations.IntN(len(dataCentres))]
+	s.evacuate(evacuated, true)
 	s.setPorts(443, 8443, 9443)
 	s.eventually("a new route is served everywhere", propagationLimit, func() bool { return s.hostsServing(9443) == soakHosts })
 	s.setPorts(443, 8443)
@@ -263,6 +278,10 @@
 			s.t.Errorf("a draining target received a new flow %v after its notice, later than propagationLimit", o.At.Sub(drained))
 		}
 	}
+	if n := s.openingsIn(evacuated, drained.Add(propagationLimit)); n > 0 {
+		s.t.Errorf("%d new flows went to evacuated data centre %s, later than propagationLimit", n, evacuated)
+	}
+	s.evacuate(evacuated, false)
 	s.putTargetRecord(number, "ready")
 	c := s.newCaller(220 + s.random.IntN(20))
 	defer c.Close()
