--- a/directory/target.go
+++ b/directory/target.go
@@ -49,6 +49,9 @@
 	Open    uint16 // open flows
 	Suspect bool   // the target does not respond to flows
 	Silent  bool   // nor to data of open flows, to which a target at its limit of flows responds
+	// Answers counts recent answers and Short those that were much shorter than usual, in hundredths, weighted by their age. Both are 0
+	// while no answer was short.
+	Answers, Short uint16
 }
 
 // Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -60,6 +60,15 @@
 	l.log.WithFields(fields).Info("decision")
 }
 
+// logFailing logs that a target is set aside because it fails requests, or gets new flows again.
+func (l *decisionLog) logFailing(c *steer.FailingChange) {
+	fields := logrus.Fields{"event": "target-well", "target": c.Target.Name, "service": c.Target.Service}
+	if c.Failing {
+		fields["event"], fields["answers"], fields["short"] = "target-failing", c.Answers, c.Short
+	}
+	l.log.WithFields(fields).Info("decision about a target that fails requests")
+}
+
 // eventName returns the event name under which a decision is logged, or "" for a packet that follows an earlier decision.
 func eventName(d *steer.Decision) string {
 	switch {
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -183,6 +183,9 @@
 	if failed := t.writer.Flush(); failed > 0 {
 		t.metrics.count(steer.Drop, resultcode.PacketSendFailed, uint64(failed))
 	}
+	for _, change := range t.engine.UpdateFailing(now) {
+		t.decisions.logFailing(&change)
+	}
 	if now-t.loadsCollected >= loadInterval {
 		own := t.engine.Loads(now)
 		t.ownLoads.Store(&own)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -113,24 +113,25 @@
 		s.targets[l.Token] = directory.Load{
 			Token: l.Token, Pending: saturate(sum.Pending, l.Pending), Open: saturate(sum.Open, l.Open),
 			Suspect: sum.Suspect || l.Suspect, Silent: sum.Silent || l.Silent,
+			Answers: saturate(sum.Answers, l.Answers), Short: saturate(sum.Short, l.Short),
 		}
 	}
 }
 
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
-// loads returns the sum for a message. It names at most maxLoads targets, the suspect ones and then the busiest. Targets without
-// pending requests are left out unless they are suspect. serviceOf returns the service of a target, and "" if the target is
+// loads returns the sum for a message. It names at most maxLoads targets, the suspect ones, those with short answers and then the
+// busiest. Targets without any of these are left out. serviceOf returns the service of a target, and "" if the target is
 // unknown.
 func (s *loadSum) loads(serviceOf func(directory.Token) string) directory.Loads {
 	named := make([]directory.Load, 0, len(s.targets))
 	for _, l := range s.targets {
-		if l.Pending > 0 || l.Suspect {
+		if l.Pending > 0 || l.Suspect || l.Short > 0 {
 			named = append(named, l)
 		}
 	}
 	slices.SortFunc(named, func(a, b directory.Load) int {
-		return cmp.Or(compareSuspect(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+		return cmp.Or(compareSuspect(a, b), cmp.Compare(b.Short, a.Short), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
 	})
 	for _, l := range named[min(len(named), maxLoads):] {
 		if service := serviceOf(l.Token); service != "" {
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/directory"
@@ -31,6 +32,8 @@
 	missCounted   bool          // the wait was counted as a miss of the target
 	sentEnd       uint32        // sequence number after the last byte of the caller
 	lastAck       uint32        // last acknowledgement of the caller
+	answerStart   uint32        // lastAck when the last request arrived
+	hasRequest    bool          // answerStart is known
 	waitStart     time.Duration // when the flow or its last request began to wait
 	lastPacket    time.Duration // time of the last packet
 }
@@ -44,20 +47,26 @@
 
 // Engine decides what is done with packets. It is not safe for concurrent use.
 type Engine struct {
-	flows        map[FlowKey]flowState
-	expiryOrder  []FlowKey // flows in the order in which they are checked for expiry
-	waits        []wait    // approximately in the order of their start, for expiry
-	loads        map[string]*load
-	demands      map[string]*demand // by service
-	view         *View
-	lastDecision time.Duration // time of the last decision
+	flows       map[FlowKey]flowState
+	expiryOrder []FlowKey // flows in the order in which they are checked for expiry
+	waits       []wait    // approximately in the order of their start, for expiry
+	loads       map[string]*load
+	demands     map[string]*demand // by service
+	answerSizes map[directory.Endpoint]*answerSizes
+	// lastFailingUpdate is when it was last decided which targets fail.
+	lastFailingUpdate time.Duration
+	view              *View
+	lastDecision      time.Duration // time of the last decision
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
 func NewEngine() *Engine {
-	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}}
+	return &Engine{
+		flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{},
+		answerSizes: map[directory.Endpoint]*answerSizes{},
+	}
 }
 
 // SetView makes a view the current one. Targets that did not restart keep their observed load.
@@ -82,6 +91,7 @@
 			delete(e.loads, name)
 		}
 	}
+	maps.DeleteFunc(e.answerSizes, func(endpoint directory.Endpoint, _ *answerSizes) bool { return v.routes[endpoint] == nil })
 }
 
 // SetFenced sets whether opening packets are dropped. They are of no use after a long pause of the process: their
--- a/steer/load.go
+++ b/steer/load.go
@@ -39,6 +39,8 @@
 	lastDataMiss time.Duration  // time at which data of an open flow was last found unanswered
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
+	answers      answers        // recent answers on flows of this balancer
+	failingSince time.Duration  // when the target was last found to fail requests, 0 if it is not set aside
 	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
 }
 
@@ -134,7 +136,8 @@
 			Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.suspectUntil,
 			Silent: t.load.isSilent(now),
 		}
-		if l.Pending > 0 || l.Open > 0 || l.Suspect {
+		l.Answers, l.Short = t.load.answers.reported(now)
+		if l.Pending > 0 || l.Open > 0 || l.Suspect || l.Short > 0 {
 			loads = append(loads, l)
 		}
 	}
@@ -198,6 +201,9 @@
 	case p.Reset || p.Finish:
 		if found && f.token == p.Token { // otherwise the caller uses the port for another flow by now
 			f.handleAck(p, t, now)
+			if !p.Reset {
+				e.recordAnswerSize(p, &f, t, now)
+			}
 			e.flows[key] = f
 			e.removeFlow(key)
 		}
@@ -221,6 +227,10 @@
 	f.handleAck(p, t, now)
 	wasWaiting := f.waiting
 	d.Suspected = f.handleData(p, t, now)
+	if f.waiting && !wasWaiting {
+		e.recordAnswerSize(p, &f, t, now)
+		f.answerStart, f.hasRequest = f.lastAck, true
+	}
 	if f.waiting && !wasWaiting {
 		e.addWait(key, now, now)
 	}
@@ -237,6 +247,19 @@
 	}
 }
 
+// recordAnswerSize counts the answer to the last request of a flow, of which the caller has acknowledged the last byte.
+func (e *Engine) recordAnswerSize(p *Packet, f *flowState, t *Target, now time.Duration) {
+	if !f.hasRequest || f.lastAck == f.answerStart {
+		return
+	}
+	sizes := e.answerSizes[p.Endpoint]
+	if sizes == nil {
+		sizes = &answerSizes{}
+		e.answerSizes[p.Endpoint] = sizes
+	}
+	t.load.answers.record(sizes.record(f.lastAck-f.answerStart), now)
+}
+
 // handleAck processes the caller's acknowledgement. If it covers new data, the target has answered.
 func (f *flowState) handleAck(p *Packet, t *Target, now time.Duration) {
 	if !f.opened || !p.Acknowledges || int32(p.Acknowledgement-f.lastAck) <= 0 {
--- a/steer/place.go
+++ b/steer/place.go
@@ -39,7 +39,10 @@
 		return nil
 	}
 	for _, usable := range [...]func(*Target) bool{
-		func(t *Target) bool { return t != tried && !t.load.recentMiss(now) && !t.load.isSuspect(now) },
+		func(t *Target) bool {
+			return t != tried && !t.load.recentMiss(now) && !t.load.isSuspect(now) && !t.isFailing(r, now)
+		},
+		func(t *Target) bool { return t != tried && !t.load.isSuspect(now) && !t.isFailing(r, now) },
 		func(t *Target) bool { return t != tried && !t.load.isSuspect(now) },
 		func(t *Target) bool { return !t.load.isSuspect(now) },
 		func(*Target) bool { return true },
