--- a/directory/target.go
+++ b/directory/target.go
@@ -49,9 +49,12 @@
 	Open    uint16 // open flows
 	Suspect bool   // the target does not respond to flows
 	Silent  bool   // nor to data of open flows, to which a target at its limit of flows responds
-	// Answers counts recent answers and Short those that were much shorter than usual, in hundredths, weighted by their age. Both are 0
-	// while no answer was short.
-	Answers, Short uint16
+	// Answers counts recent answers. ExcessShort counts those that were much shorter than usual beyond the share of such answers in the
+	// service, and ShortVariance is its variance if the target were like the others. All are in hundredths, weighted by their age, and 0
+	// while the service gives no short answers.
+	Answers       uint16
+	ExcessShort   int16
+	ShortVariance uint16
 }
 
 // Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -64,7 +64,7 @@
 func (l *decisionLog) logFailing(c *steer.FailingChange) {
 	fields := logrus.Fields{"event": "target-well", "target": c.Target.Name, "service": c.Target.Service}
 	if c.Failing {
-		fields["event"], fields["answers"], fields["short"] = "target-failing", c.Answers, c.Short
+		fields["event"], fields["answers"], fields["excess_short"] = "target-failing", c.Answers, c.ExcessShort
 	}
 	l.log.WithFields(fields).Info("decision about a target that fails requests")
 }
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -113,11 +113,16 @@
 		s.targets[l.Token] = directory.Load{
 			Token: l.Token, Pending: saturate(sum.Pending, l.Pending), Open: saturate(sum.Open, l.Open),
 			Suspect: sum.Suspect || l.Suspect, Silent: sum.Silent || l.Silent,
-			Answers: saturate(sum.Answers, l.Answers), Short: saturate(sum.Short, l.Short),
+			Answers: saturate(sum.Answers, l.Answers), ExcessShort: saturateSigned(sum.ExcessShort, l.ExcessShort),
+			ShortVariance: saturate(sum.ShortVariance, l.ShortVariance),
 		}
 	}
 }
 
+func saturateSigned(a, b int16) int16 {
+	return int16(min(max(int32(a)+int32(b), math.MinInt16), math.MaxInt16))
+}
+
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
 // loads returns the sum for a message. It names at most maxLoads targets, the suspect ones, those with short answers and then the
@@ -126,12 +131,12 @@
 func (s *loadSum) loads(serviceOf func(directory.Token) string) directory.Loads {
 	named := make([]directory.Load, 0, len(s.targets))
 	for _, l := range s.targets {
-		if l.Pending > 0 || l.Suspect || l.Short > 0 {
+		if l.Pending > 0 || l.Suspect || l.Answers > 0 {
 			named = append(named, l)
 		}
 	}
 	slices.SortFunc(named, func(a, b directory.Load) int {
-		return cmp.Or(compareSuspect(a, b), cmp.Compare(b.Short, a.Short), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+		return cmp.Or(compareSuspect(a, b), compareFailing(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
 	})
 	for _, l := range named[min(len(named), maxLoads):] {
 		if service := serviceOf(l.Token); service != "" {
@@ -141,6 +146,11 @@
 	return directory.Loads{Targets: named[:min(len(named), maxLoads)], Rest: s.restList()}
 }
 
+// compareFailing orders targets with more short answers than their service lets expect before others.
+func compareFailing(a, b directory.Load) int {
+	return cmp.Compare(max(b.ExcessShort, 0), max(a.ExcessShort, 0))
+}
+
 // compareSuspect orders suspect targets before others.
 func compareSuspect(a, b directory.Load) int {
 	switch {
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -47,6 +47,7 @@
 	lastHalved  time.Duration // when the flows of routes last lost half of their weight
 	lastAnswer  time.Duration // of any target of the service, 0 for none
 	lastProbe   time.Duration // when a new flow was last placed although all targets seem to be full
+	answers     answers       // recent answers on flows of this balancer
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
--- a/steer/answersize.go
+++ b/steer/answersize.go
@@ -1,47 +1,48 @@
 package steer
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
-	// minSizedAnswers is the number of answers from which the usual size of a route's answers is known.
-	minSizedAnswers = 20
-	// sizeWeight is the weight of one answer in the moving averages of a route's sizes.
-	sizeWeight = 1.0 / 64
-	// shortDeviations and shortRatio tell a short answer from a small one: its logarithm is this many standard deviations below the mean,
-	// and its size at most this share of the usual one. Sizes of one route vary by a factor of 100 on some sites, and not at all on others.
-	shortDeviations = 4.0
-	shortRatio      = 0.5
-	// maxShortShare is the share of short answers of a route above which its usual size is learned anew: the answers themselves have changed.
-	maxShortShare = 0.5
+	// sizeSample is the number of the newest answers of a route from which its usual size is computed, and sizeUpdate the number of
+	// answers after which it is computed again.
+	sizeSample = 64
+	sizeUpdate = 16
+	// minSizeSample is the number of answers from which the usual size is known.
+	minSizeSample = 32
+	// shortSpreads and shortRatio tell a short answer from a small one: the logarithm of its size is below the median by this many times
+	// the distance between the median and the lower quartile, and its size is below this share of the median. Sizes of one route vary by
+	// a factor of 100 on some sites, and not at all on others.
+	shortSpreads = 5.0
+	shortRatio   = 0.5
 )
 
-// answerSizes is the distribution of the sizes of a route's answers, on a logarithmic scale.
+// answerSizes holds the sizes of a route's newest answers. Median and quartile are used because the sample may hold answers of targets
+// that fail, up to a quarter of it.
 type answerSizes struct {
-	answers        int
-	mean, variance float64 // of the natural logarithm of the size in bytes
-	shortShare     float64 // averaged share of short answers
+	sample [sizeSample]float32 // natural logarithms of sizes in bytes
+	count  int                 // of all answers so far
+	limit  float32             // below it an answer is short; 0 while the sample is too small
 }
 
-// record adds an answer and reports whether it is much shorter than the usual ones of the route. An error message is, while the
-// balancer cannot read what an answer says.
+// record adds an answer and reports whether it is much shorter than the usual ones of the route. An error message is; what an answer
+// says cannot be read.
 func (s *answerSizes) record(bytes uint32) (short bool) {
-	size := math.Log(float64(max(bytes, 1)))
-	if s.answers >= minSizedAnswers && size < s.limit() {
-		if s.shortShare += sizeWeight * (1 - s.shortShare); s.shortShare > maxShortShare {
-			*s = answerSizes{}
-		}
-		return true
+	size := float32(math.Log(float64(max(bytes, 1))))
+	s.sample[s.count%sizeSample] = size
+	s.count++
+	if s.count%sizeUpdate == 0 && s.count >= minSizeSample {
+		s.updateLimit()
 	}
-	s.shortShare -= sizeWeight * s.shortShare
-	s.answers++
-	weight := max(sizeWeight, 1/float64(s.answers))
-	deviation := size - s.mean
-	s.mean += weight * deviation
-	s.variance = (1 - weight) * (s.variance + weight*deviation*deviation)
-	return false
+	return size < s.limit
 }
 
-// limit returns the logarithm of the size below which an answer is short.
-func (s *answerSizes) limit() float64 {
-	return s.mean + min(-shortDeviations*math.Sqrt(s.variance), math.Log(shortRatio))
+func (s *answerSizes) updateLimit() {
+	sample := s.sample
+	sorted := sample[:min(s.count, sizeSample)]
+	slices.Sort(sorted)
+	median, quartile := sorted[len(sorted)/2], sorted[len(sorted)/4]
+	s.limit = median + min(shortSpreads*(quartile-median), float32(math.Log(shortRatio)))
 }
--- a/steer/load.go
+++ b/steer/load.go
@@ -136,8 +136,9 @@
 			Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.suspectUntil,
 			Silent: t.load.isSilent(now),
 		}
-		l.Answers, l.Short = t.load.answers.reported(now)
-		if l.Pending > 0 || l.Open > 0 || l.Suspect || l.Short > 0 {
+		evidence := t.ownEvidence(now)
+		evidence.addTo(&l)
+		if l.Pending > 0 || l.Open > 0 || l.Suspect || l.Answers > 0 {
 			loads = append(loads, l)
 		}
 	}
@@ -257,7 +258,10 @@
 		sizes = &answerSizes{}
 		e.answerSizes[p.Endpoint] = sizes
 	}
-	t.load.answers.record(sizes.record(f.lastAck-f.answerStart), now)
+	short := sizes.record(f.lastAck - f.answerStart)
+	t.load.answers.record(short, now)
+	t.load.answers.limitTo(maxOwnAnswers)
+	t.demand.answers.record(short, now)
 }
 
 // handleAck processes the caller's acknowledgement. If it covers new data, the target has answered.
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -71,7 +71,8 @@
 			sum := sums[l.Token]
 			sums[l.Token] = directory.Load{
 				Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect,
-				Silent: sum.Silent || l.Silent,
+				Silent: sum.Silent || l.Silent, Answers: sum.Answers + l.Answers,
+				ExcessShort: sum.ExcessShort + l.ExcessShort, ShortVariance: sum.ShortVariance + l.ShortVariance,
 			}
 		}
 	}
