--- a/steer/failing.go
+++ b/steer/failing.go
@@ -25,7 +25,7 @@
 	// minServiceShort is the share below which short answers of a service count as chance.
 	minServiceShort = 0.01
 	// failingDeviations is by how many standard deviations the short answers of a failing target exceed what its service lets expect.
-	failingDeviations = 4.0
+	failingDeviations = 5.0
 	// maxFailingTargets is the largest part of a service's targets that is set aside, in each data centre and in all. When more answer
 	// in the same way, the cause is not the targets, and the others could not do their work.
 	maxFailingTargets = 1.0 / 3
--- a/steer/load.go
+++ b/steer/load.go
@@ -258,7 +258,10 @@
 		sizes = &answerSizes{}
 		e.answerSizes[p.Endpoint] = sizes
 	}
-	short := sizes.record(f.lastAck - f.answerStart)
+	short, known := sizes.record(f.lastAck - f.answerStart)
+	if !known {
+		return
+	}
 	t.load.answers.record(short, now)
 	t.load.answers.limitTo(maxOwnAnswers)
 	t.demand.answers.record(short, now)
