Decode the limits of cold targets from the configuration and the settings

The operator's configuration says for each service how long a target is slow after its start and how many requests per second it can handle meanwhile. The settings cold.overshoot and cold.slack state what a cold target may receive; the template leaves them out where the platform does not state them.

TestSettingsTemplate, and the review's copy of the platform, fill in sections.

--- a/directory/target.go
+++ b/directory/target.go
@@ -89,6 +89,15 @@
 	Objective  time.Duration // latency objective
 }
 
+// Service is the operator's configuration of a service.
+type Service struct {
+	Name string
+	// ColdStart is how long a target is slow after its start, or after a time without work.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests that a target can handle per second while it is cold; 0 if there is no limit.
+	ColdPerSecond float64
+}
+
 // WeightedService is a service with its share of a route's new flows.
 type WeightedService struct {
 	Name   string
@@ -114,7 +123,7 @@
 	Version     uint64
 	Revision    uint64 // of its record in the store
 	Routes      []Route
-	Services    []string
+	Services    []Service
 	IdleTimeout time.Duration // after which an idle flow may be discarded
 }
 
--- a/directory/validate.go
+++ b/directory/validate.go
@@ -19,9 +19,15 @@
 const (
 	maxNameBytes = 200            // of a target, a service or a data centre
 	maxCapacity  = math.MaxUint16 // loads are counted up to this number
-	maxColdFor   = 24 * time.Hour
+	maxColdFor   = MaxColdStart
 )
 
+// MaxColdStart is the maximum time for which a target is slow after its start.
+const MaxColdStart = 24 * time.Hour
+
+// MaxColdPerSecond is the maximum of Service.ColdPerSecond.
+const MaxColdPerSecond = 1e6
+
 // MaxWeight is the maximum weight of a service on a route. The weights of all services of a route are added up.
 const MaxWeight = math.MaxInt32
 
@@ -71,6 +77,11 @@
 	if c.Version == 0 || c.Revision == 0 {
 		return Error.New("version %d or revision %d is 0", c.Version, c.Revision)
 	}
+	for i := range c.Services {
+		if err := c.Services[i].validate(); err != nil {
+			return err
+		}
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if len(r.Services) == 0 {
@@ -85,6 +96,13 @@
 	return nil
 }
 
+func (s *Service) validate() error {
+	if s.ColdStart < 0 || s.ColdStart > maxColdFor || !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= MaxColdPerSecond) {
+		return Error.New("cold start %v or requests while cold %v of service %.40q are out of range", s.ColdStart, s.ColdPerSecond, s.Name)
+	}
+	return nil
+}
+
 // RejectUnusable replaces the changes that cannot be used by unusable records, leaves out those without a valid name, unusable
 // evacuations and an unusable configuration, and returns a *resultcode.Error for each. The other changes of the batch are not affected.
 func (b *Batch) RejectUnusable() []error {
--- a/internal/direct/reload.go
+++ b/internal/direct/reload.go
@@ -85,7 +85,8 @@
 // reload applies the settings that may change at run time: seeds, shutdown and log level. Others take effect after a restart.
 func (c *Control) reload(s *settings.Direct) {
 	c.fleet.SetSeeds(s.Peers.Seeds)
-	restart := s.Host != c.settings.Host || s.Listen != c.settings.Listen || s.Platform != c.settings.Platform
+	restart := s.Host != c.settings.Host || s.Listen != c.settings.Listen || s.Platform != c.settings.Platform ||
+		s.Cold != c.settings.Cold
 	c.settings.Shutdown = s.Shutdown
 	if level, err := logrus.ParseLevel(s.Log.Level); err == nil { // cannot fail: the settings are valid
 		c.log.Logger.SetLevel(level)
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -13,6 +13,7 @@
 	Peers    DirectPeers    `yaml:"peers"`
 	Platform DirectPlatform `yaml:"platform"`
 	Shutdown DirectShutdown `yaml:"shutdown"`
+	Cold     DirectCold     `yaml:"cold"`
 	Log      Log            `yaml:"log"`
 }
 
@@ -58,6 +59,13 @@
 	Grace time.Duration `yaml:"grace" validate:"min=1s,max=10m" default:"6s" doc:"time between the request to stop and the end of the process by force"`
 }
 
+// DirectCold limits the opening packets to a target that is still slow after its start, in services whose configuration says how many
+// requests per second such a target can handle. All hosts of a deployment need the same values.
+type DirectCold struct {
+	Overshoot float64 `yaml:"overshoot" validate:"min=0,max=1000" default:"1.5" doc:"opening packets that a cold target may receive in any second, as a multiple of what it can handle"`
+	Slack     float64 `yaml:"slack" validate:"min=0,max=1000000" default:"5" doc:"opening packets that a cold target may receive in any second in addition"`
+}
+
 // LoadDirect reads, decodes and validates the settings file at path, and applies defaults. The error is a *resultcode.Error.
 func LoadDirect(path string) (*Direct, error) {
 	data, err := readFile(path)
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -88,6 +88,8 @@
 		"route without a service":    func(c *directory.Configuration) { c.Routes[0].Services = nil },
 		"service without a weight":   func(c *directory.Configuration) { c.Routes[0].Services[0].Weight = -1 },
 		"service with a huge weight": func(c *directory.Configuration) { c.Routes[0].Services[0].Weight = math.MaxInt },
+		"service that is never warm": func(c *directory.Configuration) { c.Services = []directory.Service{{ColdStart: math.MaxInt64}} },
+		"cold limit of no number":    func(c *directory.Configuration) { c.Services = []directory.Service{{ColdPerSecond: math.NaN()}} },
 		"configuration, no revision": func(c *directory.Configuration) { c.Revision = 0 },
 	} {
 		r := validReply()
--- a/review/trial/host.go
+++ b/review/trial/host.go
@@ -44,6 +44,9 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
 
+// section is a part of the template that is left out if its value is missing.
+var section = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+
 // settings fills in the project's template of settings as the platform does.
 func (h *host) settings(template string, seeds []string) string {
 	fields := map[string]any{
@@ -52,6 +55,13 @@
 		"listen_addresses.control_plane": h.peer().String(), "platform.address": h.storeAddr().String(),
 		"forwarding_mode": "echo", "bounds.grace_period_s": 6,
 	}
+	template = section.ReplaceAllStringFunc(template, func(s string) string {
+		m := section.FindStringSubmatch(s)
+		if _, found := fields[m[1]]; !found {
+			return ""
+		}
+		return m[2]
+	})
 	return placeholder.ReplaceAllStringFunc(template, func(s string) string {
 		m := placeholder.FindStringSubmatch(s)
 		v, found := fields[m[1]]
