Limit opening packets to targets that are cold

Targets that return from an evacuation, or have just started, can handle only cold_per_s requests per second, and got new flows as others do. While a target is cold only hosts of its data centre open flows at it, each with a permit that the host issues to itself: regularly, with a random phase, and so rarely that the sum over all hosts stays within cold_per_s x overshoot + slack in any second except with the probability of five standard deviations (steer/cold.go). relay/coldshare.go decides how many hosts share that. When only cold targets without a permit are left, a first opening packet is refused (refused-cold) and a copy is dropped, because an earlier one may have reached a target.

TestColdTargetsOverAllHosts, 22 hosts: at most 13 of 20 allowed in a second, mean 7.3 per second at a target that can handle 10 (119 hosts: 12 and 4.3). Without the permits 23 with 4 hosts. Trials that each took out one rule: 10 of 11 in steer and 5 of 5 in relay failed a test; that the phase advances before the interval changes is not covered.

--- a/resultcode/codes.go
+++ b/resultcode/codes.go
@@ -110,6 +110,7 @@
 	TargetGone
 	TargetSuspect
 	TargetLost
+	RefusedCold
 )
 
 var admissionCodes = []Info{
@@ -126,6 +127,7 @@
 	{TargetGone, "target-gone", "the target of an open flow has ended, and the flow is reset", "expected after a target ended without closing its flows"},
 	{TargetLost, "target-lost", "a target does not answer flows of several balancers, and a request on an open flow to it is reset", "check whether the target has stopped; if it is running, check the network between the balancers and the target"},
 	{TargetSuspect, "target-suspect", "a target does not answer several flows and gets no new ones for a short time", "check the target if it stays suspect"},
+	{RefusedCold, "refused-cold", "not run: the targets of the service that are left are cold, and may get no further flow now", "add targets, or wait until they are warm"},
 }
 
 // Codes of peer and platform traffic, 500 to 599.
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -33,7 +33,7 @@
 func (e *Engine) overloaded(r *directory.Route, t *Target, key FlowKey, now time.Duration) bool {
 	d := t.demand
 	d.recordFlow(r, now)
-	d.update(e.view.pools[t.Service], now)
+	d.update(e.view.placeable(t.Service, now, nil), now)
 	return !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, key.hash())
 }
 
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -53,6 +53,7 @@
 	lastDecision time.Duration // time of the last decision
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
+	cold   *ColdLimits // nil if opening packets to cold targets are not limited
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
@@ -63,6 +64,9 @@
 // SetView makes a view the current one. Targets that did not restart keep their observed load.
 func (e *Engine) SetView(v *View) {
 	e.view = v
+	if e.cold != nil {
+		e.cold.attach(v)
+	}
 	present := make(map[string]bool, len(v.tokens))
 	for _, t := range v.tokens {
 		present[t.Name] = true
@@ -88,6 +92,17 @@
 // callers have given up or sent copies elsewhere. Packets of open flows are forwarded all the same.
 func (e *Engine) SetFenced(fenced bool) { e.fenced = fenced }
 
+// LimitCold limits the opening packets to cold targets. The engine owns the limits from now on.
+func (e *Engine) LimitCold(limits *ColdLimits) { e.cold = limits }
+
+// SetColdHosts sets the number of hosts of this data centre that share the limits for cold targets, or 0 if this host may send them no
+// opening packets.
+func (e *Engine) SetColdHosts(hosts int, now time.Duration) {
+	if e.cold != nil {
+		e.cold.SetHosts(hosts, now)
+	}
+}
+
 // View returns the current view, or nil.
 func (e *Engine) View() *View { return e.view }
 
@@ -180,6 +195,8 @@
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
 	switch {
+	case t == nil && e.view.hasLimited(chooseService(route, key.hash()), now):
+		return withoutPermit(p, suspected)
 	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
 	case p.Acknowledgement > 0: // a copy: another balancer may have sent the first one to a target
@@ -188,6 +205,9 @@
 	case e.isFull(route, t, now):
 		return Decision{Action: Refuse, Code: resultcode.RefusedConnections, Suspected: suspected}
 	}
+	if t != earlier {
+		t.usePermit()
+	}
 	if e.addFlow(key, flowState{token: t.Token, waiting: true, missCounted: t == earlier, waitStart: now, lastPacket: now}) {
 		e.addWait(key, now, now)
 		t.load.pending++
--- a/steer/full.go
+++ b/steer/full.go
@@ -23,7 +23,7 @@
 	if !t.load.opensNoFlows(now) || d.lastAnswer == 0 || now-d.lastAnswer >= runningFor || !d.isSignificant(r) {
 		return false
 	}
-	p := e.view.pools[t.Service]
+	p := e.view.placeable(t.Service, now, nil)
 	for _, targets := range [...][]*Target{p.local, p.remote} {
 		for _, other := range targets {
 			if !other.load.opensNoFlows(now) {
--- a/steer/place.go
+++ b/steer/place.go
@@ -34,7 +34,7 @@
 // are no others: a wrong suspicion must not leave a service without targets.
 func (v *View) pick(r *directory.Route, key FlowKey, now time.Duration, tried *Target) *Target {
 	hash := key.hash()
-	p := v.pools[chooseService(r, hash)]
+	p := v.placeable(chooseService(r, hash), now, tried)
 	if p == nil {
 		return nil
 	}
--- a/steer/view.go
+++ b/steer/view.go
@@ -15,10 +15,15 @@
 	Token     directory.Token
 	seed      uint64
 	evacuated bool // its data centre is evacuated: it keeps its flows and gets no new ones
+	// limitedUntil is until when an opening packet needs a permit, because the target is cold; 0 if it never does.
+	limitedUntil  time.Duration
+	coldPerSecond float64 // requests that it can handle per second while it is limited
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
 	demand *demand // of the service
+	// permits are owned by the engine too; nil if the target is not limited or is in another data centre.
+	permits *permits
 }
 
 // View is the immutable set of routes and targets by which packets are decided.
@@ -28,6 +33,11 @@
 	tokens   map[directory.Token]*Target
 	pools    map[string]*pool
 	snapshot *directory.Snapshot
+
+	dataCentre   string                        // of the balancer
+	coldServices map[string]*directory.Service // services with a limit for cold targets; nil if there are none
+	limited      []*Target                     // targets that are limited when the snapshot was taken
+	cold         *ColdLimits                   // set by the engine; nil if no target is limited
 }
 
 // pool holds the targets of a service that may get new flows.
@@ -36,6 +46,8 @@
 	remote []*Target
 	// lapsed holds targets whose records disappeared while the store had trouble.
 	lapsed []*Target
+	// limitedUntil is until when some of the targets are limited, 0 if none are.
+	limitedUntil time.Duration
 }
 
 // minReadyShare is the share of a service's targets in a data centre below which lapsed targets get new flows too. When
@@ -46,7 +58,7 @@
 func NewView(s *directory.Snapshot, dataCentre string) *View {
 	v := &View{
 		routes: map[directory.Endpoint]*directory.Route{}, tokens: make(map[directory.Token]*Target, len(s.Targets)),
-		pools: map[string]*pool{}, snapshot: s,
+		pools: map[string]*pool{}, snapshot: s, dataCentre: dataCentre,
 	}
 	if s.Configuration != nil {
 		v.Version = s.Configuration.Version
@@ -54,6 +66,7 @@
 			r := &s.Configuration.Routes[i]
 			v.routes[r.Endpoint] = r
 		}
+		v.addColdServices(s.Configuration)
 	}
 	for i := range s.Targets {
 		v.add(&s.Targets[i], dataCentre)
@@ -77,11 +90,13 @@
 		v.removeFromPool(other)
 	}
 	v.tokens[t.Token] = t
+	v.limit(t)
 	p := v.pools[t.Service]
 	if p == nil {
 		p = &pool{}
 		v.pools[t.Service] = p
 	}
+	p.limitedUntil = max(p.limitedUntil, t.limitedUntil)
 	switch {
 	case t.Presence == directory.Lapsed && !t.evacuated:
 		p.lapsed = append(p.lapsed, t)
