Show evacuated data centres and limited targets to operators

Evacuations were seen in the log alone, and limits of cold targets nowhere. status tells which data centres are evacuated, for how long and on how many of the hosts that answer, and which targets are limited. Targets of evacuated data centres no longer count as eligible in status. The control goroutine passes the number of hosts on to the traffic goroutine.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/marigoldwood/marigoldwood/internal/status"
@@ -55,6 +56,7 @@
 			s.Flows.Copies, formatAge(s.Bundle.PlatformAgeMS), notes(s))
 	}
 	fmt.Fprintln(w)
+	writeEvacuations(w, all)
 	writeTargets(w, all)
 	return w.Flush()
 }
@@ -85,6 +87,26 @@
 	return text
 }
 
+// writeEvacuations writes a table of the evacuated data centres, if there are any, with the hosts that know of them among those that
+// answered.
+func writeEvacuations(w io.Writer, all []status.Status) {
+	hosts, ages := map[string]int{}, map[string]int64{}
+	for i := range all {
+		for _, e := range all[i].Evacuations {
+			hosts[e.DataCentre]++
+			ages[e.DataCentre] = max(ages[e.DataCentre], e.AgeMS)
+		}
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "EVACUATED DATA CENTRE\tIN FORCE FOR\tIN FORCE ON")
+	for _, name := range slices.Sorted(maps.Keys(hosts)) {
+		fmt.Fprintf(w, "%s\t%s\t%d of %d hosts\n", name, formatAge(ages[name]), hosts[name], len(all))
+	}
+	fmt.Fprintln(w)
+}
+
 // targetRow aggregates the states of one target that the hosts report.
 type targetRow struct {
 	states     map[string]int // number of hosts by reported state
@@ -92,6 +114,9 @@
 	flows      int64
 	reported   float64 // highest reported load
 	distrusted bool
+	evacuated  int   // hosts for which its data centre is evacuated
+	limited    int   // hosts for which it is limited because it is cold
+	limitedMS  int64 // longest remaining time of these limits
 }
 
 // writeTargets writes a table of the targets of all services, aggregated over the hosts of a data centre.
@@ -112,12 +137,23 @@
 	fmt.Fprintln(w, "SERVICE\tDATA CENTRE\tTARGET\tSTATE (HOSTS)\tELIGIBLE ON\tFLOWS\tREPORTED LOAD\tNOTES")
 	for _, k := range keys {
 		r := rows[k]
-		note := ""
-		if r.distrusted {
-			note = "its reports are distrusted"
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%s\n", k[0], k[1], k[2], r.formatStates(), r.eligible, r.flows, r.reported, note)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%s\n", k[0], k[1], k[2], r.formatStates(), r.eligible, r.flows, r.reported, r.notes())
+	}
+}
+
+// notes returns what an operator should know about the target.
+func (r *targetRow) notes() string {
+	var notes []string
+	if r.distrusted {
+		notes = append(notes, "its reports are distrusted")
 	}
+	if r.evacuated > 0 {
+		notes = append(notes, fmt.Sprintf("evacuated on %d hosts", r.evacuated))
+	}
+	if r.limited > 0 {
+		notes = append(notes, fmt.Sprintf("cold, limited on %d hosts for %s", r.limited, formatAge(r.limitedMS)))
+	}
+	return strings.Join(notes, "; ")
 }
 
 func (r *targetRow) add(t status.Target) {
@@ -125,6 +161,13 @@
 	r.flows += t.Flows
 	r.reported = max(r.reported, t.Reported)
 	r.distrusted = r.distrusted || t.Distrusted
+	if t.Evacuated {
+		r.evacuated++
+	}
+	if t.LimitedMS > 0 {
+		r.limited++
+		r.limitedMS = max(r.limitedMS, t.LimitedMS)
+	}
 	if t.Eligible {
 		r.eligible++
 	}
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -51,6 +51,7 @@
 	follower      *directory.Follower
 	fleet         *relay.Fleet
 	queueWatch    *steer.QueueWatch
+	coldShare     relay.ColdShare
 	lifecycle     *chart.Chart
 	storeReader   *storeReader
 	exchange      *Exchange
@@ -70,6 +71,7 @@
 	lastReport       time.Duration           // when reports were last due
 	leaveStarted     time.Duration
 	lastPrune        time.Duration
+	limited          map[limitedGroup]limitedTargets
 	nextPublish      time.Duration // when the view changes without new records, 0 if never
 }
 
@@ -257,6 +259,7 @@
 	}
 	snapshot := c.directory.Snapshot(now)
 	c.nextPublish = snapshot.NextChange
+	c.metrics.evacuations.Store(int64(activeEvacuations(snapshot)))
 	view := steer.NewView(snapshot, c.settings.Host.DataCentre)
 	c.fleet.SetServices(view.ServiceOf)
 	c.traffic.SetView(view)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -28,10 +28,13 @@
 	flows        atomic.Int64
 	version      atomic.Uint64
 	storeAge     atomic.Int64 // ms
-	queues       atomic.Pointer[[]steer.Queue]
-	batchTimes   metric.Float64Histogram
-	readTimes    metric.Float64Histogram
-	openTimes    metric.Float64Histogram
+	evacuations  atomic.Int64 // evacuated data centres that have targets
+	// limitedTargets is the number of targets to which opening packets are limited.
+	limitedTargets atomic.Int64
+	queues         atomic.Pointer[[]steer.Queue]
+	batchTimes     metric.Float64Histogram
+	readTimes      metric.Float64Histogram
+	openTimes      metric.Float64Histogram
 }
 
 // countedDecisions lists the decisions that have a counter of their own.
@@ -41,6 +44,8 @@
 	{steer.Refuse, resultcode.RefusedNoTarget},
 	{steer.Refuse, resultcode.RefusedNoSlot},
 	{steer.Refuse, resultcode.RefusedConnections},
+	{steer.Refuse, resultcode.RefusedCold},
+	{steer.Drop, resultcode.RefusedCold},
 	{steer.Break, resultcode.TargetGone},
 	{steer.Break, resultcode.TargetLost},
 	{steer.Drop, resultcode.TargetGone},
@@ -97,6 +102,8 @@
 	gauges := map[telemetry.Instrument]func() int64{
 		telemetry.DirectFlows:                m.flows.Load,
 		telemetry.DirectPlatformAge:          m.storeAge.Load,
+		telemetry.DirectEvacuations:          m.evacuations.Load,
+		telemetry.DirectLimitedTargets:       m.limitedTargets.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
--- a/internal/direct/providers.go
+++ b/internal/direct/providers.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldwood/marigoldwood/internal/settings"
 	"github.com/marigoldwood/marigoldwood/platform"
 	"github.com/marigoldwood/marigoldwood/resultcode"
+	"github.com/marigoldwood/marigoldwood/steer"
 	"github.com/marigoldwood/marigoldwood/timeline"
 )
 
@@ -22,7 +23,12 @@
 }
 
 func provideTraffic(s *settings.Direct, clock Clock, log *logrus.Entry, m *metrics) (*Traffic, error) {
-	return NewTraffic(s.Listen.Packets, clock, log, m)
+	t, err := NewTraffic(s.Listen.Packets, clock, log, m)
+	if err != nil {
+		return nil, err
+	}
+	t.engine.LimitCold(steer.NewColdLimits(s.Cold.Overshoot, s.Cold.Slack, provideRandom(s)))
+	return t, nil
 }
 
 func provideStore(s *settings.Direct, log *logrus.Entry) *platform.Store {
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -66,7 +66,9 @@
 	for _, m := range c.fleet.Members(now) {
 		s.Members = append(s.Members, status.Member{Name: m.Host.Name, DataCentre: m.Host.DataCentre, State: memberState(m.State.Leaving)})
 	}
-	s.Services = serviceStatus(c.directory.Snapshot(now), c.traffic.Loads())
+	snapshot := c.directory.Snapshot(now)
+	s.Evacuations = evacuationStatus(snapshot)
+	s.Services = serviceStatus(snapshot, c.traffic.Loads(), c.limitedUntil(now))
 	return s
 }
 
@@ -77,8 +79,19 @@
 	return stateServing
 }
 
-// serviceStatus returns the targets by service, with the flows of this balancer to them.
-func serviceStatus(s *directory.Snapshot, loads []directory.Load) []status.Service {
+// limitedUntil returns until when opening packets to each limited target are limited, by its token.
+func (c *Control) limitedUntil(now time.Duration) map[directory.Token]time.Duration {
+	until := map[directory.Token]time.Duration{}
+	if view := c.traffic.View(); view != nil {
+		for _, t := range view.Limited(now) {
+			until[t.Token] = t.LimitedUntil()
+		}
+	}
+	return until
+}
+
+// serviceStatus returns the targets by service, with the flows of this balancer to them. limited holds the ends of limits.
+func serviceStatus(s *directory.Snapshot, loads []directory.Load, limited map[directory.Token]time.Duration) []status.Service {
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -92,8 +105,10 @@
 			byName[t.Service] = service
 		}
 		load := open[t.Token()]
+		evacuated := s.Evacuated(t.DataCentre)
 		service.Targets = append(service.Targets, status.Target{
-			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect,
+			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect && !evacuated,
+			Evacuated: evacuated, LimitedMS: max(limited[t.Token()]-s.TakenAt, 0).Milliseconds(),
 			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: load.Suspect,
 		})
 	}
@@ -139,6 +154,9 @@
 		x.Rule = "no ready target: a new flow is refused"
 	default:
 		x.Default, x.Rule = ranking.First.Name, "a new flow goes to the default target"
+		if ranking.First.LimitedUntil() > c.clock() {
+			x.Rule += " if it has a permit, because the target is cold"
+		}
 		if ranking.Second != nil {
 			x.Rule += ", or to " + ranking.Second.Name + " while it is less loaded"
 		}
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -165,6 +165,7 @@
 	others := c.fleet.PeerLoads(now)
 	c.traffic.SetOtherLoads(others)
 	c.updateQueues(others, now)
+	c.updateColdLimits(now)
 	if age, known := c.directory.Age(now); known {
 		c.metrics.storeAge.Store(age.Milliseconds())
 	}
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -50,6 +50,7 @@
 	view            atomic.Pointer[steer.View]
 	ownLoads        atomic.Pointer[[]directory.Load] // loads observed by the engine
 	otherLoads      atomic.Pointer[directory.Loads]  // loads observed by other balancers
+	coldHosts       atomic.Int64                     // that share the limits for cold targets
 	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
 	loadsCollected  time.Duration                    // when ownLoads was last updated
 	batches         uint64
@@ -101,6 +102,9 @@
 // SetOtherLoads sets the loads of targets that other balancers have observed.
 func (t *Traffic) SetOtherLoads(loads directory.Loads) { t.otherLoads.Store(&loads) }
 
+// SetColdHosts sets the number of hosts that share the limits for cold targets, or 0 if this host may not open flows at them.
+func (t *Traffic) SetColdHosts(hosts int) { t.coldHosts.Store(int64(hosts)) }
+
 // Run forwards packets until ctx is done.
 func (t *Traffic) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
@@ -173,6 +177,7 @@
 	if v := t.view.Load(); v != nil && v != t.engine.View() {
 		t.engine.SetView(v)
 	}
+	t.engine.SetColdHosts(int(t.coldHosts.Load()), now)
 	if others := t.otherLoads.Load(); others != t.appliedLoads {
 		t.appliedLoads = others
 		t.engine.SetPeerLoads(*others)
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -19,6 +19,7 @@
 	Buckets     Buckets           `json:"buckets"`
 	Members     []Member          `json:"members"`
 	Services    []Service         `json:"services"`
+	Evacuations []Evacuation      `json:"evacuations,omitempty"`
 	Counters    map[string]uint64 `json:"counters"` // packets by action and by result code name
 }
 
@@ -61,6 +62,12 @@
 	Staged      uint64 `json:"staged"`
 }
 
+// Evacuation is an evacuated data centre, whose targets get no new flows from the balancer.
+type Evacuation struct {
+	DataCentre string `json:"data_centre"`
+	AgeMS      int64  `json:"age_ms"` // time since the balancer learned of it
+}
+
 // Service lists the targets of a service in the data centre of the balancer.
 type Service struct {
 	Name    string   `json:"name"`
@@ -76,6 +83,8 @@
 	Reported   float64 `json:"reported"` // load that the target reported
 	Flows      int64   `json:"flows"`    // open flows of this balancer to the target
 	Distrusted bool    `json:"distrusted,omitempty"`
+	Evacuated  bool    `json:"evacuated,omitempty"`  // its data centre is evacuated
+	LimitedMS  int64   `json:"limited_ms,omitempty"` // how much longer opening packets to it are limited because it is cold
 }
 
 // Explanation describes the target of a flow and the rule that selects it.
