Draw evacuations in TestExplore

No test covered evacuations together with restarts, pauses, partitions and store outages. TestExplore begins and ends them, and fails when a connected host opens a flow at a data centre more than 5 s after its evacuation was acknowledged.

--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,6 +21,7 @@
 	configureTime = 3 * time.Second
 	drainTime     = 3 * time.Second
 	reuseTime     = 2 * time.Second
+	evacuateTime  = 5 * time.Second
 )
 
 // peerRetention is the minimum time for which hosts remember an unreachable host of their data centre.
@@ -62,6 +64,35 @@
 	"kill centre": func(s *simulation, h *simHost, _ *simTarget) { s.killDataCentre(h, nil) },
 	"kill others": func(s *simulation, h *simHost, _ *simTarget) { s.killDataCentre(h, h) },
 	"write over":  (*simulation).writeOver,
+	"evacuate":    (*simulation).evacuate,
+}
+
+// evacuate evacuates the data centre of a host, or ends its evacuation.
+func (s *simulation) evacuate(h *simHost, _ *simTarget) {
+	if s.store.down {
+		return
+	}
+	e := &s.evacuations[h.dc]
+	e.active, e.changedAt = !e.active, s.now
+	s.store.revision++
+	s.store.evacuations = append(s.store.evacuations, directory.Evacuation{
+		DataCentre: fmt.Sprint(h.dc), Revision: s.store.revision, Removed: !e.active,
+	})
+}
+
+// simEvacuation is the last evacuation of a data centre that the store has accepted, or its end.
+type simEvacuation struct {
+	active    bool
+	changedAt time.Duration
+}
+
+// activeEvacuations returns the evacuations that have not ended.
+func (s *simStore) activeEvacuations() []directory.Evacuation {
+	newest := map[string]directory.Evacuation{}
+	for _, e := range s.evacuations {
+		newest[e.DataCentre] = e
+	}
+	return slices.DeleteFunc(slices.Collect(maps.Values(newest)), func(e directory.Evacuation) bool { return e.Removed })
 }
 
 // drain makes a target announce its shutdown.
@@ -228,6 +259,9 @@
 	case t.Service != d.Target.Service:
 		return fmt.Sprintf("%s: new flow forwarded to %s of service %s as if of service %s",
 			h.self.Name, t.Name, t.Service, d.Target.Service)
+	case h.connected() && s.evacuations[t.dc].active && s.now-s.evacuations[t.dc].changedAt > evacuateTime:
+		return fmt.Sprintf("%s: new flow forwarded to %s, whose data centre was evacuated %v ago",
+			h.self.Name, t.Name, s.now-s.evacuations[t.dc].changedAt)
 	case h.connected() && t.drainedAt > 0 && s.now-t.drainedAt > drainTime && !s.isolated[t.dc]:
 		return fmt.Sprintf("%s: new flow forwarded to %s, which announced its shutdown %v ago", h.self.Name, t.Name, s.now-t.drainedAt)
 	case t.alive && t.Address == d.Target.Address:
@@ -245,7 +279,8 @@
 		}
 	}
 	for _, t := range s.targets {
-		usable := t.obscuredAt == 0 && s.now-t.rewrittenAt >= configureTime
+		e := s.evacuations[t.dc]
+		usable := t.obscuredAt == 0 && s.now-t.rewrittenAt >= configureTime && !e.active && (e.changedAt == 0 || s.now-e.changedAt >= evacuateTime)
 		if t.Service == service && t.connected(s) && !t.Draining && usable {
 			return true
 		}
@@ -272,7 +307,7 @@
 }
 
 // Guards against balancers with stale routes or targets, with none, or with wrong decisions about flows, after any sequence of
-// restarts, pauses, partitions, store outages, lost history, unusable records, and targets that drain, crash, return or pass on
+// restarts, pauses, partitions, store outages, lost history, evacuations, unusable records, and targets that drain, crash, return or pass on
 // their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
 func TestExplore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -44,7 +44,9 @@
 	isolated   [simDataCentres]bool          // from the store and the other data centres
 	isolatedAt [simDataCentres]time.Duration // last change
 	callers    int
-	random     *rand.Rand
+	// evacuations holds the state of each data centre.
+	evacuations [simDataCentres]simEvacuation
+	random      *rand.Rand
 }
 
 // simFlow is an open flow as seen by its caller and target.
@@ -77,6 +79,7 @@
 	dropped     uint64
 	down        bool
 	downChanged time.Duration // last change
+	evacuations []directory.Evacuation
 }
 
 func (s *simStore) write(c directory.Change) {
@@ -111,6 +114,7 @@
 			p.Changes = append(p.Changes, c)
 		}
 	}
+	p.Evacuations = s.activeEvacuations()
 	return p
 }
 
@@ -122,6 +126,11 @@
 			p.Changes, p.Revision = append(p.Changes, c), max(p.Revision, c.Revision)
 		}
 	}
+	for _, e := range s.evacuations {
+		if e.Revision > after {
+			p.Evacuations, p.Revision = append(p.Evacuations, e), max(p.Revision, e.Revision)
+		}
+	}
 	if c := s.newest(); c.Revision > after {
 		p.Configuration, p.Revision = c, max(p.Revision, c.Revision)
 	}
