--- a/internal/direct/cold_test.go
+++ b/internal/direct/cold_test.go
@@ -36,7 +36,8 @@
 	}
 	c.apply(batch, sourceStore, now)
 	s, target := run(3 * time.Second)
-	if len(s.Evacuations) != 1 || s.Evacuations[0].DataCentre != "a" || s.Evacuations[0].AgeMS != 2000 || !target.Evacuated || target.Eligible {
+	want := []status.Evacuation{{DataCentre: "a", AgeMS: 2000}}
+	if !slices.Equal(s.Evacuations, want) || !target.Evacuated || target.Eligible {
 		t.Errorf("evacuated: got %+v, target %+v", s.Evacuations, target)
 	}
 	if got := c.metrics.evacuations.Load(); got != 1 {
--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -280,7 +280,8 @@
 	}
 	for _, t := range s.targets {
 		e := s.evacuations[t.dc]
-		usable := t.obscuredAt == 0 && s.now-t.rewrittenAt >= configureTime && !e.active && (e.changedAt == 0 || s.now-e.changedAt >= evacuateTime)
+		evacuated := e.active || e.changedAt > 0 && s.now-e.changedAt < evacuateTime
+		usable := t.obscuredAt == 0 && s.now-t.rewrittenAt >= configureTime && !evacuated
 		if t.Service == service && t.connected(s) && !t.Draining && usable {
 			return true
 		}
@@ -307,8 +308,8 @@
 }
 
 // Guards against balancers with stale routes or targets, with none, or with wrong decisions about flows, after any sequence of
-// restarts, pauses, partitions, store outages, lost history, evacuations, unusable records, and targets that drain, crash, return or pass on
-// their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
+// restarts, pauses, partitions, store outages, lost history, evacuations, unusable records, and targets that drain, crash, return or pass
+// on their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
 func TestExplore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, err := newSimulation(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
--- a/steer/cold.go
+++ b/steer/cold.go
@@ -41,7 +41,9 @@
 // NewColdLimits returns limits of overshoot times the requests that a cold target can handle, plus slack, in any second. There are no
 // permits before SetHosts.
 func NewColdLimits(overshoot, slack float64, random *rand.Rand) *ColdLimits {
-	return &ColdLimits{overshoot: overshoot, slack: slack, random: random, permits: map[string]*permits{}, intervals: map[float64]time.Duration{}}
+	return &ColdLimits{
+		overshoot: overshoot, slack: slack, random: random, permits: map[string]*permits{}, intervals: map[float64]time.Duration{},
+	}
 }
 
 // SetHosts sets the number of hosts of this data centre that share the limits, or 0 if this host gets no permits.
--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -37,8 +37,8 @@
 	return targets
 }
 
-// coldReplay replays the return of the targets of a data centre: half of its hosts run, at 10 s the other half joins, the hosts learn of that
-// within 2 s, and at 30 s all restart. At first none has a share of the limits, as relay.ColdShare decides.
+// coldReplay replays the return of the targets of a data centre: half of its hosts run, at 10 s the other half joins, the hosts learn of
+// that within 2 s, and at 30 s all restart. At first none has a share of the limits, as relay.ColdShare decides.
 type coldReplay struct {
 	random    *rand.Rand
 	hosts     int
