--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -212,3 +212,15 @@
 		}
 	}
 }
+
+// Guards against a permit for the time before the number of hosts changed, at the rate after it.
+func TestPermitsAfterChangeOfHosts(t *testing.T) {
+	p := &permits{interval: 10 * time.Second}
+	p.setInterval(time.Second, 9*time.Second)
+	if p.available(9 * time.Second) {
+		t.Error("a permit is available before the first interval has passed")
+	}
+	if !p.available(9*time.Second + 110*time.Millisecond) {
+		t.Error("the rest of the interval does not pass at the new rate")
+	}
+}
