--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -22,13 +22,14 @@
 
 // metrics holds the metrics of the balancer. The traffic goroutine mostly updates atomics, which are read for each scrape.
 type metrics struct {
-	handler      http.Handler
-	packets      map[counterKey]*atomic.Uint64 // fixed after construction
-	otherPackets atomic.Uint64
-	flows        atomic.Int64
-	version      atomic.Uint64
-	storeAge     atomic.Int64 // ms
-	evacuations  atomic.Int64 // evacuated data centres that have targets
+	handler        http.Handler
+	packets        map[counterKey]*atomic.Uint64 // fixed after construction
+	otherPackets   atomic.Uint64
+	flows          atomic.Int64
+	version        atomic.Uint64
+	storeAge       atomic.Int64 // ms
+	evacuations    atomic.Int64 // evacuated data centres that have targets
+	failingTargets atomic.Int64
 	// limitedTargets is the number of targets to which opening packets are limited.
 	limitedTargets atomic.Int64
 	queues         atomic.Pointer[[]steer.Queue]
@@ -103,6 +104,7 @@
 		telemetry.DirectFlows:                m.flows.Load,
 		telemetry.DirectPlatformAge:          m.storeAge.Load,
 		telemetry.DirectEvacuations:          m.evacuations.Load,
+		telemetry.DirectFailingTargets:       m.failingTargets.Load,
 		telemetry.DirectLimitedTargets:       m.limitedTargets.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -68,7 +68,7 @@
 	}
 	snapshot := c.directory.Snapshot(now)
 	s.Evacuations = evacuationStatus(snapshot)
-	s.Services = serviceStatus(snapshot, c.traffic.Loads(), c.limitedUntil(now))
+	s.Services = serviceStatus(snapshot, c.traffic.Loads(), c.limitedUntil(now), c.traffic.Failing())
 	return s
 }
 
@@ -90,8 +90,11 @@
 	return until
 }
 
-// serviceStatus returns the targets by service, with the flows of this balancer to them. limited holds the ends of limits.
-func serviceStatus(s *directory.Snapshot, loads []directory.Load, limited map[directory.Token]time.Duration) []status.Service {
+// serviceStatus returns the targets by service, with the flows of this balancer to them. limited holds the ends of limits, and
+// failing the targets that fail requests.
+func serviceStatus(
+	s *directory.Snapshot, loads []directory.Load, limited map[directory.Token]time.Duration, failing map[directory.Token]bool,
+) []status.Service {
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -105,11 +108,12 @@
 			byName[t.Service] = service
 		}
 		load := open[t.Token()]
+		distrusted := load.Suspect || failing[t.Token()]
 		evacuated := s.Evacuated(t.DataCentre)
 		service.Targets = append(service.Targets, status.Target{
-			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect && !evacuated,
+			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !distrusted && !evacuated,
 			Evacuated: evacuated, LimitedMS: max(limited[t.Token()]-s.TakenAt, 0).Milliseconds(),
-			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: load.Suspect,
+			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: distrusted,
 		})
 	}
 	out := make([]status.Service, 0, len(byName))
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -52,7 +52,8 @@
 	otherLoads      atomic.Pointer[directory.Loads]  // loads observed by other balancers
 	coldHosts       atomic.Int64                     // that share the limits for cold targets
 	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
-	loadsCollected  time.Duration                    // when ownLoads was last updated
+	failing         atomic.Pointer[map[directory.Token]bool]
+	loadsCollected  time.Duration // when ownLoads was last updated
 	batches         uint64
 	lastPacket      atomic.Int64
 	lastControlTurn atomic.Int64 // when the control goroutine last ran
@@ -194,6 +195,9 @@
 	if now-t.loadsCollected >= loadInterval {
 		own := t.engine.Loads(now)
 		t.ownLoads.Store(&own)
+		failing := t.engine.Failing(now)
+		t.failing.Store(&failing)
+		t.metrics.failingTargets.Store(int64(len(failing)))
 		t.loadsCollected = now
 	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
@@ -201,6 +205,14 @@
 	t.metrics.recordBatch(t.batches, t.clock()-now)
 }
 
+// Failing returns the targets that get no new flows because they fail requests. It is at most loadInterval old while packets arrive.
+func (t *Traffic) Failing() map[directory.Token]bool {
+	if failing := t.failing.Load(); failing != nil {
+		return *failing
+	}
+	return nil
+}
+
 func (t *Traffic) forwardPacket(i int, now time.Duration) {
 	buffer, start, end := t.reader.Buffer(i)
 	var p steer.Packet
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -82,7 +82,7 @@
 	Share      float64 `json:"share"`    // fraction of its full weight, 0 to 1
 	Reported   float64 `json:"reported"` // load that the target reported
 	Flows      int64   `json:"flows"`    // open flows of this balancer to the target
-	Distrusted bool    `json:"distrusted,omitempty"`
+	Distrusted bool    `json:"distrusted,omitempty"` // it is suspect or fails requests, and gets no new flows
 	Evacuated  bool    `json:"evacuated,omitempty"`  // its data centre is evacuated
 	LimitedMS  int64   `json:"limited_ms,omitempty"` // how much longer opening packets to it are limited because it is cold
 }
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -14,6 +14,7 @@
 	DirectServiceWaiting       = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
 	DirectServiceSlots         = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
 	DirectEvacuations          = Instrument{"marigoldwood_data_centres_evacuated", "{data centre}", "data centres with targets that the operator has evacuated, as this host knows"}
+	DirectFailingTargets       = Instrument{"marigoldwood_targets_failing", "{target}", "targets that get no new flows because they fail requests while they look well"}
 	DirectLimitedTargets       = Instrument{"marigoldwood_targets_limited", "{target}", "targets to which opening packets are limited because they are cold"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
@@ -22,6 +23,6 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge,
-		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectLimitedTargets, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectFailingTargets, DirectLimitedTargets, DirectConfigurationVersion,
 	}
 }
--- a/steer/failing.go
+++ b/steer/failing.go
@@ -127,6 +127,20 @@
 	return t.load.failingSince > 0 && (since < failingFor || since < failingFor+probationFor && !r.Idempotent)
 }
 
+// Failing returns the targets that get no new flows because they fail part of their requests.
+func (e *Engine) Failing(now time.Duration) map[directory.Token]bool {
+	failing := map[directory.Token]bool{}
+	if e.view == nil {
+		return failing
+	}
+	for token, t := range e.view.tokens {
+		if t.load.failingSince > 0 && now-t.load.failingSince < failingFor+probationFor {
+			failing[token] = true
+		}
+	}
+	return failing
+}
+
 // UpdateFailing decides which targets are set aside because they fail part of their requests while they look well: a large share of
 // their answers is much shorter than usual for the route, and most targets of the service answer as usual. It returns the changes.
 func (e *Engine) UpdateFailing(now time.Duration) []FailingChange {
