Reserve targets for urgent flows while a service is overloaded

Cause: bulk flows filled the queues of all targets, which then turned away urgent requests as often as bulk ones. Flows were refused by the objective alone, which a full queue does not exceed on many routes, and only after a second. Change: while a service has more work than slots and part of it is more urgent than bulk, the urgent part of the slots gets no new bulk flows, the same targets on all hosts. A host that sent an opening packet to a target refuses no later one of the same flow, whatever its count of copies.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -76,6 +76,7 @@
 			t.demand = newDemand()
 			e.demands[t.Service] = t.demand
 		}
+		v.pools[t.Service].demand = t.demand
 	}
 	for name := range e.loads {
 		if !present[name] {
@@ -179,14 +180,16 @@
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
-	switch {
-	case t == nil:
+	if t == nil {
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
-	case p.Acknowledgement > 0: // a copy: another balancer may have sent the first one to a target
-	case e.overloaded(route, t, key, now):
-		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.wait, Suspected: suspected}
-	case e.isFull(route, t, now):
-		return Decision{Action: Refuse, Code: resultcode.RefusedConnections, Suspected: suspected}
+	}
+	if p.Acknowledgement == 0 && earlier == nil { // no copy: this or another balancer may have sent the first one to a target
+		admitted, refusal := e.admit(route, t, key, now)
+		if admitted == nil {
+			refusal.Suspected = suspected
+			return refusal
+		}
+		t = admitted
 	}
 	if e.addFlow(key, flowState{token: t.Token, waiting: true, missCounted: t == earlier, waitStart: now, lastPacket: now}) {
 		e.addWait(key, now, now)
--- a/steer/load.go
+++ b/steer/load.go
@@ -223,6 +223,7 @@
 	d.Suspected = f.handleData(p, t, now)
 	if f.waiting && !wasWaiting {
 		e.addWait(key, now, now)
+		t.demand.recordRequest(e.view.Route(p.Endpoint))
 	}
 	e.flows[key] = f
 }
--- a/steer/view.go
+++ b/steer/view.go
@@ -12,9 +12,11 @@
 // Target is a target in a view.
 type Target struct {
 	directory.TargetEntry
-	Token     directory.Token
-	seed      uint64
-	evacuated bool // its data centre is evacuated: it keeps its flows and gets no new ones
+	Token directory.Token
+	seed  uint64
+	// reservePosition is the position in the order in which the slots of the data centre are reserved, from 0 to 1.
+	reservePosition float64
+	evacuated       bool // its data centre is evacuated: it keeps its flows and gets no new ones
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
@@ -36,6 +38,7 @@
 	remote []*Target
 	// lapsed holds targets whose records disappeared while the store had trouble.
 	lapsed []*Target
+	demand *demand // for the service; set by the engine that uses the view
 }
 
 // minReadyShare is the share of a service's targets in a data centre below which lapsed targets get new flows too. When
@@ -60,6 +63,7 @@
 	}
 	for _, p := range v.pools {
 		p.restoreLapsed(dataCentre)
+		p.orderForReserve()
 	}
 	return v
 }
