Give all attempts of a refused caller one decision for a moment

Cause: each retry comes from a new port and was a new draw, so that most flows beyond the room got in with their second or third attempt, and a caller could be refused for as long as the overload lasted.

--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -63,11 +63,13 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	engine := steer.NewEngine()
+	engine.SetWallOffset(time.Duration(time.Now().UnixNano()) - clock())
 	return &Traffic{
 		conn:   conn,
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
-		engine: steer.NewEngine(), clock: clock, decisions: newDecisionLog(log), log: log, metrics: m, callerPort: listen.Port(),
+		engine: engine, clock: clock, decisions: newDecisionLog(log), log: log, metrics: m, callerPort: listen.Port(),
 		firstView: make(chan struct{}), loadsCollected: -loadInterval,
 	}, nil
 }
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -46,11 +46,11 @@
 // overloaded counts a new flow of the route, for which t was chosen, and reports whether the flow is refused because
 // the service has more work than it can answer in time.
 func (e *Engine) overloaded(r *directory.Route, t *Target, key FlowKey, now time.Duration) bool {
-	d := t.demand
+	d, callerHash := t.demand, key.callerHash()
 	d.recordFlow(r, now)
 	d.update(e.view.pools[t.Service], now)
 	d.reserve.update(d, now)
-	return !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, key.hash())
+	return !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, callerHash, now, e.wallOffset)
 }
 
 // demand is a balancer's estimate of the load of a service.
@@ -178,18 +178,19 @@
 
 // shouldRefuse reports whether a flow of the route is refused because the service has had more work for refusalDelay than
 // it answers within the route's objective. A shorter queue, as after a power outage, is served. The load of one target is no
-// reason: between two reports a target answers several requests.
-func (d *demand) shouldRefuse(r *directory.Route, hash uint64) bool {
-	return uniform(hash, admissionSeed) < d.refusedPart(r)
+// reason: between two reports a target answers several requests. wallOffset is the wall-clock time at time 0.
+func (d *demand) shouldRefuse(r *directory.Route, callerHash uint64, now, wallOffset time.Duration) bool {
+	refused := d.refusedPart(r)
+	return refused > 0 && turn(callerHash, now+wallOffset) < refused
 }
 
-// refusedPart returns the part of the new flows of the route that is refused. It grows with the wait.
+// refusedPart returns the part of the time in which the new flows of a caller on the route are refused. It grows with the wait.
 func (d *demand) refusedPart(r *directory.Route) float64 {
 	if r.Objective <= 0 || d.serviceTime == 0 || d.lastUpdate-d.lastNoQueue < d.refusalDelay() || !d.isBulk(r) {
 		return 0
 	}
 	wait, ramp := d.toleratedWait(r)
-	return float64(d.bulkWait-wait) / float64(ramp)
+	return min(float64(d.bulkWait-wait)/float64(ramp), maxRefusedShare)
 }
 
 // isBulk reports whether the route has a significant share of the service's new flows and none that has is less urgent.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -53,6 +53,8 @@
 	lastDecision time.Duration // time of the last decision
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
+	// wallOffset is the wall-clock time at the engine's time 0.
+	wallOffset time.Duration
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
@@ -89,6 +91,10 @@
 // callers have given up or sent copies elsewhere. Packets of open flows are forwarded all the same.
 func (e *Engine) SetFenced(fenced bool) { e.fenced = fenced }
 
+// SetWallOffset sets the wall-clock time since the Unix epoch at the engine's time 0. Balancers whose clocks agree refuse the same
+// callers at the same time.
+func (e *Engine) SetWallOffset(offset time.Duration) { e.wallOffset = offset }
+
 // View returns the current view, or nil.
 func (e *Engine) View() *View { return e.view }
 
