Share the room for bulk flows fairly among routes and callers

Cause: the refused part was the same for all bulk flows, so that a crest of one route or of some callers took the room of the others.

--- a/steer/admit.go
+++ b/steer/admit.go
@@ -50,7 +50,18 @@
 	d.recordFlow(r, now)
 	d.update(e.view.pools[t.Service], now)
 	d.reserve.update(d, now)
-	return !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, callerHash, now, e.wallOffset)
+	refused := !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, callerHash, now, e.wallOffset)
+	d.recordCaller(r, callerHash, refused)
+	return refused
+}
+
+// recordCaller counts a new flow of a caller after the decision about it.
+func (d *demand) recordCaller(r *directory.Route, callerHash uint64, refused bool) {
+	weight := 1.0
+	if refused {
+		weight = refusedFlowWeight
+	}
+	d.routes[r.Endpoint].callers.record(callerHash, weight)
 }
 
 // demand is a balancer's estimate of the load of a service.
@@ -72,6 +83,7 @@
 	priority int
 	flows    float64 // new flows, weighted by their age
 	requests float64 // requests on open flows, weighted by their age
+	callers  callerDemand
 }
 
 func newDemand() *demand { return &demand{routes: map[directory.Endpoint]*routeDemand{}} }
@@ -93,7 +105,9 @@
 			other.flows, other.requests = other.flows/2, other.requests/2
 			if max(other.flows, other.requests) < forgottenDemand {
 				delete(d.routes, endpoint)
+				continue
 			}
+			other.callers.halve()
 		}
 	}
 	d.route(r).flows++
@@ -180,17 +194,21 @@
 // it answers within the route's objective. A shorter queue, as after a power outage, is served. The load of one target is no
 // reason: between two reports a target answers several requests. wallOffset is the wall-clock time at time 0.
 func (d *demand) shouldRefuse(r *directory.Route, callerHash uint64, now, wallOffset time.Duration) bool {
-	refused := d.refusedPart(r)
+	refused := d.refusedPart(r, callerHash, now)
 	return refused > 0 && turn(callerHash, now+wallOffset) < refused
 }
 
 // refusedPart returns the part of the time in which the new flows of a caller on the route are refused. It grows with the wait.
-func (d *demand) refusedPart(r *directory.Route) float64 {
+func (d *demand) refusedPart(r *directory.Route, callerHash uint64, now time.Duration) float64 {
 	if r.Objective <= 0 || d.serviceTime == 0 || d.lastUpdate-d.lastNoQueue < d.refusalDelay() || !d.isBulk(r) {
 		return 0
 	}
 	wait, ramp := d.toleratedWait(r)
-	return min(float64(d.bulkWait-wait)/float64(ramp), maxRefusedShare)
+	part := min(float64(d.bulkWait-wait)/float64(ramp), 1)
+	if part <= 0 {
+		return 0
+	}
+	return min(d.refusedShareOf(r, callerHash, part, now), maxRefusedShare)
 }
 
 // isBulk reports whether the route has a significant share of the service's new flows and none that has is less urgent.
--- a/steer/session_test.go
+++ b/steer/session_test.go
@@ -245,3 +245,35 @@
 			urgent.failedShare(), bulk.failedShare(), bulk.shed+urgent.shed, bulk.refused, answered)
 	}
 }
+
+// Replays a crest of one of two bulk routes at 12 times its usual demand. Guards against a crest that takes the room of other kinds.
+func TestCrestOfOneRouteLeavesOthersWhole(t *testing.T) {
+	for seed := range uint64(3) {
+		rising, other, urgent := bulkWork(endpoint, 0, 200, 0.1), bulkWork(rareEndpoint, 0, 200, 0.1), urgentWork(0.05)
+		newSessionLoad(seed, rising, other, urgent).crest(12, rising)
+		expectWhole(t, seed, rising, other, urgent)
+	}
+}
+
+// Replays a crest of some callers of a route. Guards against a crest that takes the room of the route's other callers.
+func TestCrestOfSomeCallersLeavesOthersWhole(t *testing.T) {
+	for seed := range uint64(3) {
+		rising, other, urgent := bulkWork(endpoint, 1000, 20, 0.1), bulkWork(endpoint, 0, 200, 0.1), urgentWork(0.05)
+		newSessionLoad(seed, rising, other, urgent).crest(12, rising)
+		expectWhole(t, seed, rising, other, urgent)
+	}
+}
+
+// expectWhole checks that the other kinds are served during a crest as on a normal day, on which none of their requests fails.
+func expectWhole(t *testing.T, seed uint64, rising *kindOfWork, others ...*kindOfWork) {
+	t.Helper()
+	if rising.lost == 0 {
+		t.Errorf("seed %d: no request of the crest failed: it is no overload", seed)
+	}
+	for _, k := range others {
+		if failed := k.failedShare(); failed > 0.01 {
+			t.Errorf("seed %d: %.4f of the requests of %v failed, want at most 0.01", seed, failed, k.endpoint)
+		}
+		t.Logf("seed %d: failed %.4f of the crest, %.4f of %v", seed, rising.failedShare(), k.failedShare(), k.endpoint)
+	}
+}
