Refuse flows that no target can answer in time, none while one has room

Cause: a flow was placed whatever the wait, and waited until its caller gave up; and a flow was refused for the load of the service although a target other than the chosen one had a free slot. Change: a new flow of any route is refused when the average wait and that of each target that it may use exceed the route's timeout_ms. A flow that would be refused for load goes to a target with a free slot, if there is one.

--- a/steer/admit.go
+++ b/steer/admit.go
@@ -35,9 +35,16 @@
 // admit returns the target of a new flow of the route, for which t was chosen, or nil and the refusal.
 func (e *Engine) admit(r *directory.Route, t *Target, key FlowKey, now time.Duration) (*Target, Decision) {
 	if e.overloaded(r, t, key, now) {
-		return nil, Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.bulkWait}
+		free := e.view.pickFree(r, t.demand, key.hash(), now)
+		if free == nil {
+			return nil, Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.bulkWait}
+		}
+		t = free
 	}
-	if e.isFull(r, t, now) {
+	switch {
+	case t.demand.cannotBeInTime(r, t, now):
+		return nil, Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.shortestWait(r)}
+	case e.isFull(r, t, now):
 		return nil, Decision{Action: Refuse, Code: resultcode.RefusedConnections}
 	}
 	return t, Decision{}
@@ -76,6 +83,10 @@
 	lastProbe   time.Duration // when a new flow was last placed although all targets seem to be full
 	bulkWait    time.Duration // of a new bulk request, which finds no slot at reserved targets, averaged as wait
 	reserve     reserve
+
+	// shortestQueue and shortestBulkQueue are the requests per slot that a new request waits for at the least loaded of all targets, and
+	// of those that bulk flows may use.
+	shortestQueue, shortestBulkQueue float64
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
@@ -142,6 +153,7 @@
 	if reserved.slots+bulk.slots == 0 {
 		return
 	}
+	d.updateShortestQueues(&reserved, &bulk)
 	if now-d.lastUpdate >= minQueueDuration { // the queue may have been gone since the last update
 		d.lastNoQueue = now
 	}
@@ -159,11 +171,19 @@
 }
 
 // work is the load of several targets.
-type work struct{ pending, slots float64 }
+type work struct {
+	pending, slots float64
+	shortestQueue  float64 // requests per slot that a new request waits for at the least loaded target
+	targets        int
+}
 
 // add adds the load of a target.
 func (w *work) add(pending, slots float64) {
-	w.pending, w.slots = w.pending+pending, w.slots+slots
+	queue := max(pending+1-slots, 0) / slots
+	if w.targets == 0 || queue < w.shortestQueue {
+		w.shortestQueue = queue
+	}
+	w.pending, w.slots, w.targets = w.pending+pending, w.slots+slots, w.targets+1
 }
 
 // expectedWait returns how long a new request waits for one of the slots when pending requests are ahead of it.
