--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -51,6 +51,7 @@
 	follower      *directory.Follower
 	fleet         *relay.Fleet
 	queueWatch    *steer.QueueWatch
+	reserved      map[string]bool // services with targets that are reserved for urgent flows
 	lifecycle     *chart.Chart
 	storeReader   *storeReader
 	exchange      *Exchange
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -50,8 +50,9 @@
 	view            atomic.Pointer[steer.View]
 	ownLoads        atomic.Pointer[[]directory.Load] // loads observed by the engine
 	otherLoads      atomic.Pointer[directory.Loads]  // loads observed by other balancers
-	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
-	loadsCollected  time.Duration                    // when ownLoads was last updated
+	demands         atomic.Pointer[[]steer.ServiceDemand]
+	appliedLoads    *directory.Loads // otherLoads that the engine uses
+	loadsCollected  time.Duration    // when ownLoads was last updated
 	batches         uint64
 	lastPacket      atomic.Int64
 	lastControlTurn atomic.Int64 // when the control goroutine last ran
@@ -166,6 +167,22 @@
 	return t.engine.Lookup(key, t.clock())
 }
 
+// Admission returns what would become of a new flow under the present load, and false if its service had no new flows here.
+func (t *Traffic) Admission(key steer.FlowKey) (steer.Admission, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.Admission(key, t.clock())
+}
+
+// Demands returns the demand for each service as the engine last saw it. It returns nil if no packet has arrived for loadRetention.
+func (t *Traffic) Demands() []steer.ServiceDemand {
+	demands := t.demands.Load()
+	if demands == nil || t.clock()-t.LastPacket() > loadRetention {
+		return nil
+	}
+	return *demands
+}
+
 func (t *Traffic) forwardBatch(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -188,6 +205,8 @@
 	if now-t.loadsCollected >= loadInterval {
 		own := t.engine.Loads(now)
 		t.ownLoads.Store(&own)
+		demands := t.engine.Demands(now)
+		t.demands.Store(&demands)
 		t.loadsCollected = now
 	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -13,6 +13,8 @@
 	DirectPlatformAge          = Instrument{"marigoldwood_platform_age", "ms", "time since the store answered this host or the relay that it follows; -1 when never"}
 	DirectServiceWaiting       = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
 	DirectServiceSlots         = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
+	DirectServiceReserved      = Instrument{"marigoldwood_service_reserved_share", "1", "part of the slots of a service that gets no new flows of its least urgent routes, 0 without overload"}
+	DirectServiceWait          = Instrument{"marigoldwood_service_wait_seconds", "s", "expected wait of a new request for a slot of a service"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -20,6 +22,6 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge,
-		DirectServiceWaiting, DirectServiceSlots, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectServiceReserved, DirectServiceWait, DirectConfigurationVersion,
 	}
 }
--- a/steer/session_test.go
+++ b/steer/session_test.go
@@ -157,8 +157,8 @@
 func (l *sessionLoad) reserves(now time.Duration) int {
 	n := 0
 	for _, e := range l.engines {
-		for _, d := range e.demands {
-			if d.reserve.inForce(now) {
+		for _, d := range e.Demands(now) {
+			if d.Overloaded {
 				n++
 			}
 		}
