Revert the shared room of overloaded services

Most bulk requests are on flows that were open before the crest, also at the reserved targets, so the reserve concentrates urgent flows where the queues stay full.

--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -52,7 +52,6 @@
 	fleet         *relay.Fleet
 	queueWatch    *steer.QueueWatch
 	coldShare     relay.ColdShare
-	reserved      map[string]bool // services with targets that are reserved for urgent flows
 	lifecycle     *chart.Chart
 	storeReader   *storeReader
 	exchange      *Exchange
--- a/internal/direct/control_test.go
+++ b/internal/direct/control_test.go
@@ -208,39 +208,3 @@
 		t.Error("a provisional list was applied after the complete list")
 	}
 }
-
-// Guards against a reserve of targets that operators can't see begin or end, with its inputs.
-func TestReservesAreLogged(t *testing.T) {
-	logger := logrus.New()
-	c := newTestControl(t, func() time.Duration { return time.Second }, logger)
-	var lines []string
-	logger.AddHook(hookFunc(func(e *logrus.Entry) {
-		lines = append(lines, fmt.Sprint(e.Data["event"], " ", e.Data["service"], " ", e.Data["share"], " ", e.Data["wait"]))
-	}))
-	c.traffic.lastPacket.Store(int64(time.Second))
-	for _, overloaded := range []bool{false, true, true, false} {
-		demand := steer.ServiceDemand{Service: "ingest", Overloaded: overloaded, Wait: 40 * time.Millisecond}
-		if overloaded {
-			demand.ReservedShare = 0.25
-		}
-		c.traffic.demands.Store(&[]steer.ServiceDemand{demand})
-		c.updateReserves()
-	}
-	if want := []string{"reserve-started ingest 0.25 40ms", "reserve-ended ingest 0 40ms"}; !slices.Equal(lines, want) {
-		t.Errorf("got lines %q, want %q", lines, want)
-	}
-}
-
-// Guards against an explanation that leaves out why a caller's new flows are refused.
-func TestAdmissionIsExplained(t *testing.T) {
-	a := steer.Admission{Bulk: true, RefusedShare: 0.5, Refused: true}
-	a.Overloaded, a.ReservedShare, a.BulkWait = true, 0.25, 80*time.Millisecond
-	const want = "; the service is overloaded, a request waits 80ms for a slot; 0.25 of the slots are reserved for more urgent routes " +
-		"than this one; new flows of the caller are refused 0.50 of the time, and now"
-	if got := describeAdmission(&a); got != want {
-		t.Errorf("got %q, want %q", got, want)
-	}
-	if got := describeAdmission(&steer.Admission{}); got != "" {
-		t.Errorf("without overload: got %q, want nothing", got)
-	}
-}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -33,7 +33,6 @@
 	// limitedTargets is the number of targets to which opening packets are limited.
 	limitedTargets atomic.Int64
 	queues         atomic.Pointer[[]steer.Queue]
-	demands        atomic.Pointer[[]steer.ServiceDemand]
 	batchTimes     metric.Float64Histogram
 	readTimes      metric.Float64Histogram
 	openTimes      metric.Float64Histogram
@@ -92,9 +91,6 @@
 			return nil, Error.Wrap(err)
 		}
 	}
-	if err := m.registerDemandObservers(meter); err != nil {
-		return nil, err
-	}
 	return m, m.registerObservers(meter)
 }
 
@@ -150,34 +146,6 @@
 	return Error.Wrap(err)
 }
 
-// registerDemandObservers registers the gauges of the demand for each service.
-func (m *metrics) registerDemandObservers(meter metric.Meter) error {
-	reserved, err := floatGauge(meter, telemetry.DirectServiceReserved)
-	if err != nil {
-		return err
-	}
-	wait, err := floatGauge(meter, telemetry.DirectServiceWait)
-	if err != nil {
-		return err
-	}
-	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		if demands := m.demands.Load(); demands != nil {
-			for _, d := range *demands {
-				service := metric.WithAttributes(attribute.String("service", d.Service))
-				o.ObserveFloat64(reserved, d.ReservedShare, service)
-				o.ObserveFloat64(wait, d.Wait.Seconds(), service)
-			}
-		}
-		return nil
-	}, reserved, wait)
-	return Error.Wrap(err)
-}
-
-func floatGauge(meter metric.Meter, i telemetry.Instrument) (metric.Float64ObservableGauge, error) {
-	g, err := meter.Float64ObservableGauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Help))
-	return g, Error.Wrap(err)
-}
-
 func gauge(meter metric.Meter, i telemetry.Instrument) (metric.Int64ObservableGauge, error) {
 	g, err := meter.Int64ObservableGauge(i.Name, metric.WithUnit(i.Unit), metric.WithDescription(i.Help))
 	return g, Error.Wrap(err)
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -164,32 +164,7 @@
 		if ranking.Second != nil {
 			x.Rule += ", or to " + ranking.Second.Name + " while it is less loaded"
 		}
-		if a, known := c.traffic.Admission(key); known {
-			x.Rule += describeAdmission(&a)
-		}
-	}
-}
-
-// describeAdmission returns a description of what the load of the service means for a new flow, or "" without overload.
-func describeAdmission(a *steer.Admission) string {
-	if !a.Overloaded && a.RefusedShare == 0 {
-		return ""
-	}
-	text := fmt.Sprintf("; the service is overloaded, a request waits %v for a slot", a.BulkWait.Round(time.Millisecond))
-	switch {
-	case !a.Overloaded:
-	case a.Bulk:
-		text += fmt.Sprintf("; %.2f of the slots are reserved for more urgent routes than this one", a.ReservedShare)
-	default:
-		text += fmt.Sprintf("; the flow goes to the %.2f of the slots that are reserved for urgent routes, while they have room", a.ReservedShare)
-	}
-	if a.RefusedShare > 0 {
-		text += fmt.Sprintf("; new flows of the caller are refused %.2f of the time", a.RefusedShare)
 	}
-	if a.Refused {
-		text += ", and now"
-	}
-	return text
 }
 
 // describeFlow returns a description of the state of a flow.
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -166,7 +166,6 @@
 	c.traffic.SetOtherLoads(others)
 	c.updateQueues(others, now)
 	c.updateColdLimits(now)
-	c.updateReserves()
 	if age, known := c.directory.Age(now); known {
 		c.metrics.storeAge.Store(age.Milliseconds())
 	}
@@ -248,28 +247,3 @@
 		})
 	}
 }
-
-// updateReserves updates the metric of reserved targets, and records when targets are reserved for urgent flows and when no longer.
-func (c *Control) updateReserves() {
-	demands := c.traffic.Demands()
-	c.metrics.demands.Store(&demands)
-	reserved := map[string]bool{}
-	for _, d := range demands {
-		if reserved[d.Service] = d.Overloaded; reserved[d.Service] != c.reserved[d.Service] {
-			kind, level := "reserve-ended", logrus.InfoLevel
-			if d.Overloaded {
-				kind, level = "reserve-started", logrus.WarnLevel
-			}
-			c.record(level, timeline.Event{Kind: kind, Service: d.Service}, logrus.Fields{
-				"share": d.ReservedShare, "urgent": d.UrgentShare, "wait": d.Wait, "bulk_wait": d.BulkWait, "service_time": d.ServiceTime,
-				"age": d.Age,
-			})
-		}
-	}
-	for service := range c.reserved {
-		if _, known := reserved[service]; !known && c.reserved[service] {
-			c.record(logrus.InfoLevel, timeline.Event{Kind: "reserve-ended", Service: service}, nil)
-		}
-	}
-	c.reserved = reserved
-}
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -53,7 +53,6 @@
 	coldHosts       atomic.Int64                     // that share the limits for cold targets
 	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
 	failing         atomic.Pointer[map[directory.Token]bool]
-	demands         atomic.Pointer[[]steer.ServiceDemand]
 	loadsCollected  time.Duration // when ownLoads was last updated
 	batches         uint64
 	lastPacket      atomic.Int64
@@ -66,13 +65,11 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	engine := steer.NewEngine()
-	engine.SetWallOffset(time.Duration(time.Now().UnixNano()) - clock())
 	return &Traffic{
 		conn:   conn,
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
-		engine: engine, clock: clock, decisions: newDecisionLog(log), log: log, metrics: m, callerPort: listen.Port(),
+		engine: steer.NewEngine(), clock: clock, decisions: newDecisionLog(log), log: log, metrics: m, callerPort: listen.Port(),
 		firstView: make(chan struct{}), loadsCollected: -loadInterval,
 	}, nil
 }
@@ -172,22 +169,6 @@
 	return t.engine.Lookup(key, t.clock())
 }
 
-// Admission returns what would become of a new flow under the present load, and false if its service had no new flows here.
-func (t *Traffic) Admission(key steer.FlowKey) (steer.Admission, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.engine.Admission(key, t.clock())
-}
-
-// Demands returns the demand for each service as the engine last saw it. It returns nil if no packet has arrived for loadRetention.
-func (t *Traffic) Demands() []steer.ServiceDemand {
-	demands := t.demands.Load()
-	if demands == nil || t.clock()-t.LastPacket() > loadRetention {
-		return nil
-	}
-	return *demands
-}
-
 func (t *Traffic) forwardBatch(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -217,8 +198,6 @@
 		failing := t.engine.Failing(now)
 		t.failing.Store(&failing)
 		t.metrics.failingTargets.Store(int64(len(failing)))
-		demands := t.engine.Demands(now)
-		t.demands.Store(&demands)
 		t.loadsCollected = now
 	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -16,8 +16,6 @@
 	DirectEvacuations          = Instrument{"marigoldwood_data_centres_evacuated", "{data centre}", "data centres with targets that the operator has evacuated, as this host knows"}
 	DirectFailingTargets       = Instrument{"marigoldwood_targets_failing", "{target}", "targets that get no new flows because they fail requests while they look well"}
 	DirectLimitedTargets       = Instrument{"marigoldwood_targets_limited", "{target}", "targets to which opening packets are limited because they are cold"}
-	DirectServiceReserved      = Instrument{"marigoldwood_service_reserved_share", "1", "part of the slots of a service that gets no new flows of its least urgent routes, 0 without overload"}
-	DirectServiceWait          = Instrument{"marigoldwood_service_wait_seconds", "s", "expected wait of a new request for a slot of a service"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -25,7 +23,6 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge,
-		DirectServiceWaiting, DirectServiceSlots, DirectServiceReserved, DirectServiceWait,
-		DirectEvacuations, DirectFailingTargets, DirectLimitedTargets, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectFailingTargets, DirectLimitedTargets, DirectConfigurationVersion,
 	}
 }
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/directory"
-	"github.com/marigoldwood/marigoldwood/resultcode"
 )
 
 const (
@@ -23,52 +22,19 @@
 	admissionSeed = 0x9e3779b97f4a7c15
 	// demandHalfLife is the time in which the counted new flows of a route lose half of their weight.
 	demandHalfLife = time.Second
-	// forgottenDemand is the weight below which a route is no longer counted, some seconds after its last flow or request. Of an urgent
-	// route with little demand a balancer of a large fleet sees less than one flow a second.
-	forgottenDemand = 1.0 / 64
 	// minDemandShare is the share of a service's new flows from which a route counts for its load. Flows of routes below it are
 	// not refused: they are too few to relieve the service, and a refusal on a new route looks as if the route were missing. On
 	// the measured sites a route that carries work opens a tenth or more.
 	minDemandShare = 0.05
 )
 
-// admit returns the target of a new flow of the route, for which t was chosen, or nil and the refusal.
-func (e *Engine) admit(r *directory.Route, t *Target, key FlowKey, now time.Duration) (*Target, Decision) {
-	if e.overloaded(r, t, key, now) {
-		free := e.view.pickFree(r, t.demand, key.hash(), now)
-		if free == nil {
-			return nil, Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.bulkWait}
-		}
-		t = free
-	}
-	switch {
-	case t.demand.cannotBeInTime(r, t, now):
-		return nil, Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.shortestWait(r)}
-	case e.isFull(r, t, now):
-		return nil, Decision{Action: Refuse, Code: resultcode.RefusedConnections}
-	}
-	return t, Decision{}
-}
-
 // overloaded counts a new flow of the route, for which t was chosen, and reports whether the flow is refused because
 // the service has more work than it can answer in time.
 func (e *Engine) overloaded(r *directory.Route, t *Target, key FlowKey, now time.Duration) bool {
-	d, callerHash := t.demand, key.callerHash()
+	d := t.demand
 	d.recordFlow(r, now)
 	d.update(e.view.placeable(t.Service, now, nil), now)
-	d.reserve.update(d, now)
-	refused := !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, callerHash, now, e.wallOffset)
-	d.recordCaller(r, callerHash, refused)
-	return refused
-}
-
-// recordCaller counts a new flow of a caller after the decision about it.
-func (d *demand) recordCaller(r *directory.Route, callerHash uint64, refused bool) {
-	weight := 1.0
-	if refused {
-		weight = refusedFlowWeight
-	}
-	d.routes[r.Endpoint].callers.record(callerHash, weight)
+	return !t.load.isSuspect(now) && !t.meetsObjective(r, now) && d.shouldRefuse(r, key.hash())
 }
 
 // demand is a balancer's estimate of the load of a service.
@@ -82,20 +48,12 @@
 	lastAnswer  time.Duration // of any target of the service, 0 for none
 	lastProbe   time.Duration // when a new flow was last placed although all targets seem to be full
 	answers     answers       // recent answers on flows of this balancer
-	bulkWait    time.Duration // of a new bulk request, which finds no slot at reserved targets, averaged as wait
-	reserve     reserve
-
-	// shortestQueue and shortestBulkQueue are the requests per slot that a new request waits for at the least loaded of all targets, and
-	// of those that bulk flows may use.
-	shortestQueue, shortestBulkQueue float64
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
 type routeDemand struct {
 	priority int
 	flows    float64 // new flows, weighted by their age
-	requests float64 // requests on open flows, weighted by their age
-	callers  callerDemand
 }
 
 func newDemand() *demand { return &demand{routes: map[directory.Endpoint]*routeDemand{}} }
@@ -114,79 +72,44 @@
 	if now-d.lastHalved >= demandHalfLife {
 		d.lastHalved = now
 		for endpoint, other := range d.routes {
-			other.flows, other.requests = other.flows/2, other.requests/2
-			if max(other.flows, other.requests) < forgottenDemand {
+			if other.flows /= 2; other.flows < 1 {
 				delete(d.routes, endpoint)
-				continue
 			}
-			other.callers.halve()
 		}
 	}
-	d.route(r).flows++
-}
-
-// route returns the counts of a route.
-func (d *demand) route(r *directory.Route) *routeDemand {
 	route := d.routes[r.Endpoint]
 	if route == nil {
 		route = &routeDemand{}
 		d.routes[r.Endpoint] = route
 	}
 	route.priority = r.Priority
-	return route
+	route.flows++
 }
 
-// update adds the present load of the targets that are not suspect to the averaged waits.
+// update adds the present load of the targets that are not suspect to the averaged wait.
 func (d *demand) update(p *pool, now time.Duration) {
-	var reserved, bulk work // bulk: of the targets that bulk flows may use
+	var pending, slots float64
 	for _, targets := range [...][]*Target{p.local, p.remote} {
 		for _, t := range targets {
-			if t.load.isSuspect(now) {
-				continue
-			}
-			if d.reserve.holds(t) {
-				reserved.add(t.pending(), t.slots(now))
-			} else {
-				bulk.add(t.pending(), t.slots(now))
+			if !t.load.isSuspect(now) {
+				pending, slots = pending+t.pending(), slots+t.slots(now)
 			}
 		}
 	}
-	if reserved.slots+bulk.slots == 0 {
+	if slots == 0 {
 		return
 	}
-	d.updateShortestQueues(&reserved, &bulk)
 	if now-d.lastUpdate >= minQueueDuration { // the queue may have been gone since the last update
 		d.lastNoQueue = now
 	}
 	weight := min(float64(now-d.lastUpdate)/float64(waitAveragingTime), 1)
-	d.wait += time.Duration(weight * float64(d.expectedWait(reserved.pending+bulk.pending, reserved.slots+bulk.slots)-d.wait))
-	if !d.reserve.active || bulk.slots == 0 {
-		d.bulkWait = d.wait
-	} else {
-		d.bulkWait += time.Duration(weight * float64(d.expectedWait(bulk.pending, bulk.slots)-d.bulkWait))
-	}
+	d.wait += time.Duration(weight * float64(d.expectedWait(pending, slots)-d.wait))
 	d.lastUpdate = now
 	if d.wait <= d.serviceTime {
 		d.lastNoQueue = now
 	}
 }
 
-// work is the load of several targets.
-type work struct {
-	pending, slots float64
-	shortestQueue  float64 // requests per slot that a new request waits for at the least loaded target
-	targets        int
-}
-
-// add adds the load of a target.
-func (w *work) add(pending, slots float64) {
-	queue := max(pending+1-slots, 0) / slots
-	if w.targets == 0 || queue < w.shortestQueue {
-		w.shortestQueue = queue
-	}
-	w.pending, w.slots, w.targets = w.pending+pending, w.slots+slots, w.targets+1
-}
-
 // expectedWait returns how long a new request waits for one of the slots when pending requests are ahead of it.
 func (d *demand) expectedWait(pending, slots float64) time.Duration {
 	return time.Duration(max(pending+1-slots, 0) / slots * float64(d.serviceTime))
@@ -194,42 +117,21 @@
 
 // toleratedWait returns the wait up to which no flow of the route is refused, and how much longer the wait must be for
 // every flow to be refused. Where the service time alone exceeds the objective, refusals do not help before the queue
-// is as long as the service time. While targets are reserved both are limited by the service time.
+// is as long as the service time.
 func (d *demand) toleratedWait(r *directory.Route) (wait, ramp time.Duration) {
 	slack := max(r.Objective-d.serviceTime, d.serviceTime)
-	if d.reserve.active {
-		return d.serviceTime, min(slack, reservedRamp*d.serviceTime)
-	}
 	return max(time.Duration(toleratedWaitShare*float64(slack)), d.serviceTime), slack
 }
 
-// refusalDelay returns how long a queue must last before flows are refused.
-func (d *demand) refusalDelay() time.Duration {
-	if d.reserve.active {
-		return reservedRefusalDelay
-	}
-	return minQueueDuration
-}
-
-// shouldRefuse reports whether a flow of the route is refused because the service has had more work for refusalDelay than
+// shouldRefuse reports whether a flow of the route is refused because the service has had more work for minQueueDuration than
 // it answers within the route's objective. A shorter queue, as after a power outage, is served. The load of one target is no
-// reason: between two reports a target answers several requests. wallOffset is the wall-clock time at time 0.
-func (d *demand) shouldRefuse(r *directory.Route, callerHash uint64, now, wallOffset time.Duration) bool {
-	refused := d.refusedPart(r, callerHash, now)
-	return refused > 0 && turn(callerHash, now+wallOffset) < refused
-}
-
-// refusedPart returns the part of the time in which the new flows of a caller on the route are refused. It grows with the wait.
-func (d *demand) refusedPart(r *directory.Route, callerHash uint64, now time.Duration) float64 {
-	if r.Objective <= 0 || d.serviceTime == 0 || d.lastUpdate-d.lastNoQueue < d.refusalDelay() || !d.isBulk(r) {
-		return 0
+// reason: between two reports a target answers several requests. The refused part of the flows grows with the wait.
+func (d *demand) shouldRefuse(r *directory.Route, hash uint64) bool {
+	if r.Objective <= 0 || d.serviceTime == 0 || d.lastUpdate-d.lastNoQueue < minQueueDuration || !d.isBulk(r) {
+		return false
 	}
 	wait, ramp := d.toleratedWait(r)
-	part := min(float64(d.bulkWait-wait)/float64(ramp), 1)
-	if part <= 0 {
-		return 0
-	}
-	return min(d.refusedShareOf(r, callerHash, part, now), maxRefusedShare)
+	return uniform(hash, admissionSeed) < float64(d.wait-wait)/float64(ramp)
 }
 
 // isBulk reports whether the route has a significant share of the service's new flows and none that has is less urgent.
@@ -249,14 +151,13 @@
 	return route != nil && route.flows >= d.leastSignificantFlows()
 }
 
-// leastSignificantFlows returns the number of new flows from which a route counts for the load of the service, which is at least one
-// of the last demandHalfLife.
+// leastSignificantFlows returns the number of new flows from which a route counts for the load of the service.
 func (d *demand) leastSignificantFlows() float64 {
 	total := 0.0
 	for _, other := range d.routes {
 		total += other.flows
 	}
-	return max(minDemandShare*total, 1)
+	return minDemandShare * total
 }
 
 // meetsObjective reports whether the target is expected to answer a new flow of the route within the route's objective.
--- a/steer/admit_test.go
+++ b/steer/admit_test.go
@@ -32,16 +32,12 @@
 // request is a request of a caller on its own flow.
 type request struct {
 	n           int // number of the flow
-	caller      directory.Endpoint
-	earlier     int // requests before it on the same flow
 	engine      *Engine
 	endpoint    directory.Endpoint
 	at          time.Duration
 	serviceTime time.Duration
 	kind        *tally
 	objective   time.Duration
-	// done is called when the target has answered or, with answered false, turned away the request. If it is nil, the flow then ends.
-	done func(r *request, answered bool, now time.Duration)
 }
 
 // server simulates a target with its slots and the queue in front of them.
@@ -90,8 +86,7 @@
 	r.n, r.at, r.engine = s.flows, now, s.engines[s.random.IntN(len(s.engines))]
 	r.serviceTime = time.Duration((0.5 + s.random.Float64()) * float64(meanServiceTime))
 	r.kind.sent++
-	r.caller = caller(r.n)
-	d := r.engine.Decide(&Packet{Caller: r.caller, Endpoint: r.endpoint, Open: true}, now)
+	d := r.engine.Decide(&Packet{Caller: caller(r.n), Endpoint: r.endpoint, Open: true}, now)
 	if d.Action == Refuse {
 		r.kind.refused++
 		return
@@ -102,16 +97,11 @@
 // send sends the request on its open flow.
 func (s *loadedService) send(r *request, t *Target, now time.Duration) {
 	r.engine.Decide(s.packet(r, t.Token, 7, 0), now)
-	s.sendOpen(r, t, now)
-}
-
-// sendOpen sends a request on a flow that the caller has acknowledged.
-func (s *loadedService) sendOpen(r *request, t *Target, now time.Duration) {
 	r.engine.Decide(s.packet(r, t.Token, 7, 100), now)
 	v := s.servers[t.Name]
 	if len(v.queue) >= queueLimit {
 		r.kind.shed++
-		s.end(r, v, false, now)
+		s.finish(r, v, now)
 		return
 	}
 	v.queue = append(v.queue, r)
@@ -119,18 +109,9 @@
 
 func (s *loadedService) packet(r *request, token directory.Token, received uint32, payload int) *Packet {
 	return &Packet{
-		Caller: r.caller, Endpoint: r.endpoint, Acknowledges: true, Acknowledgement: received + uint32(100*r.earlier),
-		Sequence: 1 + uint32(100*r.earlier), Payload: payload, Token: token,
-	}
-}
-
-// end reports the end of a request.
-func (s *loadedService) end(r *request, v *server, answered bool, now time.Duration) {
-	if r.done != nil {
-		r.done(r, answered, now)
-		return
+		Caller: caller(r.n), Endpoint: r.endpoint, Acknowledges: true, Acknowledgement: received, Sequence: 1,
+		Payload: payload, Token: token,
 	}
-	s.finish(r, v, now)
 }
 
 // finish sends the packet in which the caller acknowledges the answer and ends the flow.
@@ -151,7 +132,7 @@
 				} else {
 					r.kind.late++
 				}
-				s.end(r, v, true, now)
+				s.finish(r, v, now)
 			}
 			if v.busy[i] == nil && len(v.queue) > 0 {
 				v.busy[i], v.queue = v.queue[0], v.queue[1:]
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -34,14 +34,3 @@
 		e.Decide(openingPacket(n), time.Duration(n)*time.Millisecond)
 	}
 }
-
-// BenchmarkOpenOverloaded measures the decision about a new bulk flow of one of 1,000 callers while 657 targets are overloaded.
-func BenchmarkOpenOverloaded(b *testing.B) {
-	e := newLoadedService(1, 657).fillTargets()
-	b.ReportAllocs()
-	for n := 0; b.Loop(); n++ {
-		p := openingPacket(n)
-		p.Caller.Address = [4]byte{127, 3, byte(n >> 8 % 4), byte(n)}
-		e.Decide(p, 2*time.Second+time.Duration(n)*time.Millisecond)
-	}
-}
--- a/steer/cold.go
+++ b/steer/cold.go
@@ -202,7 +202,6 @@
 		return p
 	}
 	usable := &v.cold.usable
-	usable.demand = p.demand
 	for _, list := range [...]struct{ from, to *[]*Target }{{&p.local, &usable.local}, {&p.remote, &usable.remote}} {
 		*list.to = (*list.to)[:0]
 		for _, t := range *list.from {
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -60,8 +60,6 @@
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 	cold   *ColdLimits // nil if opening packets to cold targets are not limited
-	// wallOffset is the wall-clock time at the engine's time 0.
-	wallOffset time.Duration
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
@@ -91,7 +89,6 @@
 			t.demand = newDemand()
 			e.demands[t.Service] = t.demand
 		}
-		v.pools[t.Service].demand = t.demand
 	}
 	for name := range e.loads {
 		if !present[name] {
@@ -116,10 +113,6 @@
 	}
 }
 
-// SetWallOffset sets the wall-clock time since the Unix epoch at the engine's time 0. Balancers whose clocks agree refuse the same
-// callers at the same time.
-func (e *Engine) SetWallOffset(offset time.Duration) { e.wallOffset = offset }
-
 // View returns the current view, or nil.
 func (e *Engine) View() *View { return e.view }
 
@@ -216,14 +209,11 @@
 		return withoutPermit(p, suspected)
 	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
-	}
-	if p.Acknowledgement == 0 && earlier == nil { // no copy: this or another balancer may have sent the first one to a target
-		admitted, refusal := e.admit(route, t, key, now)
-		if admitted == nil {
-			refusal.Suspected = suspected
-			return refusal
-		}
-		t = admitted
+	case p.Acknowledgement > 0: // a copy: another balancer may have sent the first one to a target
+	case e.overloaded(route, t, key, now):
+		return Decision{Action: Refuse, Code: resultcode.RefusedNoSlot, ExpectedWait: t.demand.wait, Suspected: suspected}
+	case e.isFull(route, t, now):
+		return Decision{Action: Refuse, Code: resultcode.RefusedConnections, Suspected: suspected}
 	}
 	if t != earlier {
 		t.usePermit()
--- a/steer/load.go
+++ b/steer/load.go
@@ -234,7 +234,6 @@
 	}
 	if f.waiting && !wasWaiting {
 		e.addWait(key, now, now)
-		t.demand.recordRequest(e.view.Route(p.Endpoint))
 	}
 	e.flows[key] = f
 }
--- a/steer/place.go
+++ b/steer/place.go
@@ -38,14 +38,10 @@
 	if p == nil {
 		return nil
 	}
-	preferred := func(t *Target) bool {
-		return t != tried && !t.load.recentMiss(now) && !t.load.isSuspect(now) && !t.isFailing(r, now)
-	}
-	if t := p.chooseByReserve(r, hash, now, preferred); t != nil {
-		return t
-	}
 	for _, usable := range [...]func(*Target) bool{
-		preferred,
+		func(t *Target) bool {
+			return t != tried && !t.load.recentMiss(now) && !t.load.isSuspect(now) && !t.isFailing(r, now)
+		},
 		func(t *Target) bool { return t != tried && !t.load.isSuspect(now) && !t.isFailing(r, now) },
 		func(t *Target) bool { return t != tried && !t.load.isSuspect(now) },
 		func(t *Target) bool { return !t.load.isSuspect(now) },
--- a/steer/view.go
+++ b/steer/view.go
@@ -12,14 +12,12 @@
 // Target is a target in a view.
 type Target struct {
 	directory.TargetEntry
-	Token directory.Token
+	Token     directory.Token
+	seed      uint64
+	evacuated bool // its data centre is evacuated: it keeps its flows and gets no new ones
 	// limitedUntil is until when an opening packet needs a permit, because the target is cold; 0 if it never does.
 	limitedUntil  time.Duration
 	coldPerSecond float64 // requests that it can handle per second while it is limited
-	seed          uint64
-	// reservePosition is the position in the order in which the slots of the data centre are reserved, from 0 to 1.
-	reservePosition float64
-	evacuated       bool // its data centre is evacuated: it keeps its flows and gets no new ones
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
@@ -50,7 +48,6 @@
 	lapsed []*Target
 	// limitedUntil is until when some of the targets are limited, 0 if none are.
 	limitedUntil time.Duration
-	demand       *demand // for the service; set by the engine that uses the view
 }
 
 // minReadyShare is the share of a service's targets in a data centre below which lapsed targets get new flows too. When
@@ -76,7 +73,6 @@
 	}
 	for _, p := range v.pools {
 		p.restoreLapsed(dataCentre)
-		p.orderForReserve()
 	}
 	return v
 }
