Order the store's changes by its era, then by its revision

A store that is restored from a copy assigns revisions again, and counts in the header Store-Era how often that happened. Revisions were compared as plain numbers, so the host with the highest one before the restore won.

Target records keep the number of the target's writes.

No change of behaviour without the header: the tests of directory, platform and internal/direct pass with the types changed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -38,7 +38,7 @@
 // targetState is the state of a target that is or was listed in the store.
 type targetState struct {
 	target    Target
-	revision  uint64
+	revision  Revision
 	coldUntil time.Duration
 	obscured  bool // the last record before a removal was unusable
 	removed   bool
@@ -51,14 +51,14 @@
 	configuration  *Configuration
 	targets        map[string]*targetState
 	evacuations    map[string]*evacuationState // by data centre
-	revision       uint64                      // all changes up to it are known
+	revision       Revision                    // all changes up to it are known
 	complete       bool                        // a full list has been applied
 	provisional    bool                        // a list that may be stale in parts has been applied
 	answeredAt     time.Duration
 	confirmedAt    time.Duration // send time of the last read whose response brought this directory up to date
 	answeringSince time.Duration // start of the current run of successful reads
 	answering      bool
-	prunedRevision uint64 // newest revision of a pruned target
+	prunedRevision Revision // newest revision of a pruned target
 }
 
 // never is earlier than any reading of a monotonic clock, and far enough from the minimum that differences do not overflow.
@@ -72,7 +72,7 @@
 }
 
 // Revision returns the revision up to which every change is known.
-func (d *Directory) Revision() uint64 { return d.revision }
+func (d *Directory) Revision() Revision { return d.revision }
 
 // Ready reports whether a configuration and a list of targets, complete or provisional, have been applied.
 func (d *Directory) Ready() bool { return (d.complete || d.provisional) && d.configuration != nil }
@@ -126,7 +126,7 @@
 
 // ChangesSince returns the changes after a revision, for another host. They include removed targets, so that the other host
 // can forward packets of their open flows.
-func (d *Directory) ChangesSince(after uint64) Batch {
+func (d *Directory) ChangesSince(after Revision) Batch {
 	b := Batch{Revision: d.revision, Complete: d.complete && (after == 0 || after < d.prunedRevision)}
 	if c := d.configuration; c != nil && (c.Revision > after || b.Complete) {
 		b.Configuration = c
@@ -145,7 +145,7 @@
 	Kind       EventKind
 	Target     *Target
 	DataCentre string // of an evacuation
-	Revision   uint64
+	Revision   Revision
 	Version    uint64 // of the configuration
 }
 
@@ -316,7 +316,7 @@
 	Target
 	Presence  Presence
 	ColdUntil time.Duration
-	Revision  uint64
+	Revision  Revision
 }
 
 // Snapshot is the content of a directory at one time. It is immutable.
@@ -325,7 +325,7 @@
 	Targets       []TargetEntry // sorted by name
 	// Evacuations holds the evacuations of data centres that have targets, also those that have ended.
 	Evacuations map[string]EvacuationEntry
-	Revision    uint64
+	Revision    Revision
 	// Provisional reports that no complete list has been applied: routes and targets that the store holds may be missing.
 	Provisional bool
 	TakenAt     time.Duration
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -20,21 +20,21 @@
 	return &Target{Name: name, ID: TargetID(len(name)), Service: "rounds", Address: netip.MustParseAddrPort("127.0.0.9:80"), DataCentre: "regina", Capacity: 2}
 }
 
-func listed(name string, revision uint64) Change {
+func listed(name string, revision Revision) Change {
 	return Change{Name: name, Revision: revision, Target: target(name)}
 }
 
-func draining(name string, revision uint64) Change {
+func draining(name string, revision Revision) Change {
 	c := listed(name, revision)
 	c.Target.Draining = true
 	return c
 }
 
-func unusable(name string, revision uint64) Change {
+func unusable(name string, revision Revision) Change {
 	return Change{Name: name, Revision: revision, Unusable: true}
 }
 
-func removed(name string, revision uint64) Change {
+func removed(name string, revision Revision) Change {
 	return Change{Name: name, Revision: revision, Removed: true}
 }
 
@@ -218,8 +218,8 @@
 func TestChangesSince(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := newFilledDirectory(), New()
-		known := rapid.Uint64Range(0, 12).Draw(t, "known")
-		for revision := uint64(5); revision < 12; revision++ {
+		known := Revision(rapid.Uint64Range(0, 12).Draw(t, "known"))
+		for revision := Revision(5); revision < 12; revision++ {
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name")
 			change := rapid.SampledFrom([]Change{listed(name, revision), draining(name, revision), unusable(name, revision), removed(name, revision)}).Draw(t, "change")
 			if revision <= known {
@@ -261,7 +261,7 @@
 func TestOrderOfSources(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var changes []Change
-		for revision := uint64(5); revision < 15; revision++ {
+		for revision := Revision(5); revision < 15; revision++ {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 			changes = append(changes, rapid.SampledFrom([]Change{
 				listed(name, revision), draining(name, revision), unusable(name, revision), removed(name, revision),
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -13,8 +13,8 @@
 // Evacuation is the write or removal of the operator's request that a data centre's targets get no new flows.
 type Evacuation struct {
 	DataCentre string
-	Revision   uint64 // orders all changes of the store
-	Removed    bool   // the request was taken back
+	Revision   Revision // orders all changes of the store
+	Removed    bool     // the request was taken back
 }
 
 // Validate reports whether the change names a data centre.
@@ -27,7 +27,7 @@
 
 // evacuationState is the state of a request that is or was in the store.
 type evacuationState struct {
-	revision  uint64
+	revision  Revision
 	removed   bool
 	changedAt time.Duration
 }
@@ -116,7 +116,7 @@
 }
 
 // evacuationsSince returns the changes after a revision, or all if all is set, sorted by data centre.
-func (d *Directory) evacuationsSince(after uint64, all bool) []Evacuation {
+func (d *Directory) evacuationsSince(after Revision, all bool) []Evacuation {
 	var changes []Evacuation
 	for _, dataCentre := range slices.Sorted(maps.Keys(d.evacuations)) {
 		if e := d.evacuations[dataCentre]; e.revision > after || all {
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-func evacuated(revision uint64) Evacuation {
+func evacuated(revision Revision) Evacuation {
 	return Evacuation{DataCentre: "regina", Revision: revision}
 }
 
-func takenBack(revision uint64) Evacuation {
+func takenBack(revision Revision) Evacuation {
 	return Evacuation{DataCentre: "regina", Revision: revision, Removed: true}
 }
 
@@ -77,7 +77,7 @@
 	d := newFilledDirectory()
 	list := []Evacuation{evacuated(5)}
 	for i := range 5000 {
-		list = append(list, Evacuation{DataCentre: fmt.Sprintf("unknown-%d", i), Revision: uint64(i + 6)})
+		list = append(list, Evacuation{DataCentre: fmt.Sprintf("unknown-%d", i), Revision: Revision(i + 6)})
 	}
 	events := d.Apply(Batch{Revision: 6000, Evacuations: list}, time.Second)
 	if !d.Snapshot(time.Second).Evacuated("regina") || len(events) != 1 {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -15,7 +15,7 @@
 	// the last few seconds.
 	List(ctx context.Context, page string, stale bool) (Page, error)
 	// Watch waits up to wait for changes after the revision and returns them, or an empty batch.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Batch, error)
 }
 
 // Page is a part of a list.
@@ -58,7 +58,7 @@
 type Read struct {
 	Kind  ReadKind
 	Page  string        // page of a list or an audit
-	After uint64        // revision after which a watch returns changes
+	After Revision      // revision after which a watch returns changes
 	Wait  time.Duration // maximum wait of a watch
 	Delay time.Duration // pause before the read
 }
@@ -75,7 +75,7 @@
 	staleListDone     bool       // the stale list was read, failed or is skipped
 	multiPage         bool       // the list has several pages
 	fullListDone      bool
-	watchRevision     uint64
+	watchRevision     Revision
 	failures          int
 	unusableWatches   int // watches since the last usable one whose response was of no use
 	lastAudit         time.Duration
@@ -91,7 +91,7 @@
 
 // Resume makes the next read a watch after a revision up to which all changes are known from another source. It has no
 // effect if the follower is already at that revision or beyond.
-func (f *Follower) Resume(after uint64) {
+func (f *Follower) Resume(after Revision) {
 	if after > f.watchRevision {
 		f.fullListDone, f.watchRevision, f.partial = true, after, Batch{}
 		f.nextPage, f.auditing = "", false
@@ -238,8 +238,8 @@
 }
 
 // newestRevision returns the highest revision of the records in a batch.
-func newestRevision(b Batch) uint64 {
-	var revision uint64
+func newestRevision(b Batch) Revision {
+	var revision Revision
 	if b.Configuration != nil {
 		revision = b.Configuration.Revision
 	}
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -13,12 +13,12 @@
 
 // fakeStore is a store whose history of changes can be dropped and whose watches can miss changes.
 type fakeStore struct {
-	revision  uint64
+	revision  Revision
 	changes   []Change
-	droppedTo uint64 // the history up to this revision was dropped
-	silent    bool   // watches return no changes
-	pageSize  int    // records per page, 0 for no limit
-	failures  int    // number of next calls that fail
+	droppedTo Revision // the history up to this revision was dropped
+	silent    bool     // watches return no changes
+	pageSize  int      // records per page, 0 for no limit
+	failures  int      // number of next calls that fail
 	// maxVersions is the number of changes above which the response of a watch is of no use, 0 for no limit.
 	maxVersions int
 }
@@ -79,7 +79,7 @@
 	f     *Follower
 	store *fakeStore
 	now   time.Duration
-	known uint64
+	known Revision
 	reads int
 	// listed is the number of records of the last batch.
 	listed int
--- a/directory/target.go
+++ b/directory/target.go
@@ -29,6 +29,9 @@
 	Draining   bool
 	ColdFor    time.Duration // remaining warm-up time when the record was read
 	StartedMS  int64         // start as a Unix time, ms; 0 if unknown
+	// Sequence is the number of records that the target had written since its start. It orders records only after the store was
+	// restored from a copy.
+	Sequence int64
 }
 
 // Token returns the token of the target. It is derived from the ID alone, and is never 0.
@@ -67,8 +70,8 @@
 // Change is the write or removal of one target record in the store.
 type Change struct {
 	Name     string
-	Revision uint64 // orders all changes of the store
-	Removed  bool   // the record was removed
+	Revision Revision // orders all changes of the store
+	Removed  bool     // the record was removed
 	// Unusable reports that the record was written, but describes no usable target, for example because another program wrote
 	// it. It says nothing about the target itself.
 	Unusable bool
@@ -112,7 +115,7 @@
 // Configuration is one version of the operator's configuration.
 type Configuration struct {
 	Version     uint64
-	Revision    uint64 // of its record in the store
+	Revision    Revision // of its record in the store
 	Routes      []Route
 	Services    []string
 	IdleTimeout time.Duration // after which an idle flow may be discarded
@@ -123,8 +126,9 @@
 	// Complete reports that the batch lists every target, so that targets missing from it no longer exist.
 	Complete bool
 	// Revision is the revision up to which all changes are known once the batch is applied: for a list, the revision of
-	// the store before the read; for a watch, that of its newest change, or 0 without changes.
-	Revision      uint64
+	// the store before the read; for a watch, that of its newest change, or the number 0 without changes. Its era is that of the
+	// response.
+	Revision      Revision
 	Configuration *Configuration // nil if the batch holds none
 	Changes       []Change
 	Evacuations   []Evacuation // at most one for each data centre
--- a/internal/direct/control_test.go
+++ b/internal/direct/control_test.go
@@ -47,7 +47,7 @@
 }
 
 // singleTargetList returns a complete list of one target.
-func singleTargetList(revision uint64) directory.Batch {
+func singleTargetList(revision directory.Revision) directory.Batch {
 	target := &directory.Target{Name: "t-1", ID: 1, Service: "ingest", DataCentre: "a", Capacity: 1, Address: netip.MustParseAddrPort("127.0.0.2:80")}
 	return directory.Batch{
 		Complete: true, Revision: revision, Configuration: &directory.Configuration{Version: 1, Revision: 1},
@@ -139,7 +139,7 @@
 	}
 	c.apply(list, "h-2", time.Second)
 	summary := slices.IndexFunc(lines, func(f logrus.Fields) bool { return f["event"] == "targets-told" })
-	if len(lines) > 3 || summary < 0 || lines[summary]["target-listed"] != 600 || lines[summary]["source"] != "h-2" || lines[summary]["revision"] != uint64(2) {
+	if len(lines) > 3 || summary < 0 || lines[summary]["target-listed"] != 600 || lines[summary]["source"] != "h-2" || lines[summary]["revision"] != directory.Revision(2) {
 		t.Fatalf("got %d lines, want at most 3 with a summary of 600 targets; summary or first line: %v",
 			len(lines), lines[max(summary, 0)])
 	}
--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -16,7 +16,7 @@
 	return directory.Page{Batch: directory.Batch{Complete: true, Revision: 7}}, nil
 }
 
-func (panickingSource) Watch(context.Context, uint64, time.Duration) (directory.Batch, error) {
+func (panickingSource) Watch(context.Context, directory.Revision, time.Duration) (directory.Batch, error) {
 	panic("unexpected response")
 }
 
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -70,11 +70,11 @@
 
 // simStore is a store whose history can be dropped.
 type simStore struct {
-	revision    uint64
+	revision    directory.Revision
 	changes     []directory.Change
 	configs     []*directory.Configuration // all versions
 	ackedAt     []time.Duration            // of each version
-	dropped     uint64
+	dropped     directory.Revision
 	down        bool
 	downChanged time.Duration // last change
 }
@@ -115,7 +115,7 @@
 }
 
 // since returns the changes after a revision.
-func (s *simStore) since(after uint64) directory.Page {
+func (s *simStore) since(after directory.Revision) directory.Page {
 	var p directory.Page
 	for _, c := range s.changes {
 		if c.Revision > after {
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -50,7 +50,7 @@
 	client := NewClient(NewIdentity("a", "x", 1), address, 200*time.Millisecond)
 	defer client.Close()
 	call := func(n uint64) (Message, error) {
-		return client.Call(ctx, &RelayReport{Report: relay.Report{Freshness: relay.Freshness{Revision: n}}})
+		return client.Call(ctx, &RelayReport{Report: relay.Report{Freshness: relay.Freshness{Revision: directory.Revision(n)}}})
 	}
 	for n := range uint64(3) {
 		if m, err := call(n); err != nil || m.(*RelayReply).HostCount != int(n) {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -288,7 +288,7 @@
 func TestChangesStayInTheDataCentre(t *testing.T) {
 	n := newNetwork(6, "a", "b", "c")
 	n.run(5 * time.Second)
-	revision := uint64(1)
+	revision := directory.Revision(1)
 	step := func(behind string) {
 		revision++
 		relays := map[string]string{}
--- a/relay/message.go
+++ b/relay/message.go
@@ -26,8 +26,8 @@
 	// Confirmed is the time since the last read that the store answered was sent. Steady is how long the store had
 	// answered without interruption before that.
 	Confirmed, Steady time.Duration
-	Revision          uint64 // revision of the store up to which every change is known
-	ReadFailed        bool   // the store did not answer the sender's last read
+	Revision          directory.Revision // revision of the store up to which every change is known
+	ReadFailed        bool               // the store did not answer the sender's last read
 }
 
 // Report is what a balancer periodically sends to a relay.
@@ -68,6 +68,6 @@
 type HostState struct {
 	Fresh      bool // its knowledge of the store is recent
 	Leaving    bool
-	Revision   uint64 // revision of the store up to which it knows every change; 0 while it knows nothing
-	ReadFailed bool   // the store did not answer its last read
+	Revision   directory.Revision // revision of the store up to which it knows every change; 0 while it knows nothing
+	ReadFailed bool               // the store did not answer its last read
 }
--- a/relay/network_test.go
+++ b/relay/network_test.go
@@ -25,7 +25,7 @@
 	fleet    *Fleet
 	self     Host
 	fresh    bool
-	revision uint64 // revision of the store that it knows, 0 for none
+	revision directory.Revision // revision of the store that it knows, 0 for none
 	down     bool
 	loads    []directory.Load
 	// lastAnswer is the time of the store's last answer that the host knows of, in tests with a store; 0 in others.
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
 )
 
 const (
@@ -15,7 +17,7 @@
 // storeNetwork is a network whose hosts read a store when their fleet requires it.
 type storeNetwork struct {
 	*network
-	revision    uint64
+	revision    directory.Revision
 	unreachable map[string]bool // names of hosts that the store does not answer
 }
 
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -140,7 +140,7 @@
 		Evacuations []directory.Evacuation
 	}
 	var sameBatch encodedBatch
-	if err := msgpack.Unmarshal(encode(&batch), &sameBatch); err != nil || sameBatch.Revision != batch.Revision ||
+	if err := msgpack.Unmarshal(encode(&batch), &sameBatch); err != nil || sameBatch.Revision != uint64(batch.Revision) ||
 		len(sameBatch.Changes) != len(batch.Changes) {
 		t.Errorf("the batch is decoded as %+v, error %v", sameBatch, err)
 	}
