Follow a store that is restored from a copy

After a restore, revisions go back and what was written since the copy is gone. Hosts treated the copy as the truth: targets that drained or had left became ready again, living ones counted as ended, and evacuations ended.

A response of another era than its watch or list leads to a new list. The first list of a new era starts the evidence of missing targets anew. Records of the copy that are older than the known ones replace them only after the store has answered for 3.5 s, and evacuations that it lacks stay in force for 5 s. Both are handed on to hosts that know only the copy, as is the higher version of the configuration, which reports now name. Freshness of another era is not adopted, and a host of another era gets the complete content. The line store-restored and the gauge marigoldwood_store_era show it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -43,6 +43,8 @@
 	obscured  bool // the last record before a removal was unusable
 	removed   bool
 	removedAt time.Duration
+	// withheld is the record in a restored store, if target is a newer one that the store has lost.
+	withheld *Target
 }
 
 // Directory holds the configuration and targets read from the store. It is not safe for concurrent use. Times are readings
@@ -59,6 +61,7 @@
 	answeringSince time.Duration // start of the current run of successful reads
 	answering      bool
 	prunedRevision Revision // newest revision of a pruned target
+	keepsLost      bool     // a restored store may have lost targets or evacuations that are held here
 }
 
 // never is earlier than any reading of a monotonic clock, and far enough from the minimum that differences do not overflow.
@@ -125,21 +128,36 @@
 }
 
 // ChangesSince returns the changes after a revision, for another host. They include removed targets, so that the other host
-// can forward packets of their open flows.
-func (d *Directory) ChangesSince(after Revision) Batch {
-	b := Batch{Revision: d.revision, Complete: d.complete && (after == 0 || after < d.prunedRevision)}
+// can forward packets of their open flows, and what a restored store has lost. A host of another era gets everything.
+func (d *Directory) ChangesSince(after Revision, now time.Duration) Batch {
+	b := Batch{
+		Revision: d.revision,
+		Complete: d.complete && (after == 0 || after < d.prunedRevision || after.Era() != d.revision.Era()),
+	}
 	if c := d.configuration; c != nil && (c.Revision > after || b.Complete) {
 		b.Configuration = c
 	}
+	resent := 0 // records that the other host may know already
 	for name, r := range d.targets {
 		if r.revision > after || b.Complete {
-			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target})
+			b.Changes = append(b.Changes, r.change(name))
+		} else if r.withheld != nil && resent < maxKeptChanges {
+			b.Changes = append(b.Changes, r.change(name))
+			resent++
 		}
 	}
-	b.Evacuations = d.evacuationsSince(after, b.Complete)
+	b.Evacuations = d.evacuationsSince(after, b.Complete, now)
 	return b
 }
 
+// change describes the target to another host.
+func (r *targetState) change(name string) Change {
+	if r.withheld != nil {
+		return Change{Name: name, Revision: r.revision, Kept: r.kept(), Target: r.withheld}
+	}
+	return Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target}
+}
+
 // Event describes a change of the directory, for the log.
 type Event struct {
 	Kind       EventKind
@@ -147,6 +165,8 @@
 	DataCentre string // of an evacuation
 	Revision   Revision
 	Version    uint64 // of the configuration
+	// Restoration is set for StoreRestored.
+	Restoration *Restoration
 }
 
 // EventKind is the kind of an event.
@@ -163,29 +183,37 @@
 	ConfigurationStale
 	EvacuationStarted
 	EvacuationEnded
+	StoreRestored
 )
 
 var eventNames = [...]string{
 	"target-listed", "target-changed", "target-restarted", "target-obscured", "target-removed", "configuration-accepted", "configuration-stale",
-	"evacuation-started", "evacuation-ended",
+	"evacuation-started", "evacuation-ended", "store-restored",
 }
 
 // String returns the name used in logs.
 func (k EventKind) String() string { return eventNames[k] }
 
 // Apply merges a batch and returns what changed. Records and configurations older than the known ones are ignored, so that
-// batches from several sources may arrive in any order.
+// batches from several sources may arrive in any order. Of a batch of an earlier era only the configuration is used.
 func (d *Directory) Apply(b Batch, now time.Duration) []Event {
 	if b.Provisional && d.complete {
 		return nil
 	}
 	d.provisional = d.provisional || b.Provisional
 	var events []Event
+	if !d.isOtherEra(&b) {
+		events = d.startEra(&b, now, events)
+	}
 	if b.Configuration != nil {
 		events = d.applyConfiguration(b.Configuration, events)
 	}
+	if d.isOtherEra(&b) {
+		return events
+	}
 	for i := range b.Changes {
 		events = d.applyChange(&b.Changes[i], now, events)
+		events = d.applyKept(&b.Changes[i], now, events)
 	}
 	for i := range b.Evacuations {
 		events = d.applyEvacuation(&b.Evacuations[i], now, events)
@@ -220,6 +248,9 @@
 	if c.Removed || c.Unusable {
 		return d.applyWithoutRecord(c, known, now, events)
 	}
+	if known != nil && known.keepKnown(c) {
+		return events
+	}
 	kind := TargetListed
 	if known != nil && !known.removed {
 		kind = TargetChanged
@@ -242,6 +273,9 @@
 		d.targets[c.Name] = known
 	}
 	known.revision = c.Revision
+	if known.withheld != nil { // the removal is that of the record in the restored store, also if the target had left before
+		known.withheld, known.removed = nil, false
+	}
 	if c.Removed {
 		known.obscured = known.obscured || c.Unusable
 		return d.markRemoved(known, now, events)
@@ -271,7 +305,7 @@
 	for _, name := range slices.Sorted(maps.Keys(d.targets)) {
 		r := d.targets[name]
 		if !listed[name] && r.revision <= b.Revision {
-			r.revision = b.Revision
+			r.revision, r.withheld = b.Revision, nil
 			events = d.markRemoved(r, now, events)
 		}
 	}
@@ -282,7 +316,7 @@
 func (d *Directory) Prune(now time.Duration) {
 	d.pruneEvacuations(now)
 	maps.DeleteFunc(d.targets, func(_ string, r *targetState) bool {
-		if !r.removed || now-r.removedAt <= removedRetention {
+		if !r.removed || r.withheld != nil || now-r.removedAt <= removedRetention {
 			return false
 		}
 		d.prunedRevision = max(d.prunedRevision, r.revision)
@@ -301,6 +335,8 @@
 		return Draining
 	case !r.removed:
 		return Ready
+	case r.withheld != nil:
+		return Departed // a restored store has a record of it
 	case d.answering && d.confirmedAt-max(d.answeringSince, r.removedAt) >= relistGrace:
 		return Gone
 	case r.target.Draining && !r.obscured && d.answering && r.removedAt-d.answeringSince >= relistGrace:
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -223,11 +223,11 @@
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "name")
 			change := rapid.SampledFrom([]Change{listed(name, revision), draining(name, revision), unusable(name, revision), removed(name, revision)}).Draw(t, "change")
 			if revision <= known {
-				b.Apply(a.ChangesSince(b.Revision()), 0)
+				b.Apply(a.ChangesSince(b.Revision(), 0), 0)
 			}
 			a.Apply(Batch{Revision: revision, Changes: []Change{change}}, time.Second)
 		}
-		b.Apply(a.ChangesSince(b.Revision()), time.Second)
+		b.Apply(a.ChangesSince(b.Revision(), 0), time.Second)
 		x, y := a.Snapshot(time.Second), b.Snapshot(time.Second)
 		if fmt.Sprint(summarize(x)) != fmt.Sprint(summarize(y)) || x.Revision != y.Revision || b.Configuration() == nil {
 			t.Fatalf("hosts differ in targets or revision, or the receiver has no configuration:\n%v\n%v", summarize(x), summarize(y))
@@ -241,7 +241,7 @@
 	a, b := newFilledDirectory(), newFilledDirectory()
 	a.Apply(Batch{Revision: 9, Changes: []Change{removed("a", 9)}}, 0)
 	a.Prune(removedRetention + time.Second)
-	b.Apply(a.ChangesSince(b.Revision()), removedRetention+time.Second)
+	b.Apply(a.ChangesSince(b.Revision(), 0), removedRetention+time.Second)
 	if got := presenceOf(t, b, "a", removedRetention+time.Second); got <= Draining {
 		t.Fatalf("pruned target is %v, want a presence of a removed target", got)
 	}
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -14,14 +14,19 @@
 type Evacuation struct {
 	DataCentre string
 	Revision   Revision // orders all changes of the store
-	Removed    bool     // the request was taken back
+	Removed    bool     // the request was taken back, or is not in the store
+	// Hold is how much longer the request stays in force although a restored store has lost it; 0 if the store has not lost it.
+	Hold time.Duration
 }
 
-// Validate reports whether the change names a data centre.
+// Validate reports whether the change names a data centre and has values in range.
 func (e *Evacuation) Validate() error {
 	if !validName(e.DataCentre) {
 		return Error.New("evacuation of a data centre with a name of %d bytes", len(e.DataCentre))
 	}
+	if e.Hold < 0 || e.Hold > evacuationHold {
+		return Error.New("hold %v of an evacuation is not between 0 and %v", e.Hold, evacuationHold)
+	}
 	return nil
 }
 
@@ -30,12 +35,16 @@
 	revision  Revision
 	removed   bool
 	changedAt time.Duration
+	held      bool          // in force although a restored store has lost the request
+	heldUntil time.Duration // when a held one ends
 }
 
 // applyEvacuation merges one change. Changes that are older than the known one are ignored.
 func (d *Directory) applyEvacuation(e *Evacuation, now time.Duration, events []Event) []Event {
 	known := d.evacuations[e.DataCentre]
 	switch {
+	case e.Hold > 0:
+		return d.applyHeldEvacuation(e, known, now, events)
 	case known == nil && e.Removed: // a removal is kept so that a list that is older cannot bring the request back
 		d.evacuations[e.DataCentre] = &evacuationState{revision: e.Revision, removed: true, changedAt: now}
 		return events
@@ -45,10 +54,36 @@
 	case e.Revision <= known.revision:
 		return events
 	}
-	known.revision = e.Revision
+	if e.Removed && !known.removed && e.Revision.Era() > known.revision.Era() { // the sender holds it no longer, or never knew it
+		known.hold(e.Revision, now+evacuationHold)
+		return events
+	}
+	known.revision, known.held = e.Revision, false
 	return d.setEvacuated(e.DataCentre, known, !e.Removed, now, events)
 }
 
+// applyHeldEvacuation merges an evacuation that another host keeps in force although the restored store has lost it.
+func (d *Directory) applyHeldEvacuation(e *Evacuation, known *evacuationState, now time.Duration, events []Event) []Event {
+	until := now + e.Hold
+	switch {
+	case known == nil:
+		known = &evacuationState{removed: true}
+		d.evacuations[e.DataCentre] = known
+	case e.Revision < known.revision, e.Revision == known.revision && !known.removed:
+		return events
+	case e.Revision == known.revision && now-known.changedAt < evacuationHold:
+		return events // it was held here too, and has ended
+	}
+	known.hold(e.Revision, until)
+	d.keepsLost = true
+	return d.setEvacuated(e.DataCentre, known, true, now, events)
+}
+
+// hold keeps an evacuation in force that the store has lost.
+func (e *evacuationState) hold(revision Revision, until time.Duration) {
+	e.revision, e.held, e.heldUntil = revision, true, until
+}
+
 // setEvacuated records whether a data centre is evacuated. It returns events with one more if that has changed.
 func (d *Directory) setEvacuated(dataCentre string, known *evacuationState, evacuated bool, now time.Duration, events []Event) []Event {
 	if known.removed == !evacuated {
@@ -107,7 +142,13 @@
 	}
 	for _, dataCentre := range slices.Sorted(maps.Keys(d.evacuations)) {
 		known := d.evacuations[dataCentre]
-		if !listed[dataCentre] && !known.removed && known.revision <= b.Revision {
+		if listed[dataCentre] || known.removed || known.revision > b.Revision {
+			continue
+		}
+		switch {
+		case known.revision.Era() < b.Revision.Era():
+			known.hold(b.Revision, now+evacuationHold)
+		case !known.held: // the end of a held one is not in any list
 			known.revision = b.Revision
 			events = d.setEvacuated(dataCentre, known, false, now, events)
 		}
@@ -115,13 +156,19 @@
 	return events
 }
 
-// evacuationsSince returns the changes after a revision, or all if all is set, sorted by data centre.
-func (d *Directory) evacuationsSince(after Revision, all bool) []Evacuation {
+// evacuationsSince returns the held evacuations and the changes after a revision, or all if all is set, sorted by data centre.
+func (d *Directory) evacuationsSince(after Revision, all bool, now time.Duration) []Evacuation {
 	var changes []Evacuation
 	for _, dataCentre := range slices.Sorted(maps.Keys(d.evacuations)) {
-		if e := d.evacuations[dataCentre]; e.revision > after || all {
-			changes = append(changes, Evacuation{DataCentre: dataCentre, Revision: e.revision, Removed: e.removed})
+		e := d.evacuations[dataCentre]
+		change := Evacuation{DataCentre: dataCentre, Revision: e.revision, Removed: e.removed || e.held}
+		if e.held {
+			change.Hold = max(e.heldUntil-now, 0)
+		}
+		if e.revision <= after && !all && change.Hold == 0 {
+			continue
 		}
+		changes = append(changes, change)
 	}
 	return changes
 }
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -58,7 +58,7 @@
 		if len(events) != 1 || events[0].DataCentre != "regina" {
 			t.Fatalf("change %d: events %v, want one", i, events)
 		}
-		other.Apply(d.ChangesSince(other.Revision()), time.Second)
+		other.Apply(d.ChangesSince(other.Revision(), 0), time.Second)
 		if got := other.Snapshot(time.Second).Evacuated("regina"); got == e.Removed {
 			t.Fatalf("change %d: the other host takes the data centre for evacuated: %v", i, got)
 		}
@@ -66,7 +66,7 @@
 	other.Apply(Batch{Revision: 7, Evacuations: []Evacuation{evacuated(7)}}, time.Second)
 	d.Apply(Batch{Revision: 9, Evacuations: []Evacuation{evacuated(7), takenBack(8)}}, time.Second)
 	d.Prune(time.Second + removedRetention + 1)
-	other.Apply(d.ChangesSince(other.Revision()), 2*time.Minute)
+	other.Apply(d.ChangesSince(other.Revision(), 0), 2*time.Minute)
 	if other.Snapshot(2 * time.Minute).Evacuated("regina") {
 		t.Error("the end of the evacuation was pruned, and the other host has not learned of it")
 	}
@@ -83,7 +83,7 @@
 	if !d.Snapshot(time.Second).Evacuated("regina") || len(events) != 1 {
 		t.Errorf("%d events, want the one of the evacuated data centre", len(events))
 	}
-	if n := len(d.ChangesSince(0).Evacuations); n > maxEvacuations {
+	if n := len(d.ChangesSince(0, time.Second).Evacuations); n > maxEvacuations {
 		t.Errorf("%d evacuations are sent to other hosts, at most %d are allowed", n, maxEvacuations)
 	}
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -69,7 +69,7 @@
 // changes does not prove that there were none. If the store no longer has the history since then, the list is read again.
 // The same watch would fail again if its response is of no use, for example because it holds too many versions of a large record:
 // the list, which has one version of each and bounded pages, is read in its place. Audits bound the delay of changes that no watch
-// delivers.
+// delivers. A response of another era than the list or the watch that it continues is not used, and the list is read again.
 type Follower struct {
 	rng               *rand.Rand // for retry jitter
 	staleListDone     bool       // the stale list was read, failed or is skipped
@@ -77,13 +77,14 @@
 	fullListDone      bool
 	watchRevision     Revision
 	failures          int
-	unusableWatches   int // watches since the last usable one whose response was of no use
+	unusableWatches   int // watches since the last usable one whose response was of no use, or whose revision the store does not have
 	lastAudit         time.Duration
 	lastRead          time.Duration // end of the last read
 	pauseAfterChanges bool
 	nextPage          string // next page of the unfinished list or audit, "" if none
 	auditing          bool
-	partial           Batch // pages of the unfinished list
+	partial           Batch  // pages of the unfinished list
+	partialEra        uint16 // era of the store in its first page
 }
 
 // NewFollower returns a follower that has not read anything. random is the source of retry jitter.
@@ -155,6 +156,9 @@
 	}
 	f.failures = 0
 	switch {
+	case f.isOtherEra(r, p):
+		f.restart(r, p)
+		return Batch{}, false
 	case r.Kind == ReadList:
 		return f.addListPage(now, r, p)
 	case r.Kind == ReadAudit && !f.fullListDone:
@@ -174,6 +178,7 @@
 	switch code := resultcode.Of(err); {
 	case code == resultcode.PlatformHistoryGone:
 		f.fullListDone, f.failures = false, 0
+		f.unusableWatches++
 	case code == resultcode.PlatformResponse && r.Kind == ReadWatch:
 		f.fullListDone, f.failures = false, 0
 		f.unusableWatches++
@@ -183,11 +188,33 @@
 	}
 }
 
+// isOtherEra reports whether a response is of another era of the store than the list or the watch that it continues. A list begins with
+// any era.
+func (f *Follower) isOtherEra(r Read, p Page) bool {
+	switch {
+	case r.Kind == ReadWatch:
+		return p.Revision.Era() != r.After.Era()
+	case r.Kind == ReadAudit && f.fullListDone:
+		return p.Revision.Era() != f.watchRevision.Era()
+	}
+	return r.Page != "" && p.Revision.Era() != f.partialEra
+}
+
+// restart makes the next read the first page of the up-to-date list, because the store was restored from a copy since the watch or the
+// list began.
+func (f *Follower) restart(r Read, p Page) {
+	f.fullListDone, f.staleListDone, f.auditing, f.nextPage, f.partial = false, true, false, "", Batch{}
+	f.unusableWatches++
+	if start := p.Revision - Revision(p.Revision.Number()); start > f.watchRevision {
+		f.watchRevision = start // a source that is still in the earlier era does not replace the list
+	}
+}
+
 // addStalePage collects the pages of the initial stale list. It returns them after the last page, unless there is only one:
 // the up-to-date list then takes only one call and follows at once.
 func (f *Follower) addStalePage(r Read, p Page) (Batch, bool) {
 	if r.Page == "" {
-		f.multiPage, f.partial = p.Next != "", Batch{Provisional: true}
+		f.multiPage, f.partial, f.partialEra = p.Next != "", Batch{Provisional: true}, p.Revision.Era()
 	}
 	f.collect(p)
 	if f.nextPage = p.Next; f.nextPage != "" {
@@ -201,7 +228,7 @@
 // consistent snapshot: the watch then delivers the changes made while they were read.
 func (f *Follower) addListPage(now time.Duration, r Read, p Page) (Batch, bool) {
 	if r.Page == "" {
-		f.partial = Batch{Complete: true, Revision: p.Revision}
+		f.partial, f.partialEra = Batch{Complete: true, Revision: p.Revision}, p.Revision.Era()
 	}
 	f.collect(p)
 	if f.nextPage = p.Next; f.nextPage != "" {
--- a/directory/target.go
+++ b/directory/target.go
@@ -75,11 +75,20 @@
 	// Unusable reports that the record was written, but describes no usable target, for example because another program wrote
 	// it. It says nothing about the target itself.
 	Unusable bool
+	// Kept is the newer record by which the sender goes on treating the target since the store was restored from a copy, or nil. The
+	// other fields then describe the record in the store.
+	Kept *KeptRecord
 	// Target is the target's record. For a removed target and an unusable record it is the last usable record, or nil if the
 	// sender of the change does not have it.
 	Target *Target
 }
 
+// KeptRecord is a target's record that a restored store has lost.
+type KeptRecord struct {
+	Target  Target
+	Removed bool // the target had left
+}
+
 // Route maps an endpoint to the services that handle its flows.
 type Route struct {
 	Name     string
--- a/directory/validate.go
+++ b/directory/validate.go
@@ -62,6 +62,12 @@
 		return nil
 	case c.Target.Name != c.Name:
 		return Error.New("record of another target, %q", c.Target.Name)
+	case c.Kept != nil && c.Kept.Target.Name != c.Name:
+		return Error.New("kept record of another target, %q", c.Kept.Target.Name)
+	case c.Kept != nil:
+		if err := c.Kept.Target.Validate(); err != nil {
+			return err
+		}
 	}
 	return c.Target.Validate()
 }
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -237,6 +237,13 @@
 func (c *Control) recordChange(e *directory.Event, source string) {
 	inputs := logrus.Fields{"revision": e.Revision, "source": source}
 	event := timeline.Event{Kind: e.Kind.String(), Version: e.Version}
+	if r := e.Restoration; r != nil {
+		inputs["era"], inputs["before"], inputs["age"] = e.Revision.Era(), r.Before, r.Answered
+		inputs["unlisted"], inputs["older"], inputs["evacuations"] = r.Unlisted, r.Older, r.Evacuations
+		inputs["known_version"], inputs["version_in_store"] = r.KnownVersion, r.Version
+		c.record(logrus.WarnLevel, event, inputs)
+		return
+	}
 	if e.DataCentre != "" {
 		inputs["data_centre"] = e.DataCentre
 	}
--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -62,6 +62,7 @@
 	"kill centre": func(s *simulation, h *simHost, _ *simTarget) { s.killDataCentre(h, nil) },
 	"kill others": func(s *simulation, h *simHost, _ *simTarget) { s.killDataCentre(h, h) },
 	"write over":  (*simulation).writeOver,
+	"restore":     (*simulation).restoreStore,
 }
 
 // drain makes a target announce its shutdown.
@@ -195,6 +196,9 @@
 	if !ready && h.connected() {
 		return fmt.Sprintf("%s has no routes and targets, although it reaches the store", h.self.Name)
 	}
+	if era := h.control.directory.Revision().Era(); h.connected() && era != s.store.revision.Era() {
+		return fmt.Sprintf("%s is in era %d, although it reaches the store in era %d", h.self.Name, era, s.store.revision.Era())
+	}
 	if v := h.engine.View(); v != nil {
 		if v.Version < h.version {
 			return fmt.Sprintf("%s returned from version %d to %d", h.self.Name, h.version, v.Version)
@@ -272,7 +276,7 @@
 }
 
 // Guards against balancers with stale routes or targets, with none, or with wrong decisions about flows, after any sequence of
-// restarts, pauses, partitions, store outages, lost history, unusable records, and targets that drain, crash, return or pass on
+// restarts, pauses, partitions, store outages, restores from a copy, lost history, unusable records, and targets that drain, crash, return or pass on
 // their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
 func TestExplore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -28,6 +28,7 @@
 	flows        atomic.Int64
 	version      atomic.Uint64
 	storeAge     atomic.Int64 // ms
+	storeEra     atomic.Int64
 	queues       atomic.Pointer[[]steer.Queue]
 	batchTimes   metric.Float64Histogram
 	readTimes    metric.Float64Histogram
@@ -97,6 +98,7 @@
 	gauges := map[telemetry.Instrument]func() int64{
 		telemetry.DirectFlows:                m.flows.Load,
 		telemetry.DirectPlatformAge:          m.storeAge.Load,
+		telemetry.DirectStoreEra:             m.storeEra.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -97,11 +97,19 @@
 func (c *Control) standing(now time.Duration) relay.HostState {
 	s := relay.HostState{Fresh: c.isFresh(now), Leaving: c.leaving(), ReadFailed: c.storeUnavailable}
 	if _, known := c.directory.Age(now); known {
-		s.Revision = c.directory.Revision()
+		s.Revision, s.Version = c.directory.Revision(), c.configurationVersion()
 	}
 	return s
 }
 
+// configurationVersion returns the version of the operator's configuration in force, or 0.
+func (c *Control) configurationVersion() uint64 {
+	if configuration := c.directory.Configuration(); configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
 func (c *Control) leaving() bool { return c.leaveStarted > 0 }
 
 // handleRead processes the result of a read of the store.
@@ -123,10 +131,31 @@
 		// Audits, stale lists and pages of an unfinished list do not prove that this host has all changes.
 		source := sourceProvisional
 		if !batch.Provisional {
-			c.directory.StoreConfirmed(r.sentAt)
 			source = sourceStore
+			c.confirmStore(&batch, r.sentAt, now)
 		}
 		c.apply(batch, source, now)
+		if !batch.Provisional {
+			c.confirmStore(&batch, r.sentAt, now) // the list of a new era is that of the directory only now
+		}
+	}
+	c.settle(now)
+}
+
+// confirmStore records that the store's answer to a read that was sent at sentAt is known. An answer of another era than that of the
+// directory proves nothing.
+func (c *Control) confirmStore(b *directory.Batch, sentAt, now time.Duration) {
+	if b.Revision.Era() == c.directory.Revision().Era() {
+		c.directory.StoreAnswered(now)
+		c.directory.StoreConfirmed(sentAt)
+	}
+}
+
+// settle ends what is kept after the store was restored from a copy, when it is time.
+func (c *Control) settle(now time.Duration) {
+	if events := c.directory.Settle(now); len(events) > 0 {
+		c.publish(now)
+		c.recordChanges(events, sourceStore)
 	}
 }
 
@@ -168,9 +197,8 @@
 	if age, known := c.directory.Age(now); known {
 		c.metrics.storeAge.Store(age.Milliseconds())
 	}
-	if configuration := c.directory.Configuration(); configuration != nil {
-		c.metrics.version.Store(configuration.Version)
-	}
+	c.metrics.version.Store(c.configurationVersion())
+	c.metrics.storeEra.Store(int64(c.directory.Revision().Era()))
 }
 
 func (c *Control) freshness(now time.Duration) relay.Freshness {
@@ -178,6 +206,7 @@
 	confirmed, steady := c.directory.Confirmed(now)
 	return relay.Freshness{
 		Known: known, Age: age, Confirmed: confirmed, Steady: steady, Revision: c.directory.Revision(), ReadFailed: c.storeUnavailable,
+		Version: c.configurationVersion(),
 	}
 }
 
@@ -190,12 +219,25 @@
 		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), HostCount: c.fleet.HostCount(), KnownHosts: c.fleet.KnownHosts(),
 		Loads: c.fleet.ReplyLoads(r.Host.Name, r.Host.DataCentre, c.traffic.Loads(), now),
 	}
-	if r.WantsChanges && r.Freshness.Revision < c.directory.Revision() && c.directory.Complete() {
-		reply.Changes = c.directory.ChangesSince(r.Freshness.Revision)
+	if r.WantsChanges && c.directory.Complete() {
+		reply.Changes = c.changesFor(&r.Freshness, now)
 	}
 	return reply
 }
 
+// changesFor returns what another host lacks. After the store was restored from a copy, that may be more than its changes.
+func (c *Control) changesFor(f *relay.Freshness, now time.Duration) directory.Batch {
+	own := c.directory.Revision()
+	var changes directory.Batch
+	if f.Revision < own || f.Revision.Era() == own.Era() && c.directory.KeepsLost() {
+		changes = c.directory.ChangesSince(f.Revision, now)
+	}
+	if f.Version < c.configurationVersion() {
+		changes.Configuration, changes.Revision = c.directory.Configuration(), own
+	}
+	return changes
+}
+
 // handleReply processes the result of a report to another host.
 func (c *Control) handleReply(r replyResult) {
 	now := c.clock()
@@ -221,11 +263,13 @@
 	if !reply.Changes.IsEmpty() {
 		c.apply(reply.Changes, reply.Host.Name, now)
 	}
-	// The other host's freshness applies to this host only if it has all of the other's changes. The time of the freshness is
-	// when the report was sent, because this process may have been paused since.
-	if f := reply.Freshness; f.Known && f.Revision <= c.directory.Revision() {
+	// The other host's freshness applies to this host only if it has all of the other's changes, of the same era of the store. The
+	// time of the freshness is when the report was sent, because this process may have been paused since.
+	f, own := reply.Freshness, c.directory.Revision()
+	if f.Known && f.Revision <= own && f.Revision.Era() == own.Era() {
 		c.directory.StoreReportedByPeer(r.sentAt-f.Age, r.sentAt-f.Confirmed, f.Steady)
 	}
+	c.settle(now)
 }
 
 // updateQueues updates the metrics of work waiting for each service, and records when a lasting queue builds up or disappears.
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +32,9 @@
 	simRelistDelay   = 1500 * time.Millisecond // until a live target is listed again after it reaches the store
 	simServices      = 2
 	simRestart       = 700 * time.Millisecond // delay of the restart of a process
+	simMaxLost       = 10                     // changes that a restored store has lost are fewer
+	simRewriteDelay  = time.Second            // until the operator writes a lost configuration again
+	simLost          = time.Duration(math.MaxInt64 / 2)
 )
 
 // simulation simulates balancers, a store and targets without sockets, in steps of virtual time.
@@ -65,15 +70,18 @@
 	obscuredAt     time.Duration // when another program overwrote its record, 0 if the record is its own
 	rewrittenAt    time.Duration // when it last replaced the record of another program by its own
 	renewed        time.Duration // last renewal of the record
+	comparesAt     time.Duration // when it next writes its record after a restore of the store, 0 if it has
 	reachableSince time.Duration // since when it is alive and reaches the store
 }
 
-// simStore is a store whose history can be dropped.
+// simStore is a store whose history can be dropped, and which can be restored from a copy.
 type simStore struct {
 	revision    directory.Revision
 	changes     []directory.Change
-	configs     []*directory.Configuration // all versions
-	ackedAt     []time.Duration            // of each version
+	stored      []*directory.Configuration // versions that it holds
+	configs     []*directory.Configuration // all versions that the operator wrote
+	ackedAt     []time.Duration            // of each version, simLost while the store has lost it
+	rewriteAt   time.Duration              // when the operator writes the lost configuration again, 0 for never
 	dropped     directory.Revision
 	down        bool
 	downChanged time.Duration // last change
@@ -95,9 +103,60 @@
 		Version: version, Revision: s.revision, Routes: []directory.Route{{Endpoint: simEndpoint, Services: services}},
 	})
 	s.ackedAt = append(s.ackedAt, now)
+	s.stored = append(s.stored, s.configs[len(s.configs)-1])
+	s.endLoss(now)
 }
 
-func (s *simStore) newest() *directory.Configuration { return s.configs[len(s.configs)-1] }
+// rewriteLost writes the newest configuration again when the operator notices that the store has lost it.
+func (s *simStore) rewriteLost(now time.Duration) {
+	if s.rewriteAt == 0 || now < s.rewriteAt || s.down {
+		return
+	}
+	s.revision++
+	c := *s.configs[len(s.configs)-1]
+	c.Revision = s.revision
+	s.stored = append(s.stored, &c)
+	s.endLoss(now)
+}
+
+// endLoss records that the store has acknowledged a version that replaces all lost ones.
+func (s *simStore) endLoss(now time.Duration) {
+	s.rewriteAt = 0
+	for i := range s.ackedAt {
+		if s.ackedAt[i] == simLost {
+			s.ackedAt[i] = now
+		}
+	}
+}
+
+// restore replaces the store's content by a copy without the last changes, in a new era.
+func (s *simStore) restore(lost uint64, now time.Duration) {
+	last := max(s.revision.Number()-min(lost, s.revision.Number()), s.stored[0].Revision.Number())
+	era := directory.Revision(s.revision.Era()+1) << 48
+	renumber := func(r directory.Revision) directory.Revision { return era | directory.Revision(r.Number()) }
+	s.changes = slices.DeleteFunc(s.changes, func(c directory.Change) bool { return c.Revision.Number() > last })
+	for i := range s.changes {
+		s.changes[i].Revision = renumber(s.changes[i].Revision)
+	}
+	var stored []*directory.Configuration
+	for _, c := range s.stored {
+		if c.Revision.Number() <= last {
+			copied := *c
+			copied.Revision = renumber(c.Revision)
+			stored = append(stored, &copied)
+		}
+	}
+	s.stored, s.revision, s.downChanged = stored, era|directory.Revision(last), now
+	s.dropped = renumber(directory.Revision(min(s.dropped.Number(), last)))
+	for i, c := range s.configs {
+		if c.Version > s.newest().Version {
+			s.ackedAt[i] = simLost
+			s.rewriteAt = now + simRewriteDelay
+		}
+	}
+}
+
+func (s *simStore) newest() *directory.Configuration { return s.stored[len(s.stored)-1] }
 
 // list returns the newest record of each name.
 func (s *simStore) list() directory.Page {
@@ -114,9 +173,14 @@
 	return p
 }
 
+// inEra returns the revision of the current era with the same number: watches name only the number.
+func (s *simStore) inEra(r directory.Revision) directory.Revision {
+	return directory.Revision(s.revision.Era())<<48 | directory.Revision(r.Number())
+}
+
 // since returns the changes after a revision.
 func (s *simStore) since(after directory.Revision) directory.Page {
-	var p directory.Page
+	p := directory.Page{Batch: directory.Batch{Revision: s.inEra(0)}}
 	for _, c := range s.changes {
 		if c.Revision > after {
 			p.Changes, p.Revision = append(p.Changes, c), max(p.Revision, c.Revision)
@@ -196,7 +260,7 @@
 
 func (s *simulation) startTarget(t *simTarget) {
 	t.alive, t.drainedAt, t.Draining = true, 0, false
-	t.StartedMS = s.now.Milliseconds()
+	t.StartedMS, t.Sequence = s.now.Milliseconds(), 0
 	t.reachableSince = s.now
 	s.announce(t)
 }
@@ -206,6 +270,7 @@
 	if s.store.down || s.isolated[t.dc] {
 		return
 	}
+	t.Sequence++
 	copied := t.Target
 	s.store.write(directory.Change{Name: t.Name, Target: &copied})
 	if t.obscuredAt > 0 {
@@ -214,6 +279,39 @@
 	t.listed, t.renewed, t.obscuredAt = true, s.now, 0
 }
 
+// restoreStore restores the store from a copy that lacks its last changes. Each live target writes its record again at its next renewal
+// if the store holds another one.
+func (s *simulation) restoreStore(*simHost, *simTarget) {
+	s.store.restore(uint64(s.random.IntN(simMaxLost)), s.now)
+	stored := map[string]directory.Change{}
+	for _, c := range s.store.changes {
+		stored[c.Name] = c
+	}
+	for _, t := range s.targets {
+		c, found := stored[t.Name]
+		t.listed, t.renewed, t.obscuredAt = found && !c.Removed, s.now, 0
+		if c.Unusable {
+			t.obscuredAt = s.now
+		}
+		t.comparesAt = s.now + time.Duration(s.random.Int64N(int64(simRenewInterval)))
+	}
+}
+
+// holds reports whether the store holds the record of a target, but for the number of its writes.
+func (s *simStore) holds(t *simTarget) bool {
+	for i := len(s.changes) - 1; i >= 0; i-- {
+		if c := &s.changes[i]; c.Name == t.Name {
+			if c.Target == nil || c.Removed {
+				return false
+			}
+			written := *c.Target
+			written.Sequence = t.Sequence
+			return written == t.Target
+		}
+	}
+	return false
+}
+
 // start starts the process of a host.
 func (h *simHost) start() {
 	h.started, h.undisturbedSince, h.pausedUntil, h.read, h.version, h.readySince = h.sim.now, h.sim.now, 0, nil, 0, 0
@@ -313,10 +411,10 @@
 		result.err = resultcode.Errorf(resultcode.PlatformUnavailable, "", "no answer")
 	case r.Kind != directory.ReadWatch:
 		result.page = s.store.list()
-	case r.After < s.store.dropped:
+	case s.store.inEra(r.After) < s.store.dropped || s.store.inEra(r.After) > s.store.revision:
 		result.err = resultcode.Errorf(resultcode.PlatformHistoryGone, "watch", "gone")
 	default:
-		if result.page = s.store.since(r.After); result.page.Revision == 0 && waited < r.Wait {
+		if result.page = s.store.since(s.store.inEra(r.After)); result.page.IsEmpty() && waited < r.Wait {
 			return
 		}
 	}
@@ -329,6 +427,11 @@
 	for _, t := range s.targets {
 		if s.store.down || s.isolated[t.dc] || !t.alive {
 			t.reachableSince = s.now
+		} else if t.comparesAt > 0 && s.now >= t.comparesAt {
+			t.comparesAt = 0
+			if !s.store.holds(t) {
+				s.announce(t)
+			}
 		} else if t.obscuredAt > 0 && s.now-t.obscuredAt >= simRenewInterval {
 			s.announce(t)
 		} else if t.listed {
@@ -345,6 +448,7 @@
 
 func (s *simulation) step() {
 	s.now += simStep
+	s.store.rewriteLost(s.now)
 	s.renewRecords()
 	for _, h := range s.hosts {
 		if h.control != nil && h.control.state == stateStopped {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -202,6 +202,9 @@
 		for _, seed := range f.unknownSeeds() {
 			add(seed, unknownSeedInterval)
 		}
+		if ahead := f.newestConfiguration(own); ahead != nil {
+			add(ahead.host.Address, remoteInterval)
+		}
 	}
 	if f.isRelay() || f.relayKnowsFewer(now) {
 		for _, address := range f.missingHosts(now) {
@@ -214,6 +217,21 @@
 	return due
 }
 
+// newestConfiguration returns the host with the highest version of the configuration, or nil if no host has a higher one than this
+// host. After the store was restored from a copy, a relay that knows only the copy learns of it from a host that reports to it.
+func (f *Fleet) newestConfiguration(own HostState) *member {
+	var newest *member
+	for _, m := range f.members {
+		if own.Revision == 0 || !m.isResponsive() || m.state.Version <= own.Version {
+			continue
+		}
+		if newest == nil || m.state.Version > newest.state.Version || m.state.Version == newest.state.Version && m.host.Name < newest.host.Name {
+			newest = m
+		}
+	}
+	return newest
+}
+
 // WantsChanges reports whether a report to the host requests changes. own is the state of this host. Changes come from hosts of
 // this data centre and, to a relay, from the reader. From another data centre, which costs money, they are requested otherwise
 // only if the store does not answer this host or the other host is known to be ahead. A host that knows nothing requests them
@@ -225,7 +243,7 @@
 			if m.host.DataCentre == f.self.DataCentre {
 				return true
 			}
-			ahead = m.state.Revision > own.Revision
+			ahead = m.state.Revision > own.Revision || m.state.Version > own.Version
 		}
 	}
 	if own.Revision > 0 {
@@ -309,7 +327,7 @@
 func hostState(k *Freshness, leaving bool) HostState {
 	s := HostState{Leaving: leaving, ReadFailed: k.ReadFailed}
 	if k.Known {
-		s.Fresh, s.Revision = k.Age < staleAfter, k.Revision
+		s.Fresh, s.Revision, s.Version = k.Age < staleAfter, k.Revision, k.Version
 	}
 	return s
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -28,6 +28,9 @@
 	Confirmed, Steady time.Duration
 	Revision          directory.Revision // revision of the store up to which every change is known
 	ReadFailed        bool               // the store did not answer the sender's last read
+	// Version is the version of the operator's configuration that the sender uses. It can be higher than that of the store, which may
+	// have been restored from a copy.
+	Version uint64
 }
 
 // Report is what a balancer periodically sends to a relay.
@@ -70,4 +73,5 @@
 	Leaving    bool
 	Revision   directory.Revision // revision of the store up to which it knows every change; 0 while it knows nothing
 	ReadFailed bool               // the store did not answer its last read
+	Version    uint64             // of the operator's configuration that it uses; 0 while it knows nothing
 }
