Test what hosts keep and follow after a restore of the store

One case failed at first: a target that had been cut off at the restore counted as departed on a host that learned of the restore later, because records of the copy were withheld until a read sent 3.5 s after the first answer had been answered.

--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -362,3 +362,43 @@
 		t.Errorf("after a refused stale read: got %v, want list", next.Kind)
 	}
 }
+
+// restoredList returns a page of the list in an era.
+func restoredList(era uint16, number uint64, next string) Page {
+	return Page{Batch: Batch{Complete: true, Revision: inEra(era, number), Changes: []Change{listed("a", inEra(era, 1))}}, Next: next}
+}
+
+// Guards against changes of a restored store that are merged with what was read before, and against a list of pages from two eras: some
+// targets would be missing from it. The list must be read again from its first page, with pauses if that happens again and again.
+func TestRestoreBetweenResponses(t *testing.T) {
+	for name, tt := range map[string]struct {
+		before []Page // of the list
+		read   Read
+		page   Page
+	}{
+		"watch":               {[]Page{restoredList(1, 9, "")}, Read{Kind: ReadWatch, After: inEra(1, 9)}, restoredList(2, 10, "")},
+		"watch, nothing new":  {[]Page{restoredList(1, 9, "")}, Read{Kind: ReadWatch, After: inEra(1, 9)}, Page{Batch: Batch{Revision: inEra(2, 0)}}},
+		"watch, earlier era":  {[]Page{restoredList(1, 9, "")}, Read{Kind: ReadWatch, After: inEra(1, 9)}, Page{}},
+		"audit":               {[]Page{restoredList(1, 9, "")}, Read{Kind: ReadAudit}, restoredList(2, 2, "")},
+		"second page of list": {[]Page{restoredList(1, 9, "a")}, Read{Kind: ReadList, Page: "a"}, restoredList(2, 9, "")},
+	} {
+		f := NewFollower(rand.New(rand.NewPCG(1, 1)))
+		f.SkipStaleList()
+		for _, p := range tt.before {
+			f.Done(0, Read{Kind: ReadList}, p, nil)
+		}
+		if b, ok := f.Done(0, tt.read, tt.page, nil); ok {
+			t.Errorf("%s: %+v is to be applied", name, b)
+		}
+		if next := f.Next(0); next.Kind != ReadList || next.Page != "" || next.Delay != 0 {
+			t.Errorf("%s: the next read is %+v, want the first page of the list at once", name, next)
+		}
+		for range 3 {
+			f.Done(0, Read{Kind: ReadList}, restoredList(1, 9, ""), nil)
+			f.Done(0, Read{Kind: ReadWatch, After: inEra(1, 9)}, Page{Batch: Batch{Revision: inEra(2, 0)}}, nil)
+		}
+		if next := f.Next(0); next.Delay < retryMin/2 {
+			t.Errorf("%s: after four restores in a row the next read is %+v, want a pause of at least %v", name, next, retryMin/2)
+		}
+	}
+}
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -10,7 +10,7 @@
 const (
 	// copyGrace is how long a restored store must have answered before a record from its copy replaces a newer one that was known: a
 	// target that has left is removed after three write intervals of 770 ms, and one that is alive has written again.
-	copyGrace = 3500 * time.Millisecond
+	copyGrace = 3 * time.Second
 	// evacuationHold is how long an evacuation that a restored store lacks stays in force, so that the operator can request it again.
 	evacuationHold = 5 * time.Second
 	// maxKeptChanges bounds the kept records that are sent to a host that has all changes of the store.
@@ -121,7 +121,7 @@
 // applyKept merges the record by which another host treats a target that has an older one in the restored store.
 func (d *Directory) applyKept(c *Change, now time.Duration, events []Event) []Event {
 	known := d.targets[c.Name]
-	if c.Kept == nil || known == nil || known.revision != c.Revision || d.hasAnsweredFor(copyGrace) {
+	if c.Kept == nil || known == nil || known.revision != c.Revision || d.isCopySettled(now) {
 		return events
 	}
 	order := compareRecords(&c.Kept.Target, &known.target)
@@ -138,9 +138,10 @@
 	return append(events, Event{Kind: TargetChanged, Target: &kept.target, Revision: kept.revision})
 }
 
-// hasAnsweredFor reports whether the store has answered every read for the time, and all changes until then are known.
-func (d *Directory) hasAnsweredFor(t time.Duration) bool {
-	return d.answering && d.confirmedAt-d.answeringSince >= t
+// isCopySettled reports whether the store has answered for copyGrace, until of late: after a pause of this process the changes meanwhile
+// are not known yet.
+func (d *Directory) isCopySettled(now time.Duration) bool {
+	return d.answering && now-d.answeringSince >= copyGrace && now-d.confirmedAt <= relistGrace
 }
 
 // KeepsLost reports whether the directory may hold targets or evacuations that a restored store has lost.
@@ -176,7 +177,7 @@
 		return nil
 	}
 	var events []Event
-	if d.hasAnsweredFor(copyGrace) {
+	if d.isCopySettled(now) {
 		events = d.adoptWithheld(now, events)
 	}
 	// The store must also have answered of late: after a pause of this process a request may not be known yet.
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -279,10 +279,14 @@
 	t.listed, t.renewed, t.obscuredAt = true, s.now, 0
 }
 
-// restoreStore restores the store from a copy that lacks its last changes. Each live target writes its record again at its next renewal
-// if the store holds another one.
+// restoreStore restores the store from a copy that lacks its last changes.
 func (s *simulation) restoreStore(*simHost, *simTarget) {
 	s.store.restore(uint64(s.random.IntN(simMaxLost)), s.now)
+	s.relistTargets()
+}
+
+// relistTargets makes each live target write its record again at its next renewal, if the restored store holds another one.
+func (s *simulation) relistTargets() {
 	stored := map[string]directory.Change{}
 	for _, c := range s.store.changes {
 		stored[c.Name] = c
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -342,3 +343,35 @@
 		t.Error("everything is not requested from the local relay while the reply of another host is due")
 	}
 }
+
+// A relay has restarted and knows only the copy from which the store was restored. Guards against a relay that does not learn of the
+// configuration that the store has lost from a host that reports to it, and distributes the earlier one.
+func TestRelayAsksForLostConfiguration(t *testing.T) {
+	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 9}, nil)
+	own := HostState{Fresh: true, Revision: 1<<48 + 5, Version: 3}
+	other := Host{Name: "other", DataCentre: "b", Weight: 1, Address: netip.MustParseAddrPort("127.0.0.4:1")}
+	local := Host{Name: "local", DataCentre: "a", Weight: 1, Address: netip.MustParseAddrPort("127.0.0.5:1")}
+	f.HandleReport(&Report{Host: other, Freshness: Freshness{Known: true, Revision: 1 << 47, Version: 3}}, time.Second)
+	f.HandleReport(&Report{Host: local, Freshness: Freshness{Known: true, Revision: own.Revision, Version: 3}}, time.Second)
+	if due := f.DueReports(own, time.Second); slices.Contains(due, local.Address) || f.WantsChanges(other.Address, own, time.Second) {
+		t.Errorf("reports are due to %v, want none for the sake of a version that is known", due)
+	}
+	f.HandleReport(&Report{Host: local, Freshness: Freshness{Known: true, Revision: own.Revision, Version: 4}}, time.Second)
+	f.HandleReport(&Report{Host: other, Freshness: Freshness{Known: true, Revision: 1 << 47, Version: 4}}, time.Second)
+	if due := f.DueReports(own, time.Second); !slices.Contains(due, local.Address) || !f.WantsChanges(other.Address, own, time.Second) {
+		t.Errorf("reports are due to %v, want one to the host with the higher version, with a request for changes", due)
+	}
+}
+
+// A data centre is cut off from the store, and one of its hosts knows that it was restored from a copy. Guards against a relay of the
+// earlier era, whose number is higher: the others would not learn of the restore from each other.
+func TestRelayOfLaterEraLeads(t *testing.T) {
+	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 1}, nil)
+	for i, revision := range []directory.Revision{1<<48 - 1, 1<<48 + 5} {
+		h := Host{Name: fmt.Sprint("h-", i), DataCentre: "a", Weight: 1, Address: netip.MustParseAddrPort("127.0.0.4:1")}
+		f.HandleReport(&Report{Host: h, Freshness: Freshness{Known: true, Revision: revision, Age: time.Minute}}, time.Second)
+	}
+	if r, _ := f.Relay("a", HostState{Revision: 7}); r.Name != "h-1" {
+		t.Errorf("%s is the relay, want the host that knows the later era", r.Name)
+	}
+}
