--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -35,6 +35,9 @@
 	faultPhase  = 7 * time.Second
 	// recoveryTime is the time after the last fault from which changes must be in force within propagationLimit again.
 	recoveryTime = 4 * time.Second
+	copyAge      = 2 * time.Second        // age of the copy from which the store is restored
+	restoreTime  = 300 * time.Millisecond // for which the store does not answer before
+	rewriteDelay = 700 * time.Millisecond // until lost records are written again
 )
 
 // soak injects faults into a deployment from outside. Faults may overlap, and each one is undone after a while.
@@ -42,6 +45,7 @@
 	*directDeployment
 	random      *rand.Rand
 	silences    *rand.Rand // of the silent connections, apart so that the other faults of a seed stay the same
+	restores    *rand.Rand // of the restores of the store, apart for the same reason
 	wg          sync.WaitGroup
 	hostLocks   [soakHosts]sync.Mutex // held while a signal to the host takes effect
 	targetLocks [soakTargets]sync.Mutex
@@ -65,7 +69,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)), silences: rand.New(rand.NewPCG(seed, 1))}
+	s := &soak{directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)), silences: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 2))}
 	tr := s.startTraffic(12, 4)
 	tr.recorder = s.recorder
 	for range 2 {
@@ -95,6 +99,7 @@
 		s.degradeTargetLink, s.crashTarget, s.removeTargetRecord, s.changeRoutes,
 	}
 	s.undoAfter(time.Duration(s.silences.Int64N(int64(d))), s.silenceConnections)
+	s.undoAfter(time.Duration(s.restores.Int64N(int64(d))), s.restoreStore)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 		faults[s.random.IntN(len(faults))](time.Duration(300+s.random.IntN(2500)) * time.Millisecond)
@@ -218,6 +223,25 @@
 	s.store.DropHistory()
 }
 
+// restoreStore restores the store from a copy that is copyAge old, after a moment without the store. Targets and the operator write again
+// what they wrote.
+func (s *soak) restoreStore() {
+	backup := s.store.Copy()
+	time.Sleep(copyAge)
+	s.store.SetFailing(true)
+	time.Sleep(restoreTime)
+	s.store.Restore(backup)
+	s.store.SetFailing(false)
+	time.Sleep(rewriteDelay)
+	for i := range s.targetLocks {
+		if s.targetLocks[i].TryLock() { // otherwise its record is written at the end of its own fault
+			s.putTargetRecord(i+1, "ready")
+			s.targetLocks[i].Unlock()
+		}
+	}
+	s.publish()
+}
+
 // crashTarget stops a target without a drain notice and starts it again under the same name after the given time.
 func (s *soak) crashTarget(d time.Duration) {
 	i := s.random.IntN(soakTargets)
