Show the era of the store, and close gaps in what is kept after a restore

marigoldwoodctl status notes the era and that something is kept. The line store-era-earlier tells that the store answers with an earlier era, whose answers are not used. A kept record must come with a usable record of the store, since it is used in its place. A target that had left before the restore does not count as lapsed because the store counts as not answering since, and is not gone at once when the store removes its old record again: it may have been alive meanwhile.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -37,12 +37,13 @@
 
 // targetState is the state of a target that is or was listed in the store.
 type targetState struct {
-	target    Target
-	revision  Revision
-	coldUntil time.Duration
-	obscured  bool // the last record before a removal was unusable
-	removed   bool
-	removedAt time.Duration
+	target        Target
+	revision      Revision
+	coldUntil     time.Duration
+	obscured      bool // the last record before a removal was unusable
+	removed       bool
+	removedAt     time.Duration
+	removedBefore bool // it had left before the store was restored from a copy, and was not taken for alive
 	// withheld is the record in a restored store, if target is a newer one that the store has lost.
 	withheld *Target
 }
@@ -273,9 +274,7 @@
 		d.targets[c.Name] = known
 	}
 	known.revision = c.Revision
-	if known.withheld != nil { // the removal is that of the record in the restored store, also if the target had left before
-		known.withheld, known.removed = nil, false
-	}
+	known.dropWithheld()
 	if c.Removed {
 		known.obscured = known.obscured || c.Unusable
 		return d.markRemoved(known, now, events)
@@ -284,7 +283,7 @@
 		return events
 	}
 	// After a removal too: the target may have written its record again before it was overwritten.
-	known.obscured, known.removed = true, false
+	known.obscured, known.removed, known.removedBefore = true, false, false
 	return append(events, Event{Kind: TargetObscured, Target: &known.target, Revision: c.Revision})
 }
 
@@ -305,7 +304,8 @@
 	for _, name := range slices.Sorted(maps.Keys(d.targets)) {
 		r := d.targets[name]
 		if !listed[name] && r.revision <= b.Revision {
-			r.revision, r.withheld = b.Revision, nil
+			r.revision = b.Revision
+			r.dropWithheld()
 			events = d.markRemoved(r, now, events)
 		}
 	}
@@ -341,7 +341,8 @@
 		return Gone
 	case r.target.Draining && !r.obscured && d.answering && r.removedAt-d.answeringSince >= relistGrace:
 		return Gone // it announced its shutdown, and removed the record itself
-	case !r.target.Draining && now-r.removedAt < relistGrace && (!d.answering || r.removedAt-d.answeringSince < relistGrace):
+	case r.target.Draining || r.removedBefore || now-r.removedAt >= relistGrace:
+	case !d.answering || r.removedAt-d.answeringSince < relistGrace:
 		return Lapsed
 	}
 	return Departed
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -43,6 +43,9 @@
 	}
 	r := d.compareWithCopy(b)
 	r.Before, r.Answered = d.revision, now-d.answeredAt
+	for _, known := range d.targets {
+		known.removedBefore = known.removed && d.presence(known, now) != Lapsed
+	}
 	d.answering, d.confirmedAt, d.keepsLost = false, never, true
 	if !d.complete { // nothing was known for certain
 		return events
@@ -118,6 +121,14 @@
 	return true
 }
 
+// dropWithheld forgets the record in a restored store, which is removed or overwritten. A target that had left before is removed again:
+// it may have been alive meanwhile.
+func (r *targetState) dropWithheld() {
+	if r.withheld != nil {
+		r.withheld, r.removedBefore, r.removed = nil, r.removed, false
+	}
+}
+
 // applyKept merges the record by which another host treats a target that has an older one in the restored store.
 func (d *Directory) applyKept(c *Change, now time.Duration, events []Event) []Event {
 	known := d.targets[c.Name]
@@ -132,7 +143,8 @@
 		known.withheld = &known.target
 	}
 	kept := &targetState{
-		target: c.Kept.Target, revision: known.revision, coldUntil: known.coldUntil, withheld: known.withheld, removed: c.Kept.Removed, removedAt: now,
+		target: c.Kept.Target, revision: known.revision, coldUntil: known.coldUntil, withheld: known.withheld,
+		removed: c.Kept.Removed, removedAt: now,
 	}
 	d.targets[c.Name], d.keepsLost = kept, true
 	return append(events, Event{Kind: TargetChanged, Target: &kept.target, Revision: kept.revision})
--- a/directory/validate.go
+++ b/directory/validate.go
@@ -56,6 +56,8 @@
 	switch {
 	case !validName(c.Name):
 		return Error.New("name of %d bytes", len(c.Name))
+	case c.Kept != nil && (c.Target == nil || c.Removed || c.Unusable):
+		return Error.New("kept record beside none of the store")
 	case c.Target == nil && !c.Removed && !c.Unusable:
 		return Error.New("neither a record nor a removal")
 	case c.Target == nil:
@@ -65,9 +67,7 @@
 	case c.Kept != nil && c.Kept.Target.Name != c.Name:
 		return Error.New("kept record of another target, %q", c.Kept.Target.Name)
 	case c.Kept != nil:
-		if err := c.Kept.Target.Validate(); err != nil {
-			return err
-		}
+		return errs.Combine(c.Kept.Target.Validate(), c.Target.Validate())
 	}
 	return c.Target.Validate()
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -81,6 +81,8 @@
 	}
 	add(s.Bundle.Behind, "behind a newer bundle")
 	add(s.Bundle.Conflict, "bundle version conflict")
+	add(s.Bundle.StoreEra > 0, fmt.Sprintf("store era %d", s.Bundle.StoreEra))
+	add(s.Bundle.KeepsLost, "keeps what the restored store has lost")
 	add(s.Bundle.LastRefusal != "", "refused a bundle: "+s.Bundle.LastRefusal)
 	return text
 }
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -66,6 +66,7 @@
 	readsStore       bool // this host reads the store periodically
 	storeUnavailable bool
 	storeReads       uint64                  // number of reads of the store
+	earlierEra       bool                    // the store's last answer to this host was of an earlier era than the known one
 	lostPeers        map[netip.AddrPort]bool // peers that did not reply to the last report
 	lastReport       time.Duration           // when reports were last due
 	leaveStarted     time.Duration
--- a/internal/direct/explore_test.go
+++ b/internal/direct/explore_test.go
@@ -276,8 +276,8 @@
 }
 
 // Guards against balancers with stale routes or targets, with none, or with wrong decisions about flows, after any sequence of
-// restarts, pauses, partitions, store outages, restores from a copy, lost history, unusable records, and targets that drain, crash, return or pass on
-// their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
+// restarts, pauses, partitions, store outages, restores from a copy, lost history, unusable records, and targets that drain, crash,
+// return or pass on their address. The control state is the real one; the store, the targets and the network are simulated in virtual time.
 func TestExplore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, err := newSimulation(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -63,6 +63,7 @@
 	if configuration := c.directory.Configuration(); configuration != nil {
 		s.Bundle.InForce = configuration.Version
 	}
+	s.Bundle.StoreEra, s.Bundle.KeepsLost = c.directory.Revision().Era(), c.directory.KeepsLost()
 	for _, m := range c.fleet.Members(now) {
 		s.Members = append(s.Members, status.Member{Name: m.Host.Name, DataCentre: m.Host.DataCentre, State: memberState(m.State.Leaving)})
 	}
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -123,6 +123,7 @@
 		return
 	}
 	c.directory.StoreAnswered(now)
+	c.checkEra(r.page.Revision)
 	if c.storeUnavailable {
 		c.storeUnavailable = false
 		c.record(logrus.InfoLevel, timeline.Event{Kind: "store-regained"}, logrus.Fields{"read": r.read.Kind, "took": r.duration})
@@ -151,6 +152,18 @@
 	}
 }
 
+// checkEra records that the store begins to answer with an earlier era than the known one. Such answers are not used.
+func (c *Control) checkEra(answered directory.Revision) {
+	known := c.directory.Revision()
+	earlier := c.directory.Complete() && answered.Era() < known.Era()
+	if earlier && !c.earlierEra {
+		c.record(logrus.WarnLevel, timeline.Event{Kind: "store-era-earlier"}, logrus.Fields{
+			"era": answered.Era(), "known_era": known.Era(), "revision": known,
+		})
+	}
+	c.earlierEra = earlier
+}
+
 // settle ends what is kept after the store was restored from a copy, when it is time.
 func (c *Control) settle(now time.Duration) {
 	if events := c.directory.Settle(now); len(events) > 0 {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -33,6 +33,8 @@
 	LastRefusal   string `json:"last_refusal,omitempty"`     // name of the result code of the last refused bundle
 	PlatformAgeMS int64  `json:"platform_age_ms"`            // time since the last successful read by this host, -1 if none
 	PlatformCalls uint64 `json:"platform_calls"`             // since the start of the process
+	StoreEra      uint16 `json:"store_era,omitempty"`        // number of restores of the store from a copy
+	KeepsLost     bool   `json:"keeps_lost,omitempty"`       // some of what a restored store has lost is still in force
 }
 
 // Flows counts the flows of a balancer.
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -11,7 +11,7 @@
 	DirectStoreReadSeconds     = Instrument{"marigoldwood_store_read_seconds", "s", "histogram of the time of reads of the store, by kind and result code"}
 	DirectOpenSeconds          = Instrument{"marigoldwood_open_seconds", "s", "histogram of the time from the opening packet of a flow to the caller's answer to the target"}
 	DirectPlatformAge          = Instrument{"marigoldwood_platform_age", "ms", "time since the store answered this host or the relay that it follows; -1 when never"}
-	DirectStoreEra             = Instrument{"marigoldwood_store_era", "{restore}", "how often the store had been restored from a copy, according to the newest answer that this host knows"}
+	DirectStoreEra             = Instrument{"marigoldwood_store_era", "{restore}", "number of times that the store was restored from a copy"}
 	DirectServiceWaiting       = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
 	DirectServiceSlots         = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -225,7 +226,7 @@
 		if own.Revision == 0 || !m.isResponsive() || m.state.Version <= own.Version {
 			continue
 		}
-		if newest == nil || m.state.Version > newest.state.Version || m.state.Version == newest.state.Version && m.host.Name < newest.host.Name {
+		if newest == nil || cmp.Or(cmp.Compare(m.state.Version, newest.state.Version), cmp.Compare(newest.host.Name, m.host.Name)) > 0 {
 			newest = m
 		}
 	}
