Let a restarted relay learn what the restored store has lost

A relay that read only the copy asked no host that knew more, since all had the same revision, and placed flows at targets that had left until the store removed their records.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -246,6 +246,9 @@
 	if known != nil && c.Revision <= known.revision {
 		return events
 	}
+	if known == nil && c.Kept != nil && c.Revision <= d.revision {
+		return events // sent again by a host that does not know of the removal
+	}
 	if c.Removed || c.Unusable {
 		return d.applyWithoutRecord(c, known, now, events)
 	}
--- a/directory/restored_test.go
+++ b/directory/restored_test.go
@@ -129,6 +129,12 @@
 	for range 2 { // the second time, nothing is new
 		restarted.Apply(d.ChangesSince(restarted.Revision(), restoredAt+time.Second), restoredAt+time.Second)
 	}
+	later := New()
+	later.Apply(Batch{Complete: true, Revision: inEra(1, 9), Changes: []Change{listed("a", inEra(1, 1))}}, restoredAt)
+	later.Apply(d.ChangesSince(later.Revision(), restoredAt+time.Second), restoredAt+time.Second)
+	if targets := later.Snapshot(restoredAt + time.Second).Targets; len(targets) != 1 {
+		t.Errorf("a host whose list shows that targets were removed knows %+v from a host that is behind", targets)
+	}
 	now := restoredAt + time.Second
 	expectPresences(t, "after the reply", restarted, now, map[string]Presence{"a": Ready, "c": Draining, "d": Departed})
 	if !restarted.Snapshot(now).Evacuated("regina") {
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -97,7 +97,7 @@
 func (c *Control) standing(now time.Duration) relay.HostState {
 	s := relay.HostState{Fresh: c.isFresh(now), Leaving: c.leaving(), ReadFailed: c.storeUnavailable}
 	if _, known := c.directory.Age(now); known {
-		s.Revision, s.Version = c.directory.Revision(), c.configurationVersion()
+		s.Revision, s.Version, s.KeepsLost = c.directory.Revision(), c.configurationVersion(), c.directory.KeepsLost()
 	}
 	return s
 }
@@ -219,7 +219,7 @@
 	confirmed, steady := c.directory.Confirmed(now)
 	return relay.Freshness{
 		Known: known, Age: age, Confirmed: confirmed, Steady: steady, Revision: c.directory.Revision(), ReadFailed: c.storeUnavailable,
-		Version: c.configurationVersion(),
+		Version: c.configurationVersion(), KeepsLost: c.directory.KeepsLost(),
 	}
 }
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -203,8 +203,8 @@
 		for _, seed := range f.unknownSeeds() {
 			add(seed, unknownSeedInterval)
 		}
-		if ahead := f.newestConfiguration(own); ahead != nil {
-			add(ahead.host.Address, remoteInterval)
+		if other := f.knowsLost(own); other != nil {
+			add(other.host.Address, remoteInterval)
 		}
 	}
 	if f.isRelay() || f.relayKnowsFewer(now) {
@@ -218,19 +218,30 @@
 	return due
 }
 
-// newestConfiguration returns the host with the highest version of the configuration, or nil if no host has a higher one than this
-// host. After the store was restored from a copy, a relay that knows only the copy learns of it from a host that reports to it.
-func (f *Fleet) newestConfiguration(own HostState) *member {
-	var newest *member
+// isAhead reports whether a host knows changes of the store that another one lacks, or keeps what the store has lost when it was
+// restored from a copy.
+func (s *HostState) isAhead(other HostState) bool {
+	return s.Revision > other.Revision || s.knowsLost(other)
+}
+
+// knowsLost reports whether a host keeps what the restored store has lost, and another one does not.
+func (s *HostState) knowsLost(other HostState) bool {
+	return s.Version > other.Version || s.KeepsLost && !other.KeepsLost && s.Revision.Era() == other.Revision.Era()
+}
+
+// knowsLost returns the host that best knows what a restored store has lost, or nil if none knows more than this host. A relay that
+// knows only the copy learns of it from this host, also if that reports to it.
+func (f *Fleet) knowsLost(own HostState) *member {
+	var best *member
 	for _, m := range f.members {
-		if own.Revision == 0 || !m.isResponsive() || m.state.Version <= own.Version {
+		if own.Revision == 0 || !m.isResponsive() || !m.state.knowsLost(own) {
 			continue
 		}
-		if newest == nil || cmp.Or(cmp.Compare(m.state.Version, newest.state.Version), cmp.Compare(newest.host.Name, m.host.Name)) > 0 {
-			newest = m
+		if best == nil || cmp.Or(cmp.Compare(m.state.Version, best.state.Version), cmp.Compare(best.host.Name, m.host.Name)) > 0 {
+			best = m
 		}
 	}
-	return newest
+	return best
 }
 
 // WantsChanges reports whether a report to the host requests changes. own is the state of this host. Changes come from hosts of
@@ -244,7 +255,7 @@
 			if m.host.DataCentre == f.self.DataCentre {
 				return true
 			}
-			ahead = m.state.Revision > own.Revision || m.state.Version > own.Version
+			ahead = m.state.isAhead(own)
 		}
 	}
 	if own.Revision > 0 {
@@ -328,7 +339,7 @@
 func hostState(k *Freshness, leaving bool) HostState {
 	s := HostState{Leaving: leaving, ReadFailed: k.ReadFailed}
 	if k.Known {
-		s.Fresh, s.Revision, s.Version = k.Age < staleAfter, k.Revision, k.Version
+		s.Fresh, s.Revision, s.Version, s.KeepsLost = k.Age < staleAfter, k.Revision, k.Version, k.KeepsLost
 	}
 	return s
 }
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -345,8 +345,8 @@
 }
 
 // A relay has restarted and knows only the copy from which the store was restored. Guards against a relay that does not learn of the
-// configuration that the store has lost from a host that reports to it, and distributes the earlier one.
-func TestRelayAsksForLostConfiguration(t *testing.T) {
+// configuration and the records that the store has lost from a host that reports to it, and distributes the earlier ones.
+func TestRelayAsksForWhatIsLost(t *testing.T) {
 	f := NewFleet(Host{Name: "self", DataCentre: "a", Weight: 9}, nil)
 	own := HostState{Fresh: true, Revision: 1<<48 + 5, Version: 3}
 	other := Host{Name: "other", DataCentre: "b", Weight: 1, Address: netip.MustParseAddrPort("127.0.0.4:1")}
@@ -356,10 +356,21 @@
 	if due := f.DueReports(own, time.Second); slices.Contains(due, local.Address) || f.WantsChanges(other.Address, own, time.Second) {
 		t.Errorf("reports are due to %v, want none for the sake of a version that is known", due)
 	}
-	f.HandleReport(&Report{Host: local, Freshness: Freshness{Known: true, Revision: own.Revision, Version: 4}}, time.Second)
-	f.HandleReport(&Report{Host: other, Freshness: Freshness{Known: true, Revision: 1 << 47, Version: 4}}, time.Second)
-	if due := f.DueReports(own, time.Second); !slices.Contains(due, local.Address) || !f.WantsChanges(other.Address, own, time.Second) {
-		t.Errorf("reports are due to %v, want one to the host with the higher version, with a request for changes", due)
+	for i, known := range []Freshness{
+		{Known: true, Revision: own.Revision, Version: 4},
+		{Known: true, Revision: own.Revision, Version: 3, KeepsLost: true},
+	} {
+		now := time.Duration(i+2) * time.Second
+		for _, h := range []Host{local, other} {
+			f.HandleReport(&Report{Host: h, Freshness: known}, now)
+		}
+		if due := f.DueReports(own, now); !slices.Contains(due, local.Address) || !f.WantsChanges(other.Address, own, now) {
+			t.Errorf("%+v: reports are due to %v, want one to the host that knows more, with a request for changes", known, due)
+		}
+	}
+	own.KeepsLost = true
+	if due := f.DueReports(own, 3*time.Second+remoteInterval); slices.Contains(due, local.Address) {
+		t.Errorf("reports are due to %v, want none to a host that keeps no more", due)
 	}
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -30,7 +30,8 @@
 	ReadFailed        bool               // the store did not answer the sender's last read
 	// Version is the version of the operator's configuration that the sender uses. It can be higher than that of the store, which may
 	// have been restored from a copy.
-	Version uint64
+	Version   uint64
+	KeepsLost bool // it keeps targets or evacuations that a restored store has lost
 }
 
 // Report is what a balancer periodically sends to a relay.
@@ -74,4 +75,5 @@
 	Revision   directory.Revision // revision of the store up to which it knows every change; 0 while it knows nothing
 	ReadFailed bool               // the store did not answer its last read
 	Version    uint64             // of the operator's configuration that it uses; 0 while it knows nothing
+	KeepsLost  bool               // it keeps targets or evacuations that a restored store has lost
 }
