--- a/directory/restored_test.go
+++ b/directory/restored_test.go
@@ -195,3 +195,24 @@
 		t.Errorf("version %d at revision %v, want 9 at 2.4", d.Configuration().Version, d.Revision())
 	}
 }
+
+// Guards against a malformed message of another host whose kept record is used without the checks that records must pass.
+func TestUnusableKeptRecord(t *testing.T) {
+	kept := func(name string, capacity int) *KeptRecord {
+		k := &KeptRecord{Target: *target(name)}
+		k.Target.Capacity = capacity
+		return k
+	}
+	for name, c := range map[string]Change{
+		"without a record":    {Name: "a", Revision: 9, Removed: true, Kept: kept("a", 1)},
+		"beside a removal":    {Name: "a", Revision: 9, Removed: true, Target: target("a"), Kept: kept("a", 1)},
+		"of another target":   {Name: "a", Revision: 9, Target: target("a"), Kept: kept("b", 1)},
+		"with capacity of 0":  {Name: "a", Revision: 9, Target: target("a"), Kept: kept("a", 0)},
+		"beside a broken one": {Name: "a", Revision: 9, Target: &kept("a", 0).Target, Kept: kept("a", 1)},
+	} {
+		b := Batch{Changes: []Change{c}, Evacuations: []Evacuation{{DataCentre: "regina", Hold: evacuationHold + 1}}}
+		if errors := b.RejectUnusable(); len(errors) != 2 || b.Changes[0].Kept != nil || len(b.Evacuations) != 0 {
+			t.Errorf("%s: %+v remains, errors %v, want no kept record and no evacuation", name, b, errors)
+		}
+	}
+}
