--- a/directory/directory.go
+++ b/directory/directory.go
@@ -37,12 +37,15 @@
 
 // targetState is the state of a target that is or was listed in the store.
 type targetState struct {
-	target    Target
-	revision  uint64
-	coldUntil time.Duration
-	obscured  bool // the last record before a removal was unusable
-	removed   bool
-	removedAt time.Duration
+	target        Target
+	revision      Revision
+	coldUntil     time.Duration
+	obscured      bool // the last record before a removal was unusable
+	removed       bool
+	removedAt     time.Duration
+	removedBefore bool // it had left before the store was restored from a copy, and was not taken for alive
+	// withheld is the record in a restored store, if target is a newer one that the store has lost.
+	withheld *Target
 }
 
 // Directory holds the configuration and targets read from the store. It is not safe for concurrent use. Times are readings
@@ -51,14 +54,15 @@
 	configuration  *Configuration
 	targets        map[string]*targetState
 	evacuations    map[string]*evacuationState // by data centre
-	revision       uint64                      // all changes up to it are known
+	revision       Revision                    // all changes up to it are known
 	complete       bool                        // a full list has been applied
 	provisional    bool                        // a list that may be stale in parts has been applied
 	answeredAt     time.Duration
 	confirmedAt    time.Duration // send time of the last read whose response brought this directory up to date
 	answeringSince time.Duration // start of the current run of successful reads
 	answering      bool
-	prunedRevision uint64 // newest revision of a pruned target
+	prunedRevision Revision // newest revision of a pruned target
+	keepsLost      bool     // a restored store may have lost targets or evacuations that are held here
 }
 
 // never is earlier than any reading of a monotonic clock, and far enough from the minimum that differences do not overflow.
@@ -72,7 +76,7 @@
 }
 
 // Revision returns the revision up to which every change is known.
-func (d *Directory) Revision() uint64 { return d.revision }
+func (d *Directory) Revision() Revision { return d.revision }
 
 // Ready reports whether a configuration and a list of targets, complete or provisional, have been applied.
 func (d *Directory) Ready() bool { return (d.complete || d.provisional) && d.configuration != nil }
@@ -125,28 +129,45 @@
 }
 
 // ChangesSince returns the changes after a revision, for another host. They include removed targets, so that the other host
-// can forward packets of their open flows.
-func (d *Directory) ChangesSince(after uint64) Batch {
-	b := Batch{Revision: d.revision, Complete: d.complete && (after == 0 || after < d.prunedRevision)}
+// can forward packets of their open flows, and what a restored store has lost. A host of another era gets everything.
+func (d *Directory) ChangesSince(after Revision, now time.Duration) Batch {
+	b := Batch{
+		Revision: d.revision,
+		Complete: d.complete && (after == 0 || after < d.prunedRevision || after.Era() != d.revision.Era()),
+	}
 	if c := d.configuration; c != nil && (c.Revision > after || b.Complete) {
 		b.Configuration = c
 	}
+	resent := 0 // records that the other host may know already
 	for name, r := range d.targets {
 		if r.revision > after || b.Complete {
-			b.Changes = append(b.Changes, Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target})
+			b.Changes = append(b.Changes, r.change(name))
+		} else if r.withheld != nil && resent < maxKeptChanges {
+			b.Changes = append(b.Changes, r.change(name))
+			resent++
 		}
 	}
-	b.Evacuations = d.evacuationsSince(after, b.Complete)
+	b.Evacuations = d.evacuationsSince(after, b.Complete, now)
 	return b
 }
 
+// change describes the target to another host.
+func (r *targetState) change(name string) Change {
+	if r.withheld != nil {
+		return Change{Name: name, Revision: r.revision, Kept: r.kept(), Target: r.withheld}
+	}
+	return Change{Name: name, Revision: r.revision, Removed: r.removed, Unusable: r.obscured, Target: &r.target}
+}
+
 // Event describes a change of the directory, for the log.
 type Event struct {
 	Kind       EventKind
 	Target     *Target
 	DataCentre string // of an evacuation
-	Revision   uint64
+	Revision   Revision
 	Version    uint64 // of the configuration
+	// Restoration is set for StoreRestored.
+	Restoration *Restoration
 }
 
 // EventKind is the kind of an event.
@@ -163,29 +184,37 @@
 	ConfigurationStale
 	EvacuationStarted
 	EvacuationEnded
+	StoreRestored
 )
 
 var eventNames = [...]string{
 	"target-listed", "target-changed", "target-restarted", "target-obscured", "target-removed", "configuration-accepted", "configuration-stale",
-	"evacuation-started", "evacuation-ended",
+	"evacuation-started", "evacuation-ended", "store-restored",
 }
 
 // String returns the name used in logs.
 func (k EventKind) String() string { return eventNames[k] }
 
 // Apply merges a batch and returns what changed. Records and configurations older than the known ones are ignored, so that
-// batches from several sources may arrive in any order.
+// batches from several sources may arrive in any order. Of a batch of an earlier era only the configuration is used.
 func (d *Directory) Apply(b Batch, now time.Duration) []Event {
 	if b.Provisional && d.complete {
 		return nil
 	}
 	d.provisional = d.provisional || b.Provisional
 	var events []Event
+	if !d.isOtherEra(&b) {
+		events = d.startEra(&b, now, events)
+	}
 	if b.Configuration != nil {
 		events = d.applyConfiguration(b.Configuration, events)
 	}
+	if d.isOtherEra(&b) {
+		return events
+	}
 	for i := range b.Changes {
 		events = d.applyChange(&b.Changes[i], now, events)
+		events = d.applyKept(&b.Changes[i], now, events)
 	}
 	for i := range b.Evacuations {
 		events = d.applyEvacuation(&b.Evacuations[i], now, events)
@@ -217,9 +246,15 @@
 	if known != nil && c.Revision <= known.revision {
 		return events
 	}
+	if known == nil && c.Kept != nil && c.Revision <= d.revision {
+		return events // sent again by a host that does not know of the removal
+	}
 	if c.Removed || c.Unusable {
 		return d.applyWithoutRecord(c, known, now, events)
 	}
+	if known != nil && known.keepKnown(c) {
+		return events
+	}
 	kind := TargetListed
 	if known != nil && !known.removed {
 		kind = TargetChanged
@@ -242,6 +277,7 @@
 		d.targets[c.Name] = known
 	}
 	known.revision = c.Revision
+	known.dropWithheld()
 	if c.Removed {
 		known.obscured = known.obscured || c.Unusable
 		return d.markRemoved(known, now, events)
@@ -250,7 +286,7 @@
 		return events
 	}
 	// After a removal too: the target may have written its record again before it was overwritten.
-	known.obscured, known.removed = true, false
+	known.obscured, known.removed, known.removedBefore = true, false, false
 	return append(events, Event{Kind: TargetObscured, Target: &known.target, Revision: c.Revision})
 }
 
@@ -272,6 +308,7 @@
 		r := d.targets[name]
 		if !listed[name] && r.revision <= b.Revision {
 			r.revision = b.Revision
+			r.dropWithheld()
 			events = d.markRemoved(r, now, events)
 		}
 	}
@@ -282,7 +319,7 @@
 func (d *Directory) Prune(now time.Duration) {
 	d.pruneEvacuations(now)
 	maps.DeleteFunc(d.targets, func(_ string, r *targetState) bool {
-		if !r.removed || now-r.removedAt <= removedRetention {
+		if !r.removed || r.withheld != nil || now-r.removedAt <= removedRetention {
 			return false
 		}
 		d.prunedRevision = max(d.prunedRevision, r.revision)
@@ -301,11 +338,14 @@
 		return Draining
 	case !r.removed:
 		return Ready
+	case r.withheld != nil:
+		return Departed // a restored store has a record of it
 	case d.answering && d.confirmedAt-max(d.answeringSince, r.removedAt) >= relistGrace:
 		return Gone
 	case r.target.Draining && !r.obscured && d.answering && r.removedAt-d.answeringSince >= relistGrace:
 		return Gone // it announced its shutdown, and removed the record itself
-	case !r.target.Draining && now-r.removedAt < relistGrace && (!d.answering || r.removedAt-d.answeringSince < relistGrace):
+	case r.target.Draining || r.removedBefore || now-r.removedAt >= relistGrace:
+	case !d.answering || r.removedAt-d.answeringSince < relistGrace:
 		return Lapsed
 	}
 	return Departed
@@ -316,7 +356,7 @@
 	Target
 	Presence  Presence
 	ColdUntil time.Duration
-	Revision  uint64
+	Revision  Revision
 }
 
 // Snapshot is the content of a directory at one time. It is immutable.
@@ -325,7 +365,7 @@
 	Targets       []TargetEntry // sorted by name
 	// Evacuations holds the evacuations of data centres that have targets, also those that have ended.
 	Evacuations map[string]EvacuationEntry
-	Revision    uint64
+	Revision    Revision
 	// Provisional reports that no complete list has been applied: routes and targets that the store holds may be missing.
 	Provisional bool
 	TakenAt     time.Duration
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -28,6 +28,7 @@
 	flows          atomic.Int64
 	version        atomic.Uint64
 	storeAge       atomic.Int64 // ms
+	storeEra       atomic.Int64
 	evacuations    atomic.Int64 // evacuated data centres that have targets
 	failingTargets atomic.Int64
 	// limitedTargets is the number of targets to which opening packets are limited.
@@ -106,6 +107,7 @@
 		telemetry.DirectEvacuations:          m.evacuations.Load,
 		telemetry.DirectFailingTargets:       m.failingTargets.Load,
 		telemetry.DirectLimitedTargets:       m.limitedTargets.Load,
+		telemetry.DirectStoreEra:             m.storeEra.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -34,6 +34,8 @@
 	LastRefusal   string `json:"last_refusal,omitempty"`     // name of the result code of the last refused bundle
 	PlatformAgeMS int64  `json:"platform_age_ms"`            // time since the last successful read by this host, -1 if none
 	PlatformCalls uint64 `json:"platform_calls"`             // since the start of the process
+	StoreEra      uint16 `json:"store_era,omitempty"`        // number of restores of the store from a copy
+	KeepsLost     bool   `json:"keeps_lost,omitempty"`       // some of what a restored store has lost is still in force
 }
 
 // Flows counts the flows of a balancer.
@@ -79,9 +81,9 @@
 	Address    string  `json:"address"`
 	State      string  `json:"state"`
 	Eligible   bool    `json:"eligible"`
-	Share      float64 `json:"share"`    // fraction of its full weight, 0 to 1
-	Reported   float64 `json:"reported"` // load that the target reported
-	Flows      int64   `json:"flows"`    // open flows of this balancer to the target
+	Share      float64 `json:"share"`                // fraction of its full weight, 0 to 1
+	Reported   float64 `json:"reported"`             // load that the target reported
+	Flows      int64   `json:"flows"`                // open flows of this balancer to the target
 	Distrusted bool    `json:"distrusted,omitempty"` // it is suspect or fails requests, and gets no new flows
 	Evacuated  bool    `json:"evacuated,omitempty"`  // its data centre is evacuated
 	LimitedMS  int64   `json:"limited_ms,omitempty"` // how much longer opening packets to it are limited because it is cold
--- a/relay/message.go
+++ b/relay/message.go
@@ -26,8 +26,12 @@
 	// Confirmed is the time since the last read that the store answered was sent. Steady is how long the store had
 	// answered without interruption before that.
 	Confirmed, Steady time.Duration
-	Revision          uint64 // revision of the store up to which every change is known
-	ReadFailed        bool   // the store did not answer the sender's last read
+	Revision          directory.Revision // revision of the store up to which every change is known
+	ReadFailed        bool               // the store did not answer the sender's last read
+	// Version is the version of the operator's configuration that the sender uses. It can be higher than that of the store, which may
+	// have been restored from a copy.
+	Version   uint64
+	KeepsLost bool // it keeps targets or evacuations that a restored store has lost
 }
 
 // Report is what a balancer periodically sends to a relay.
@@ -68,6 +72,8 @@
 type HostState struct {
 	Fresh      bool // its knowledge of the store is recent
 	Leaving    bool
-	Revision   uint64 // revision of the store up to which it knows every change; 0 while it knows nothing
-	ReadFailed bool   // the store did not answer its last read
+	Revision   directory.Revision // revision of the store up to which it knows every change; 0 while it knows nothing
+	ReadFailed bool               // the store did not answer its last read
+	Version    uint64             // of the operator's configuration that it uses; 0 while it knows nothing
+	KeepsLost  bool               // it keeps targets or evacuations that a restored store has lost
 }
