Tell hosts that are behind a list of all that was removed before it

Cause: a host that has just started knows only what its list names. A host that was behind that list asked it for changes, took over its revision, and never learned of removals before: a target stayed ready, or a data centre evacuated, for good.

Change: a directory notes up to which revision it may not know removals, and gives everything to a host that is behind it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -61,8 +61,9 @@
 	confirmedAt    time.Duration // send time of the last read whose response brought this directory up to date
 	answeringSince time.Duration // start of the current run of successful reads
 	answering      bool
-	prunedRevision Revision // newest revision of a pruned target
-	keepsLost      bool     // a restored store may have lost targets or evacuations that are held here
+	// removalsAfter is the revision after which all removals are known: earlier ones were pruned, or are only missing from a list.
+	removalsAfter Revision
+	keepsLost     bool // a restored store may have lost targets or evacuations that are held here
 }
 
 // never is earlier than any reading of a monotonic clock, and far enough from the minimum that differences do not overflow.
@@ -129,11 +130,12 @@
 }
 
 // ChangesSince returns the changes after a revision, for another host. They include removed targets, so that the other host
-// can forward packets of their open flows, and what a restored store has lost. A host of another era gets everything.
+// can forward packets of their open flows, and what a restored store has lost. A host gets everything if it is of another era, or behind
+// removals that are no longer known here.
 func (d *Directory) ChangesSince(after Revision, now time.Duration) Batch {
 	b := Batch{
 		Revision: d.revision,
-		Complete: d.complete && (after == 0 || after < d.prunedRevision || after.Era() != d.revision.Era()),
+		Complete: d.complete && (after == 0 || after < d.removalsAfter || after.Era() != d.revision.Era()),
 	}
 	if c := d.configuration; c != nil && (c.Revision > after || b.Complete) {
 		b.Configuration = c
@@ -222,7 +224,7 @@
 	if b.Complete {
 		events = d.removeUnlistedEvacuations(&b, now, events)
 		events = d.removeUnlisted(&b, now, events)
-		d.complete = true
+		d.complete, d.removalsAfter = true, max(d.removalsAfter, b.Revision)
 	}
 	d.limitEvacuations()
 	d.revision = max(d.revision, b.Revision)
@@ -322,7 +324,7 @@
 		if !r.removed || r.withheld != nil || now-r.removedAt <= removedRetention {
 			return false
 		}
-		d.prunedRevision = max(d.prunedRevision, r.revision)
+		d.removalsAfter = max(d.removalsAfter, r.revision)
 		return true
 	})
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -247,6 +247,23 @@
 	}
 }
 
+// A host that has just started knows a list without what was removed before. Guards against a target that another host, which is behind that
+// list, keeps as ready for good, and against an evacuation that it does not end.
+func TestRemovalsBeforeList(t *testing.T) {
+	started, behind := New(), newFilledDirectory()
+	behind.Apply(Batch{Revision: 5, Evacuations: []Evacuation{evacuated(5)}}, 0)
+	started.Apply(Batch{
+		Complete: true, Revision: 9, Configuration: &Configuration{Version: 3, Revision: 1}, Changes: []Change{listed("b", 2), listed("c", 3), listed("d", 4)},
+	}, 0)
+	behind.Apply(started.ChangesSince(behind.Revision(), 0), time.Second)
+	if got := presenceOf(t, behind, "a", time.Second); got <= Draining || behind.Snapshot(time.Second).Evacuated("regina") {
+		t.Fatalf("removed target is %v, evacuated: %v, want a presence of a removed target and no evacuation", got, behind.Snapshot(time.Second).Evacuated("regina"))
+	}
+	if b := started.ChangesSince(9, 0); b.Complete {
+		t.Error("a host that has all changes of the list gets it again")
+	}
+}
+
 func summarize(s *Snapshot) []string {
 	var out []string
 	for _, k := range s.Targets {
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -179,7 +179,7 @@
 		if !e.removed || now-e.changedAt <= removedRetention {
 			return false
 		}
-		d.prunedRevision = max(d.prunedRevision, e.revision)
+		d.removalsAfter = max(d.removalsAfter, e.revision)
 		return true
 	})
 }
