Sum evidence of slow targets over all hosts

A host of a large fleet sees too few answers of each target to tell a slow one. Reports name targets with slow answers, with the number of answers and their excess over the usual time; relays sum them, and name in replies only targets whose answers are slow over all hosts, so that the hosts that saw usual answers report too.

--- a/directory/target.go
+++ b/directory/target.go
@@ -49,6 +49,8 @@
 	Open    uint16 // open flows
 	Suspect bool   // the target does not respond to flows
 	Silent  bool   // nor to data of open flows, to which a target at its limit of flows responds
+	// Times is the evidence of slow answers. Messages hold it in Loads.Times.
+	Times AnswerTimes `msgpack:"-"`
 }
 
 // Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
@@ -56,6 +58,7 @@
 type Loads struct {
 	Targets []Load
 	Rest    []ServiceLoad // of targets with pending requests that Targets leaves out
+	Times   []TargetTimes // of some of Targets, usually none
 }
 
 // ServiceLoad is the load of several targets of a service together.
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -37,6 +37,7 @@
 	f.addLocal(sum, name, now)
 	if dataCentre == f.self.DataCentre {
 		f.addRemote(sum, now)
+		sum.dropUsualTimes()
 	}
 	return sum.loads(f.serviceOf)
 }
@@ -64,6 +65,7 @@
 	sum := newLoadSum()
 	f.addLocal(sum, "", now)
 	f.addRemote(sum, now)
+	sum.dropUsualTimes()
 	return sum.loads(f.serviceOf)
 }
 
@@ -102,6 +104,7 @@
 
 func (s *loadSum) add(loads directory.Loads) {
 	s.addTargets(loads.Targets)
+	s.addTimes(loads.Times)
 	for _, l := range loads.Rest {
 		s.rest[l.Service] += uint64(l.Pending)
 	}
@@ -113,31 +116,34 @@
 		s.targets[l.Token] = directory.Load{
 			Token: l.Token, Pending: saturate(sum.Pending, l.Pending), Open: saturate(sum.Open, l.Open),
 			Suspect: sum.Suspect || l.Suspect, Silent: sum.Silent || l.Silent,
+			Times: addAnswerTimes(sum.Times, l.Times),
 		}
 	}
 }
 
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
-// loads returns the sum for a message. It names at most maxLoads targets, the suspect ones and then the busiest. Targets without
-// pending requests are left out unless they are suspect. serviceOf returns the service of a target, and "" if the target is
+// loads returns the sum for a message. It names at most maxLoads targets: the suspect ones, those with slow answers, and then the busiest. Targets without
+// pending requests are left out unless they are suspect or slow. serviceOf returns the service of a target, and "" if the target is
 // unknown.
 func (s *loadSum) loads(serviceOf func(directory.Token) string) directory.Loads {
 	named := make([]directory.Load, 0, len(s.targets))
 	for _, l := range s.targets {
-		if l.Pending > 0 || l.Suspect {
+		if l.Pending > 0 || l.Suspect || l.Times.Answers > 0 {
 			named = append(named, l)
 		}
 	}
 	slices.SortFunc(named, func(a, b directory.Load) int {
-		return cmp.Or(compareSuspect(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+		return cmp.Or(compareSuspect(a, b), compareTimes(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
 	})
 	for _, l := range named[min(len(named), maxLoads):] {
 		if service := serviceOf(l.Token); service != "" {
 			s.rest[service] += uint64(l.Pending)
 		}
 	}
-	return directory.Loads{Targets: named[:min(len(named), maxLoads)], Rest: s.restList()}
+	named = named[:min(len(named), maxLoads)]
+	times := takeTimes(named)
+	return directory.Loads{Targets: named, Rest: s.restList(), Times: times}
 }
 
 // compareSuspect orders suspect targets before others.
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -19,8 +19,9 @@
 		return invalid("invalid name, data centre, address or weight of host %q", r.Host.Name)
 	case !r.Freshness.valid():
 		return invalid("negative time in freshness %+v", r.Freshness)
-	case len(r.Loads.Targets) > maxLoads || len(r.Loads.Rest) > maxServiceLoads:
-		return invalid("too many loads: %d targets, %d services", len(r.Loads.Targets), len(r.Loads.Rest))
+	case len(r.Loads.Targets) > maxLoads || len(r.Loads.Rest) > maxServiceLoads || len(r.Loads.Times) > maxLoads:
+		return invalid("too many loads: %d targets, %d services, %d times",
+			len(r.Loads.Targets), len(r.Loads.Rest), len(r.Loads.Times))
 	}
 	for _, l := range r.Loads.Rest {
 		if l.Service == "" {
--- a/relay/validate_test.go
+++ b/relay/validate_test.go
@@ -40,6 +40,7 @@
 		"member seen in the future":  func(r *Reply) { r.Hosts[0].LastSeen = -1 },
 		"too many loads":             func(r *Reply) { r.Loads.Targets = make([]directory.Load, maxLoads+1) },
 		"too many services":          func(r *Reply) { r.Loads.Rest = make([]directory.ServiceLoad, maxServiceLoads+1) },
+		"too many times":             func(r *Reply) { r.Loads.Times = make([]directory.TargetTimes, maxLoads+1) },
 		"load without a service":     func(r *Reply) { r.Loads.Rest = []directory.ServiceLoad{{Pending: 3}} },
 	} {
 		r := validReply()
