Give less work to targets that are slower than their service

Cost and weight now contain the factor by which a target's answers take longer than usual for their route, by own answers and those that the relay reports.

Log-normal work, routes of different work and cold targets: no target counts as slow.

--- a/steer/admit.go
+++ b/steer/admit.go
@@ -47,6 +47,12 @@
 	lastHalved  time.Duration // when the flows of routes last lost half of their weight
 	lastAnswer  time.Duration // of any target of the service, 0 for none
 	lastProbe   time.Duration // when a new flow was last placed although all targets seem to be full
+
+	references map[directory.Endpoint]*reference // usual answer times by route
+	slow       int                               // targets that are slow
+	slowNow    int                               // those counted so far in the present update
+	mostSlow   bool                              // too many are slow for the others to be the usual ones
+	resumed    time.Duration                     // times of requests before it are not used
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -24,15 +24,15 @@
 
 // flowState is the tracked state of a flow.
 type flowState struct {
-	token         directory.Token
-	opened        bool          // the caller has acknowledged the target's answer
-	waiting       bool          // for an answer of the target
-	foundFreeSlot bool          // the target had a free slot when the request arrived
-	missCounted   bool          // the wait was counted as a miss of the target
-	sentEnd       uint32        // sequence number after the last byte of the caller
-	lastAck       uint32        // last acknowledgement of the caller
-	waitStart     time.Duration // when the flow or its last request began to wait
-	lastPacket    time.Duration // time of the last packet
+	token       directory.Token
+	opened      bool          // the caller has acknowledged the target's answer
+	waiting     bool          // for an answer of the target
+	missCounted bool          // the wait was counted as a miss of the target
+	queued      uint8         // requests per slot that the request found waiting, in queueUnit; 0 if a slot was free
+	sentEnd     uint32        // sequence number after the last byte of the caller
+	lastAck     uint32        // last acknowledgement of the caller
+	waitStart   time.Duration // when the flow or its last request began to wait
+	lastPacket  time.Duration // time of the last packet
 }
 
 // wait is the wait of a flow for an answer of its target.
@@ -51,6 +51,7 @@
 	demands      map[string]*demand // by service
 	view         *View
 	lastDecision time.Duration // time of the last decision
+	slowChanges  []SlowChange  // not yet logged
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 }
@@ -77,6 +78,7 @@
 			e.demands[t.Service] = t.demand
 		}
 	}
+	e.setReferences(v)
 	for name := range e.loads {
 		if !present[name] {
 			delete(e.loads, name)
@@ -122,6 +124,7 @@
 	}
 	if now-e.lastDecision >= lostTimeout {
 		e.clearSuspicions()
+		e.ignoreWaits(now)
 	}
 	e.lastDecision = now
 	e.expireWaits(now)
--- a/steer/load.go
+++ b/steer/load.go
@@ -40,6 +40,13 @@
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
 	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
+	times        answerTimes    // of the answers seen here
+	waits        answerTimes    // of the requests that wait now, while loads are collected
+	peerTimes    directory.AnswerTimes
+	peerUpdates  int           // consecutive updates in which other hosts reported peerTimes, at most peerUpdates
+	lastSlow     time.Duration // when the target was last slow, 0 for never
+	slow         bool          // answers take markedly longer than usual
+	extra        float64       // factor by which they do, less 1; 0 if the target is not slow
 }
 
 // recordOpened records that the target has opened a flow, which clears all evidence against it.
@@ -128,16 +135,19 @@
 		return nil
 	}
 	e.expireWaits(now)
+	e.collectWaits(now)
 	loads := make([]directory.Load, 0, len(e.view.tokens))
 	for token, t := range e.view.tokens {
 		l := directory.Load{
 			Token: token, Pending: saturate(t.load.pending), Open: saturate(t.load.open), Suspect: now < t.load.suspectUntil,
-			Silent: t.load.isSilent(now),
+			Silent: t.load.isSilent(now), Times: t.load.reportedTimes(now),
 		}
-		if l.Pending > 0 || l.Open > 0 || l.Suspect {
+		e.updateSlow(t, now)
+		if l.Pending > 0 || l.Open > 0 || l.Suspect || l.Times.Answers > 0 {
 			loads = append(loads, l)
 		}
 	}
+	e.countSlow()
 	return loads
 }
 
@@ -156,6 +166,7 @@
 			t.load.peers = l
 		}
 	}
+	e.setPeerTimes(loads.Times)
 	for _, rest := range loads.Rest {
 		if p := e.view.pools[rest.Service]; p != nil {
 			p.spreadRest(float64(rest.Pending))
@@ -246,9 +257,10 @@
 	t.load.recordAnswer(now)
 	t.demand.lastAnswer = now
 	if f.waiting {
-		if f.foundFreeSlot {
+		if f.queued == 0 {
 			t.demand.recordServiceTime(now - f.waitStart)
 		}
+		f.recordAnswerTime(p.Endpoint, t, now)
 		f.waiting, f.missCounted = false, false
 		t.load.pending = max(t.load.pending-1, 0)
 	}
@@ -262,7 +274,7 @@
 	case int32(p.endSequence()-f.sentEnd) > 0:
 		f.sentEnd = p.endSequence()
 		if !f.waiting {
-			f.waiting, f.waitStart, f.foundFreeSlot = true, now, t.hasFreeSlot(now)
+			f.waiting, f.waitStart, f.queued = true, now, t.queued(now)
 			t.load.pending++
 		}
 	case f.waiting && !f.missCounted && now-f.waitStart >= answerTimeout:
--- a/steer/place.go
+++ b/steer/place.go
@@ -53,7 +53,11 @@
 
 // choose returns the target of a new flow among those that usable accepts, or nil when there is none.
 func (p *pool) choose(hash uint64, now time.Duration, usable func(*Target) bool) *Target {
-	local, remote := lessLoaded(p.local, hash, now, usable), lessLoaded(p.remote, hash, now, usable)
+	local, probe := lessLoaded(p.local, hash, now, usable)
+	if probe {
+		return local
+	}
+	remote, _ := lessLoaded(p.remote, hash, now, usable)
 	if local == nil || remote != nil && local.cost(now) > remote.cost(now)+remotePenalty {
 		return remote
 	}
@@ -102,12 +106,19 @@
 
 // lessLoaded returns the less loaded of the first two targets by rendezvous hashing. Reported loads are as old as the time
 // between two reports: if all balancers took the least loaded of all targets, they would send their flows to the same one.
-func lessLoaded(targets []*Target, hash uint64, now time.Duration, usable func(*Target) bool) *Target {
+//
+// A slow target that comes first gets the flow as a probe although the second is faster: its answer shows whether the target has recovered.
+func lessLoaded(targets []*Target, hash uint64, now time.Duration, usable func(*Target) bool) (t *Target, probe bool) {
 	first, second := topTwo(targets, hash, now, usable)
-	if second != nil && second.cost(now) < first.cost(now) {
-		return second
+	switch {
+	case second == nil:
+		return first, false
+	case first.load.extra > 0 && second.load.extra == 0 && first.hasFreeSlot(now):
+		return first, true
+	case second.cost(now) < first.cost(now):
+		return second, false
 	}
-	return first
+	return first, false
 }
 
 // topTwo returns the first two targets of the flow's ranking by weighted rendezvous hashing, among those that usable
@@ -143,12 +154,16 @@
 }
 
 // cost returns the pending requests of the target per slot. Idle open flows do not count: a target that has just
-// started has none, and would get all new flows that may go to it while it is still slow.
-func (t *Target) cost(now time.Duration) float64 { return t.pending() / t.slots(now) }
+// started has none, and would get all new flows that may go to it while it is still slow. A target that is slow compared with its service
+// counts as having the pending requests with which a usual target would take as long.
+func (t *Target) cost(now time.Duration) float64 {
+	perSlot := t.pending() / t.slots(now)
+	return perSlot + t.load.extra*(1+perSlot)
+}
 
-// score returns the rendezvous score of the target for a flow, weighted by its slots.
+// score returns the rendezvous score of the target for a flow, weighted by its slots and speed.
 func (t *Target) score(hash uint64, now time.Duration) float64 {
-	return -t.slots(now) / math.Log(uniform(hash, t.seed))
+	return -t.slots(now) / t.probeDivisor() / math.Log(uniform(hash, t.seed))
 }
 
 // uniform returns a number between 0 and 1 that depends only on the flow's hash and the seed.
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -71,20 +71,30 @@
 			sum := sums[l.Token]
 			sums[l.Token] = directory.Load{
 				Token: l.Token, Pending: sum.Pending + l.Pending, Open: sum.Open + l.Open, Suspect: sum.Suspect || l.Suspect,
-				Silent: sum.Silent || l.Silent,
+				Silent: sum.Silent || l.Silent, Times: addTimes(sum.Times, l.Times),
 			}
 		}
 	}
 	engines[i].SetPeerLoads(nameBusiest(sums, engines[i].View()))
 }
 
+func addTimes(a, b directory.AnswerTimes) directory.AnswerTimes {
+	return directory.AnswerTimes{Answers: a.Answers + b.Answers, Excess: a.Excess + b.Excess}
+}
+
 // maxNamedTargets is the number of targets that a report to a balancer names, as in package relay.
 const maxNamedTargets = 64
 
 // nameBusiest returns the loads as a report holds them: the busiest targets, and the sum of the others by service.
 func nameBusiest(sums map[directory.Token]directory.Load, v *View) directory.Loads {
+	for token, l := range sums {
+		if directory.IsUsual(l.Times.Values()) {
+			l.Times = directory.AnswerTimes{}
+			sums[token] = l
+		}
+	}
 	loads := slices.SortedFunc(maps.Values(sums), func(a, b directory.Load) int {
-		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Token, b.Token))
+		return cmp.Or(cmp.Compare(min(b.Times.Answers, 1), min(a.Times.Answers, 1)), cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Token, b.Token))
 	})
 	named := min(len(loads), maxNamedTargets)
 	rest := map[string]uint32{}
@@ -92,6 +102,11 @@
 		rest[v.ServiceOf(l.Token)] += uint32(l.Pending)
 	}
 	out := directory.Loads{Targets: loads[:named]}
+	for _, l := range loads[:named] {
+		if l.Times.Answers > 0 {
+			out.Times = append(out.Times, directory.TargetTimes{Token: l.Token, Times: l.Times})
+		}
+	}
 	for _, service := range slices.Sorted(maps.Keys(rest)) {
 		out.Rest = append(out.Rest, directory.ServiceLoad{Service: service, Pending: rest[service]})
 	}
