Hand new flows on before a queue builds up

A data centre with more demand than room kept its work until a target had 2 pending requests per slot more than one elsewhere. Hosts now hand on the part of the new flows that exceeds the room, from the averaged loads of all data centres, from 1.6 pending requests per slot on.

At a use of 0.7 everywhere nothing is handed on.

--- a/steer/admit.go
+++ b/steer/admit.go
@@ -53,6 +53,8 @@
 	slowNow    int                               // those counted so far in the present update
 	mostSlow   bool                              // too many are slow for the others to be the usual ones
 	resumed    time.Duration                     // times of requests before it are not used
+
+	room room
 }
 
 // routeDemand is the part of a service's demand that comes from one route.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -51,7 +51,9 @@
 	demands      map[string]*demand // by service
 	view         *View
 	lastDecision time.Duration // time of the last decision
-	slowChanges  []SlowChange  // not yet logged
+	// slowChanges and handOnChanges are changes that are not yet logged.
+	slowChanges   []SlowChange
+	handOnChanges []HandOnChange
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 }
@@ -79,6 +81,7 @@
 		}
 	}
 	e.setReferences(v)
+	e.updateRooms(e.lastDecision)
 	for name := range e.loads {
 		if !present[name] {
 			delete(e.loads, name)
--- a/steer/load.go
+++ b/steer/load.go
@@ -148,6 +148,7 @@
 		}
 	}
 	e.countSlow()
+	e.updateRooms(now)
 	return loads
 }
 
--- a/steer/place.go
+++ b/steer/place.go
@@ -58,7 +58,7 @@
 		return local
 	}
 	remote, _ := lessLoaded(p.remote, hash, now, usable)
-	if local == nil || remote != nil && local.cost(now) > remote.cost(now)+remotePenalty {
+	if local == nil || p.handsOn(hash, remote, now) || remote != nil && local.cost(now) > remote.cost(now)+remotePenalty {
 		return remote
 	}
 	return local
--- a/steer/view.go
+++ b/steer/view.go
@@ -36,6 +36,8 @@
 	remote []*Target
 	// lapsed holds targets whose records disappeared while the store had trouble.
 	lapsed []*Target
+	// handedOn is the part of the new flows that goes to other data centres. The engine sets it.
+	handedOn float64
 }
 
 // minReadyShare is the share of a service's targets in a data centre below which lapsed targets get new flows too. When
