Test which answers are no evidence of a slow target

Answers after a pause of the process, reports that the other hosts have not yet completed, and a service of which most targets are slow. Comments of the changed functions keep within the line length.

--- a/relay/loads.go
+++ b/relay/loads.go
@@ -123,9 +123,9 @@
 
 func saturate(a, b uint16) uint16 { return uint16(min(uint32(a)+uint32(b), 1<<16-1)) }
 
-// loads returns the sum for a message. It names at most maxLoads targets: the suspect ones, those with slow answers, and then the busiest. Targets without
-// pending requests are left out unless they are suspect or slow. serviceOf returns the service of a target, and "" if the target is
-// unknown.
+// loads returns the sum for a message. It names at most maxLoads targets: the suspect ones, those with slow answers,
+// and then the busiest. Targets without pending requests are left out unless they are suspect or slow. serviceOf returns
+// the service of a target, and "" if the target is unknown.
 func (s *loadSum) loads(serviceOf func(directory.Token) string) directory.Loads {
 	named := make([]directory.Load, 0, len(s.targets))
 	for _, l := range s.targets {
@@ -134,7 +134,8 @@
 		}
 	}
 	slices.SortFunc(named, func(a, b directory.Load) int {
-		return cmp.Or(compareSuspect(a, b), compareTimes(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
+		return cmp.Or(compareSuspect(a, b), compareTimes(a, b), cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Open, a.Open),
+			cmp.Compare(a.Token, b.Token))
 	})
 	for _, l := range named[min(len(named), maxLoads):] {
 		if service := serviceOf(l.Token); service != "" {
--- a/steer/place_test.go
+++ b/steer/place_test.go
@@ -94,7 +94,8 @@
 		}
 	}
 	loads := slices.SortedFunc(maps.Values(sums), func(a, b directory.Load) int {
-		return cmp.Or(cmp.Compare(min(b.Times.Answers, 1), min(a.Times.Answers, 1)), cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Token, b.Token))
+		bySlow := cmp.Compare(min(b.Times.Answers, 1), min(a.Times.Answers, 1))
+		return cmp.Or(bySlow, cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Token, b.Token))
 	})
 	named := min(len(loads), maxNamedTargets)
 	rest := map[string]uint32{}
--- a/steer/room_test.go
+++ b/steer/room_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// Replays demand in waves that differ in phase between data centres: the peak is 1.2 times what one can serve, and 0.65 of all. Guards against
-// queues in one data centre while others have free slots, and against flows that are handed on in vain.
+// Replays demand in waves that differ in phase between data centres: the peak is 1.2 times what one can serve, and 0.65 of
+// all. Guards against queues in one data centre while others have free slots, and against flows that are handed on in vain.
 func TestWavesOfDemand(t *testing.T) {
 	wave := func(dc int, now time.Duration) float64 {
 		return 0.65 + 0.55*math.Sin(2*math.Pi*(now.Seconds()/12+float64(dc)/3))
--- a/steer/servicetime.go
+++ b/steer/servicetime.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// serviceTime returns the time that the target has worked on the request of the flow, and the usual time of the route. It returns nil if the
-// time is no evidence: the route is not known, the target is cold, or this process was paused.
+// serviceTime returns the time that the target has worked on the request of the flow, and the usual time of the
+// route. It returns nil if the time is no evidence: the route is not known, the target is cold, or this process was paused.
 func (f *flowState) serviceTime(endpoint directory.Endpoint, t *Target, now time.Duration) (*reference, time.Duration) {
 	r := t.demand.references[endpoint]
 	if r == nil || t.isCold(now) || f.waitStart < t.demand.resumed {
--- a/steer/servicetime_test.go
+++ b/steer/servicetime_test.go
@@ -4,11 +4,14 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
 )
 
-// Replays half of the targets of all data centres that become 4 and 8 times slower. Guards against slow targets that hold a queue while
-// others are idle. The goal holds where the fast half has twice the slots that the demand needs; where it has just enough, the requests that
-// find out about the slow targets may be late too. A factor of 4 takes more answers, and up to a second more, to tell from varied work.
+// Replays half of the targets of all data centres that become 4 and 8 times slower. Guards against slow targets that hold a
+// queue while others are idle. The goal holds where the fast half has twice the slots that the demand needs; where it has just
+// enough, the requests that find out about the slow targets may be late too. A factor of 4 takes more answers, and up to a
+// second more, to tell from varied work.
 func TestSlowTargetsGetLessWork(t *testing.T) {
 	for _, c := range []struct{ factor, use, want float64 }{
 		{4, 0.25, goalInTime}, {8, 0.25, goalInTime}, {4, 0.4, 0.9}, {8, 0.4, 0.9},
@@ -102,3 +105,55 @@
 		}
 	}
 }
+
+// Guards against a target that counts as slow because the process was paused while a request waited.
+func TestAnswersAfterPauseAreNoEvidence(t *testing.T) {
+	e := engine(fiveTargets(local)...)
+	token := e.Decide(openingPacket(1), time.Second).Target.Token
+	acknowledge(e, 1, token, time.Second)
+	now, acknowledged := time.Second, uint32(7)
+	request := func(took time.Duration) {
+		p := dataPacket(1, token, acknowledged)
+		p.Acknowledgement = acknowledged
+		e.Decide(p, now)
+		now, acknowledged = now+took, acknowledged+100
+		p.Payload, p.Acknowledgement = 0, acknowledged
+		e.Decide(p, now)
+	}
+	l := e.View().Resolve(token).load
+	for range 2 * minReferenceAnswers {
+		request(unevenWork)
+	}
+	request(lostTimeout)
+	if l.times.excess > 0 {
+		t.Errorf("the answer after a pause has an excess of %.1f, want none", l.times.excess)
+	}
+	request(8 * unevenWork)
+	if l.times.excess < 2.5 {
+		t.Errorf("an answer of 8 times the usual time has an excess of %.1f, want 3", l.times.excess)
+	}
+}
+
+// Guards against reports that make a target slow before the hosts that saw usual answers have added theirs, and against a factor where most
+// targets are slow and the others may answer fast because they fail.
+func TestReportedAnswerTimes(t *testing.T) {
+	for _, c := range []struct {
+		slow, updates int
+		applies       bool
+	}{{1, peerUpdates - 1, false}, {1, peerUpdates, true}, {3, peerUpdates, true}, {4, peerUpdates, false}} {
+		targets := fiveTargets(local)
+		e := engine(targets...)
+		var loads directory.Loads
+		for i := range c.slow {
+			loads.Times = append(loads.Times, directory.TargetTimes{Token: targets[i].Token(), Times: directory.NewAnswerTimes(20, 60)})
+		}
+		for i := range c.updates {
+			e.SetPeerLoads(loads)
+			e.Loads(time.Duration(i+1) * 300 * time.Millisecond)
+		}
+		e.Loads(2 * time.Second)
+		if got := len(e.Slowdowns()); got != c.slow && c.applies || got > 0 && !c.applies {
+			t.Errorf("%d slow targets in %d updates: %d have a factor, want all: %v", c.slow, c.updates, got, c.applies)
+		}
+	}
+}
