--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/marigoldwood/marigoldwood/internal/status"
@@ -92,6 +93,7 @@
 	flows      int64
 	reported   float64 // highest reported load
 	distrusted bool
+	slowdown   float64 // highest factor by which it is slower, 0 for none
 }
 
 // writeTargets writes a table of the targets of all services, aggregated over the hosts of a data centre.
@@ -116,6 +118,9 @@
 		if r.distrusted {
 			note = "its reports are distrusted"
 		}
+		if r.slowdown > 0 {
+			note = strings.TrimPrefix(fmt.Sprintf("%s, %.1f times slower", note, r.slowdown), ", ")
+		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%s\n", k[0], k[1], k[2], r.formatStates(), r.eligible, r.flows, r.reported, note)
 	}
 }
@@ -125,6 +130,7 @@
 	r.flows += t.Flows
 	r.reported = max(r.reported, t.Reported)
 	r.distrusted = r.distrusted || t.Distrusted
+	r.slowdown = max(r.slowdown, t.Slowdown)
 	if t.Eligible {
 		r.eligible++
 	}
--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +61,40 @@
 	l.log.WithFields(fields).Info("decision")
 }
 
+// logBalance logs targets that became or stopped being slow, and services whose new flows began or ceased to be handed on, with the same
+// limited rate.
+func (l *decisionLog) logBalance(slow []steer.SlowChange, handOn []steer.HandOnChange, now time.Duration) {
+	for _, c := range slow {
+		if !l.allow(now) {
+			continue
+		}
+		event := "target-usual"
+		if c.Slow {
+			event = "target-slow"
+		}
+		l.log.WithFields(logrus.Fields{
+			"event": event, "target": c.Target.Name, "service": c.Target.Service, "factor": round(c.Factor), "usual": c.Usual,
+			"answers": round(c.OwnAnswers), "peer_answers": round(c.PeerAnswers), "age": c.Age,
+		}).Info("service time of a target")
+	}
+	for _, c := range handOn {
+		if !l.allow(now) {
+			continue
+		}
+		event := "hand-on-end"
+		if c.HandedOn > 0 {
+			event = "hand-on-start"
+		}
+		l.log.WithFields(logrus.Fields{
+			"event": event, "service": c.Service, "part": round(c.HandedOn), "pending": round(c.LocalPending), "slots": c.LocalSlots,
+			"pending_elsewhere": round(c.RemotePending), "slots_elsewhere": c.RemoteSlots,
+		}).Info("new flows to other data centres")
+	}
+}
+
+// round rounds an input of a decision for the log.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // eventName returns the event name under which a decision is logged, or "" for a packet that follows an earlier decision.
 func eventName(d *steer.Decision) string {
 	switch {
--- a/internal/direct/decisionlog_test.go
+++ b/internal/direct/decisionlog_test.go
@@ -45,3 +45,25 @@
 		t.Errorf("got log output %q, want none", out.String())
 	}
 }
+
+// Guards against a change of belief about a target, or of the room for a service, that is not logged with its inputs.
+func TestChangesOfBalanceAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	log, err := logging.New(&out, "info", "h")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &steer.Target{}
+	target.Name, target.Service = "i-1", "ingest"
+	newDecisionLog(log).logBalance(
+		[]steer.SlowChange{{Target: target, Slow: true, Factor: 4.125, OwnAnswers: 2, PeerAnswers: 30}, {Target: target, Factor: 1}},
+		[]steer.HandOnChange{{Service: "ingest", HandedOn: 0.25, LocalPending: 70, LocalSlots: 40}, {Service: "ingest"}}, time.Second)
+	for _, want := range []string{
+		"event=target-slow", "factor=4.13", "peer_answers=30", "target=i-1", "event=target-usual", "event=hand-on-start", "part=0.25",
+		"pending=70", "event=hand-on-end",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log does not contain %s:\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -29,6 +29,7 @@
 	version      atomic.Uint64
 	storeAge     atomic.Int64 // ms
 	queues       atomic.Pointer[[]steer.Queue]
+	balances     atomic.Pointer[[]steer.Balance]
 	batchTimes   metric.Float64Histogram
 	readTimes    metric.Float64Histogram
 	openTimes    metric.Float64Histogram
@@ -116,7 +117,15 @@
 	if err != nil {
 		return err
 	}
-	observables = append(observables, waiting, slots)
+	slow, err := gauge(meter, telemetry.DirectSlowTargets)
+	if err != nil {
+		return err
+	}
+	handedOn, err := gauge(meter, telemetry.DirectHandedOn)
+	if err != nil {
+		return err
+	}
+	observables = append(observables, waiting, slots, slow, handedOn)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for k, n := range m.packets {
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
@@ -132,6 +141,13 @@
 				o.ObserveInt64(slots, int64(q.Slots), service)
 			}
 		}
+		if balances := m.balances.Load(); balances != nil {
+			for _, b := range *balances {
+				service := metric.WithAttributes(attribute.String("service", b.Service))
+				o.ObserveInt64(slow, int64(b.SlowTargets), service)
+				o.ObserveInt64(handedOn, int64(100*b.HandedOn), service)
+			}
+		}
 		return nil
 	}, observables...)
 	return Error.Wrap(err)
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -66,7 +66,7 @@
 	for _, m := range c.fleet.Members(now) {
 		s.Members = append(s.Members, status.Member{Name: m.Host.Name, DataCentre: m.Host.DataCentre, State: memberState(m.State.Leaving)})
 	}
-	s.Services = serviceStatus(c.directory.Snapshot(now), c.traffic.Loads())
+	s.Services = serviceStatus(c.directory.Snapshot(now), c.traffic.Loads(), c.traffic.Slowdowns())
 	return s
 }
 
@@ -78,7 +78,7 @@
 }
 
 // serviceStatus returns the targets by service, with the flows of this balancer to them.
-func serviceStatus(s *directory.Snapshot, loads []directory.Load) []status.Service {
+func serviceStatus(s *directory.Snapshot, loads []directory.Load, slowdowns map[directory.Token]float64) []status.Service {
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -95,6 +95,7 @@
 		service.Targets = append(service.Targets, status.Target{
 			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect,
 			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: load.Suspect,
+			Slowdown: slowdowns[t.Token()],
 		})
 	}
 	out := make([]status.Service, 0, len(byName))
@@ -142,9 +143,22 @@
 		if ranking.Second != nil {
 			x.Rule += ", or to " + ranking.Second.Name + " while it is less loaded"
 		}
+		x.Rule += describeBalance(c.traffic.Slowdowns()[ranking.First.Token], c.traffic.HandedOn(ranking.Service))
 	}
 }
 
+// describeBalance returns why a new flow may go to another target, "" if neither the default target is slow nor flows are handed on.
+func describeBalance(slowdown, handedOn float64) string {
+	text := ""
+	if slowdown > 0 {
+		text += fmt.Sprintf("; the default target is %.1f times slower than usual", slowdown)
+	}
+	if handedOn > 0 {
+		text += fmt.Sprintf("; %.0f%% of the new flows go to other data centres for lack of room", 100*handedOn)
+	}
+	return text
+}
+
 // describeFlow returns a description of the state of a flow.
 func describeFlow(f steer.FlowInfo) string {
 	state := "open"
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -101,6 +101,25 @@
 // SetOtherLoads sets the loads of targets that other balancers have observed.
 func (t *Traffic) SetOtherLoads(loads directory.Loads) { t.otherLoads.Store(&loads) }
 
+// Slowdowns returns the factors by which targets are slower than the others of their service, for the slow ones.
+func (t *Traffic) Slowdowns() map[directory.Token]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.Slowdowns()
+}
+
+// HandedOn returns the part of a service's new flows that goes to other data centres for lack of room.
+func (t *Traffic) HandedOn(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.engine.Balances() {
+		if b.Service == service {
+			return b.HandedOn
+		}
+	}
+	return 0
+}
+
 // Run forwards packets until ctx is done.
 func (t *Traffic) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
@@ -186,6 +205,7 @@
 	if now-t.loadsCollected >= loadInterval {
 		own := t.engine.Loads(now)
 		t.ownLoads.Store(&own)
+		t.reportBalance(now)
 		t.loadsCollected = now
 	}
 	t.metrics.flows.Store(int64(t.engine.Flows()))
@@ -193,6 +213,13 @@
 	t.metrics.recordBatch(t.batches, t.clock()-now)
 }
 
+// reportBalance updates the metrics of slow targets and of flows that are handed on, and logs what has changed.
+func (t *Traffic) reportBalance(now time.Duration) {
+	balances := t.engine.Balances()
+	t.metrics.balances.Store(&balances)
+	t.decisions.logBalance(t.engine.TakeSlowChanges(), t.engine.TakeHandOnChanges(), now)
+}
+
 func (t *Traffic) forwardPacket(i int, now time.Duration) {
 	buffer, start, end := t.reader.Buffer(i)
 	var p steer.Packet
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -76,6 +76,7 @@
 	Reported   float64 `json:"reported"` // load that the target reported
 	Flows      int64   `json:"flows"`    // open flows of this balancer to the target
 	Distrusted bool    `json:"distrusted,omitempty"`
+	Slowdown   float64 `json:"slowdown,omitempty"` // factor by which it answers slower than the others, 0 if it does not
 }
 
 // Explanation describes the target of a flow and the rule that selects it.
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -13,6 +13,8 @@
 	DirectPlatformAge          = Instrument{"marigoldwood_platform_age", "ms", "time since the store answered this host or the relay that it follows; -1 when never"}
 	DirectServiceWaiting       = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
 	DirectServiceSlots         = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
+	DirectSlowTargets          = Instrument{"marigoldwood_slow_targets", "{target}", "targets of a service that are slower than the others and get less work"}
+	DirectHandedOn             = Instrument{"marigoldwood_handed_on", "%", "part of a service's new flows that this data centre hands on for lack of room"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -20,6 +22,6 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge,
-		DirectServiceWaiting, DirectServiceSlots, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectSlowTargets, DirectHandedOn, DirectConfigurationVersion,
 	}
 }
