--- a/directory/target.go
+++ b/directory/target.go
@@ -58,6 +58,8 @@
 	Answers       uint16
 	ExcessShort   int16
 	ShortVariance uint16
+	// Times is the evidence of slow answers. Messages hold it in Loads.Times.
+	Times AnswerTimes `msgpack:"-"`
 }
 
 // Loads are the loads of targets in one message. A message names the busiest targets and sums up the others, so that its
@@ -65,6 +67,7 @@
 type Loads struct {
 	Targets []Load
 	Rest    []ServiceLoad // of targets with pending requests that Targets leaves out
+	Times   []TargetTimes // of some of Targets, usually none
 }
 
 // ServiceLoad is the load of several targets of a service together.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -116,9 +116,10 @@
 	flows      int64
 	reported   float64 // highest reported load
 	distrusted bool
-	evacuated  int   // hosts for which its data centre is evacuated
-	limited    int   // hosts for which it is limited because it is cold
-	limitedMS  int64 // longest remaining time of these limits
+	evacuated  int     // hosts for which its data centre is evacuated
+	limited    int     // hosts for which it is limited because it is cold
+	limitedMS  int64   // longest remaining time of these limits
+	slowdown   float64 // highest factor by which it is slower, 0 for none
 }
 
 // writeTargets writes a table of the targets of all services, aggregated over the hosts of a data centre.
@@ -149,6 +150,9 @@
 	if r.distrusted {
 		notes = append(notes, "its reports are distrusted")
 	}
+	if r.slowdown > 0 {
+		notes = append(notes, fmt.Sprintf("%.1f times slower", r.slowdown))
+	}
 	if r.evacuated > 0 {
 		notes = append(notes, fmt.Sprintf("evacuated on %d hosts", r.evacuated))
 	}
@@ -170,6 +174,7 @@
 		r.limited++
 		r.limitedMS = max(r.limitedMS, t.LimitedMS)
 	}
+	r.slowdown = max(r.slowdown, t.Slowdown)
 	if t.Eligible {
 		r.eligible++
 	}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -69,7 +69,7 @@
 	}
 	snapshot := c.directory.Snapshot(now)
 	s.Evacuations = evacuationStatus(snapshot)
-	s.Services = serviceStatus(snapshot, c.traffic.Loads(), c.limitedUntil(now), c.traffic.Failing())
+	s.Services = c.serviceStatus(snapshot, now)
 	return s
 }
 
@@ -91,11 +91,9 @@
 	return until
 }
 
-// serviceStatus returns the targets by service, with the flows of this balancer to them. limited holds the ends of limits, and
-// failing the targets that fail requests.
-func serviceStatus(
-	s *directory.Snapshot, loads []directory.Load, limited map[directory.Token]time.Duration, failing map[directory.Token]bool,
-) []status.Service {
+// serviceStatus returns the targets by service, with the flows of this balancer to them.
+func (c *Control) serviceStatus(s *directory.Snapshot, now time.Duration) []status.Service {
+	loads, limited, failing, slowdowns := c.traffic.Loads(), c.limitedUntil(now), c.traffic.Failing(), c.traffic.Slowdowns()
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -115,6 +113,7 @@
 			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !distrusted && !evacuated,
 			Evacuated: evacuated, LimitedMS: max(limited[t.Token()]-s.TakenAt, 0).Milliseconds(),
 			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: distrusted,
+			Slowdown: slowdowns[t.Token()],
 		})
 	}
 	out := make([]status.Service, 0, len(byName))
@@ -165,9 +164,22 @@
 		if ranking.Second != nil {
 			x.Rule += ", or to " + ranking.Second.Name + " while it is less loaded"
 		}
+		x.Rule += describeBalance(c.traffic.Slowdowns()[ranking.First.Token], c.traffic.HandedOn(ranking.Service))
 	}
 }
 
+// describeBalance returns why a new flow may go to another target, "" if neither the default target is slow nor flows are handed on.
+func describeBalance(slowdown, handedOn float64) string {
+	text := ""
+	if slowdown > 0 {
+		text += fmt.Sprintf("; the default target is %.1f times slower than usual", slowdown)
+	}
+	if handedOn > 0 {
+		text += fmt.Sprintf("; %.0f%% of the new flows go to other data centres for lack of room", 100*handedOn)
+	}
+	return text
+}
+
 // describeFlow returns a description of the state of a flow.
 func describeFlow(f steer.FlowInfo) string {
 	state := "open"
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -87,6 +87,7 @@
 	Distrusted bool    `json:"distrusted,omitempty"` // it is suspect or fails requests, and gets no new flows
 	Evacuated  bool    `json:"evacuated,omitempty"`  // its data centre is evacuated
 	LimitedMS  int64   `json:"limited_ms,omitempty"` // how much longer opening packets to it are limited because it is cold
+	Slowdown   float64 `json:"slowdown,omitempty"`   // factor by which it answers slower than the others, 0 if it does not
 }
 
 // Explanation describes the target of a flow and the rule that selects it.
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -17,6 +17,8 @@
 	DirectEvacuations          = Instrument{"marigoldwood_data_centres_evacuated", "{data centre}", "data centres with targets that the operator has evacuated, as this host knows"}
 	DirectFailingTargets       = Instrument{"marigoldwood_targets_failing", "{target}", "targets that get no new flows because they fail requests while they look well"}
 	DirectLimitedTargets       = Instrument{"marigoldwood_targets_limited", "{target}", "targets to which opening packets are limited because they are cold"}
+	DirectSlowTargets          = Instrument{"marigoldwood_slow_targets", "{target}", "targets of a service that are slower than the others and get less work"}
+	DirectHandedOn             = Instrument{"marigoldwood_handed_on", "%", "part of a service's new flows that this data centre hands on for lack of room"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -24,6 +26,7 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge, DirectStoreEra,
-		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectFailingTargets, DirectLimitedTargets, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectFailingTargets, DirectLimitedTargets,
+		DirectSlowTargets, DirectHandedOn, DirectConfigurationVersion,
 	}
 }
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -25,17 +25,17 @@
 
 // flowState is the tracked state of a flow.
 type flowState struct {
-	token         directory.Token
-	opened        bool          // the caller has acknowledged the target's answer
-	waiting       bool          // for an answer of the target
-	foundFreeSlot bool          // the target had a free slot when the request arrived
-	missCounted   bool          // the wait was counted as a miss of the target
-	sentEnd       uint32        // sequence number after the last byte of the caller
-	lastAck       uint32        // last acknowledgement of the caller
-	answerStart   uint32        // lastAck when the last request arrived
-	hasRequest    bool          // answerStart is known
-	waitStart     time.Duration // when the flow or its last request began to wait
-	lastPacket    time.Duration // time of the last packet
+	token       directory.Token
+	opened      bool          // the caller has acknowledged the target's answer
+	waiting     bool          // for an answer of the target
+	missCounted bool          // the wait was counted as a miss of the target
+	hasRequest  bool          // answerStart is known
+	queued      uint8         // requests per slot that the request found waiting, in queueUnit; 0 if a slot was free
+	sentEnd     uint32        // sequence number after the last byte of the caller
+	lastAck     uint32        // last acknowledgement of the caller
+	answerStart uint32        // lastAck when the last request arrived
+	waitStart   time.Duration // when the flow or its last request began to wait
+	lastPacket  time.Duration // time of the last packet
 }
 
 // wait is the wait of a flow for an answer of its target.
@@ -57,6 +57,9 @@
 	lastFailingUpdate time.Duration
 	view              *View
 	lastDecision      time.Duration // time of the last decision
+	// slowChanges and handOnChanges are changes that are not yet logged.
+	slowChanges   []SlowChange
+	handOnChanges []HandOnChange
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 	cold   *ColdLimits // nil if opening packets to cold targets are not limited
@@ -90,6 +93,8 @@
 			e.demands[t.Service] = t.demand
 		}
 	}
+	e.setReferences(v)
+	e.updateRooms(e.lastDecision)
 	for name := range e.loads {
 		if !present[name] {
 			delete(e.loads, name)
@@ -147,6 +152,7 @@
 	}
 	if now-e.lastDecision >= lostTimeout {
 		e.clearSuspicions()
+		e.ignoreWaits(now)
 	}
 	e.lastDecision = now
 	e.expireWaits(now)
--- a/steer/view.go
+++ b/steer/view.go
@@ -48,6 +48,8 @@
 	lapsed []*Target
 	// limitedUntil is until when some of the targets are limited, 0 if none are.
 	limitedUntil time.Duration
+	// handedOn is the part of the new flows that goes to other data centres. The engine sets it.
+	handedOn float64
 }
 
 // minReadyShare is the share of a service's targets in a data centre below which lapsed targets get new flows too. When
