Judge silent targets by the evidence of all balancers

A balancer of a large fleet has too few flows at each target to suspect it alone, so flows of a crashed target waited for the store. directory.Silence holds the evidence on a target (unanswered flows, balancers, ages of the oldest wait and of the newest answer), and steer takes a target to be dark when it is decisive and confirmed by polls. The rule of two suspicions stays for fleets of up to six balancers, and only in the target's data centre. Balancers that are cut off from targets that answer others are recognized, and while several are, no target is dark.

--- a/directory/target.go
+++ b/directory/target.go
@@ -56,6 +56,8 @@
 type Loads struct {
 	Targets []Load
 	Rest    []ServiceLoad // of targets with pending requests that Targets leaves out
+	Silence []Silence     // evidence on targets that may have fallen silent
+	CutOffs uint16        // balancers whose evidence is void, because targets that leave their data unanswered answer others
 }
 
 // ServiceLoad is the load of several targets of a service together.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/directory"
@@ -50,14 +51,17 @@
 	loads        map[string]*load
 	demands      map[string]*demand // by service
 	view         *View
-	lastDecision time.Duration // time of the last decision
+	lastDecision time.Duration            // time of the last decision
+	doubted      map[directory.Token]bool // targets on which some balancer has evidence of silence
+	peers        Peers
+	cutOffUntil  time.Duration // until when evidence of silence from here does not count
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
 func NewEngine() *Engine {
-	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}}
+	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}, doubted: map[directory.Token]bool{}}
 }
 
 // SetView makes a view the current one. Targets that did not restart keep their observed load.
@@ -147,7 +151,7 @@
 			return Decision{Action: Drop, Code: resultcode.TargetGone}
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
-	case !p.Reset && !p.Finish && t.load.isLost(now):
+	case !p.Reset && !p.Finish && e.isLost(t, now):
 		e.removeFlow(p.Flow())
 		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t}
 	}
@@ -179,6 +183,9 @@
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
+	if p.Acknowledgement == 0 {
+		t = cmp.Or(e.probeTarget(route, key, now), t)
+	}
 	switch {
 	case t == nil:
 		return Decision{Action: Refuse, Code: resultcode.RefusedNoTarget, Suspected: suspected}
--- a/steer/load.go
+++ b/steer/load.go
@@ -21,6 +21,8 @@
 	// lostTimeout is how long a target that two balancers suspect must have sent no answer here before its flows are
 	// reset. Few requests take longer.
 	lostTimeout = time.Second
+	// smallFleet is the number of balancers up to which the suspicions of two of them are enough to reset flows.
+	smallFleet = 6
 	// missRetention is how long unanswered data of open flows is evidence of silence, since a flow may move to another balancer and be
 	// answered there, and how long unanswered opening packets outweigh answers on open flows.
 	missRetention = 3 * time.Second
@@ -40,12 +42,14 @@
 	suspectUntil time.Duration  // end of the current suspect period
 	peers        directory.Load // reported by the other balancers
 	peersMean    float64        // requests pending at other balancers, if their reports only give the sum over several targets
+	silence      silence
 }
 
 // recordOpened records that the target has opened a flow, which clears all evidence against it.
 func (l *load) recordOpened(now time.Duration) {
 	l.lastAnswer, l.lastOpened = now, now
 	l.clearMisses()
+	l.silence.clear()
 }
 
 // recordAnswer records an answer of the target on an open flow. It shows that the target runs, but not that it opens flows: a target at
@@ -53,8 +57,10 @@
 // open flows went unanswered too: the target was silent and is back.
 func (l *load) recordAnswer(now time.Duration) {
 	l.lastAnswer = now
+	l.silence.clear()
 	if l.dataMisses > 0 || now-l.lastOpenMiss >= missRetention {
 		l.clearMisses()
+		l.silence.count = 0
 	}
 }
 
@@ -95,10 +101,16 @@
 	return l.dataMisses > 0 && now-l.lastDataMiss < missRetention
 }
 
-// isLost reports whether the target is taken to have ended: it answered before, but not within lostTimeout, and several flows, open
-// ones among them, went unanswered both here and at another balancer.
-func (l *load) isLost(now time.Duration) bool {
-	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && l.lastAnswer > 0 && now-l.lastAnswer >= lostTimeout
+// isLost reports whether the target is taken to have ended: the evidence of all balancers shows that it is dark, or it answered before,
+// but nobody within lostTimeout, and several flows, open ones among them, went unanswered both here and at another balancer. The latter
+// serves small fleets. It holds only in the target's own data centre: elsewhere a partition between the data centres looks the same.
+func (e *Engine) isLost(t *Target, now time.Duration) bool {
+	l := t.load
+	if l.silence.isDark(now) {
+		return true
+	}
+	return e.peers.Hosts <= smallFleet && t.local && l.isSilent(now) && l.peers.Suspect && l.peers.Silent && l.lastAnswer > 0 && now-l.newestAnswer() >= lostTimeout &&
+		!e.IsCutOff(now)
 }
 
 // clearSuspicions drops the evidence against all targets. After a long time without packets the process may have been
@@ -119,7 +131,7 @@
 
 // isSuspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) isSuspect(now time.Duration) bool {
-	return now < l.suspectUntil || l.peers.Suspect && now-l.lastAnswer >= answerTimeout
+	return now < l.suspectUntil || now < max(l.silence.avoidUntil, l.silence.darkUntil) || l.peers.Suspect && now-l.lastAnswer >= answerTimeout
 }
 
 // Loads returns the observed loads of the targets that this balancer uses or suspects.
@@ -219,8 +231,11 @@
 	}
 	f.lastPacket = now
 	f.handleAck(p, t, now)
-	wasWaiting := f.waiting
+	wasWaiting, wasMissed := f.waiting, f.missCounted
 	d.Suspected = f.handleData(p, t, now)
+	if f.missCounted && !wasMissed {
+		e.noteMiss(t, f.waitStart)
+	}
 	if f.waiting && !wasWaiting {
 		e.addWait(key, now, now)
 	}
--- /dev/null
+++ b/steer/silence_test.go
@@ -0,0 +1,112 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/resultcode"
+)
+
+// darkEngine returns an engine with one flow to a target that the other balancers find silent, and the token of the target.
+func darkEngine(now time.Duration) (*Engine, directory.Token) {
+	e := engine(fiveTargets(local)...)
+	token := e.Decide(openingPacket(0), now-5*time.Second).Target.Token
+	acknowledge(e, 0, token, now-5*time.Second)
+	e.Decide(&Packet{Caller: caller(1), Open: true}, now-lostTimeout/2)
+	e.SetPeerSilence(Peers{Silence: []directory.Silence{silentTarget(token)}, DataCentres: 2, Hosts: 1000}, now)
+	e.ReviewSilence(now)
+	return e, token
+}
+
+func silentTarget(token directory.Token) directory.Silence {
+	return directory.Silence{Token: token, Flows: 4, Hosts: 4, Near: 1, WaitAge: 900, AnswerAge: 1000, Polls: 2, PollAge: 20}
+}
+
+// Guards against idle flows whose callers wait for a target that others found silent, and against new flows there.
+func TestDarkTargetByEvidenceOfOthers(t *testing.T) {
+	now := 20 * time.Second
+	e, token := darkEngine(now)
+	if d := e.Decide(dataPacket(0, token, 1), now); d.Action != Break || d.Code != resultcode.TargetLost {
+		t.Errorf("packet of an idle flow: %v, %v, want a reset", d.Action, d.Code)
+	}
+	for n := range 200 {
+		if d := e.Decide(openingPacket(10+n), now); d.Target.Token == token {
+			t.Errorf("new flow %d goes to the dark target", n)
+		}
+	}
+}
+
+// Guards against resets that go on after a sign of life, here or elsewhere, and after the evidence has ended.
+func TestDarkTargetIsAliveAgain(t *testing.T) {
+	now := 20 * time.Second
+	for name, revive := range map[string]func(*Engine, directory.Token){
+		"answer here": func(e *Engine, token directory.Token) {
+			e.Decide(&Packet{Caller: caller(0), Endpoint: endpoint, Finish: true, Acknowledges: true, Acknowledgement: 99, Token: token}, now)
+		},
+		"answer elsewhere": func(e *Engine, token directory.Token) {
+			s := silentTarget(token)
+			s.AnswerAge = 20
+			e.SetPeerSilence(Peers{Silence: []directory.Silence{s}, DataCentres: 2, Hosts: 1000}, now)
+		},
+		"many balancers are cut off": func(e *Engine, token directory.Token) {
+			e.SetPeerSilence(Peers{Silence: []directory.Silence{silentTarget(token)}, CutOffs: 25, DataCentres: 2, Hosts: 1000}, now)
+		},
+	} {
+		e, token := darkEngine(now)
+		revive(e, token)
+		events, _ := e.ReviewSilence(now)
+		if d := e.Decide(dataPacket(3, token, 1), now); d.Action != Forward || len(events) != 1 || events[0].Dark {
+			t.Errorf("%s: %v, events %+v, want forward, and an event", name, d.Action, events)
+		}
+	}
+	e, token := darkEngine(now)
+	e.SetPeerSilence(Peers{DataCentres: 2, Hosts: 1000}, now)
+	if d := e.Decide(dataPacket(3, token, 1), now+darkFor+time.Millisecond); d.Action != Forward {
+		t.Errorf("without evidence for darkFor: %v, want forward", d.Action)
+	}
+}
+
+// Guards against evidence that a balancer gives although the target answered others since, as on the wrong side of a partition.
+func TestOwnEvidenceEndsWithAnswerElsewhere(t *testing.T) {
+	now := 20 * time.Second
+	e := engine(knownTarget(1, local))
+	token := leaveUnanswered(e, 3, now-2*time.Second, now) // data of 3 flows was first sent 0.2 s ago
+	if own := e.Silence(now); len(own) != 1 || own[0].Flows != 3 || own[0].Hosts != 1 || own[0].Near != 1 {
+		t.Fatalf("evidence %+v, want 3 flows", own)
+	}
+	answered := directory.Silence{Token: token, AnswerAge: 100}
+	e.SetPeerSilence(Peers{Silence: []directory.Silence{answered}, DataCentres: 1, Hosts: 9}, now)
+	if own := e.Silence(now); own[0].Flows != 0 || own[0].Hosts != 0 {
+		t.Errorf("evidence %+v, want none: the target answered others 0.1 s ago", own)
+	}
+	later := now + 400*time.Millisecond
+	answered.AnswerAge = 1
+	e.SetPeerSilence(Peers{Silence: []directory.Silence{answered}, DataCentres: 1, Hosts: 9}, later)
+	e.View().Resolve(token).load.pending = 1 // no queue, which would explain the wait
+	if _, tell := e.ReviewSilence(later); !e.IsCutOff(later) || !tell {
+		t.Error("data unanswered for 0.6 s, while the target answers others: the balancer does not take itself to be cut off, or does not say so")
+	}
+}
+
+// Guards against a dark target that no balancer tries again, against one that all try, and against an answer whose age cannot be expressed
+// and that seems to move on with time.
+func TestDarkTargetIsProbed(t *testing.T) {
+	now, probes := 20*time.Second, 0
+	e, token := darkEngine(now)
+	for second := range 1000 {
+		at := now + time.Duration(second)*time.Second
+		s := silentTarget(token)
+		s.WaitAge, s.AnswerAge = directory.NoAnswer-1, directory.NoAnswer-1
+		e.SetPeerSilence(Peers{Silence: []directory.Silence{s}, DataCentres: 2, Hosts: 100}, at)
+		e.ReviewSilence(at)
+		for n := range 5 {
+			if d := e.Decide(openingPacket(second*10+n), at); d.Target.Token == token {
+				probes++
+			}
+		}
+	}
+	if probes < 3 || probes > 25 {
+		t.Errorf("one of 100 balancers probed the target %d times in 1,000 s, want about 10", probes)
+	}
+}
--- a/steer/view.go
+++ b/steer/view.go
@@ -15,6 +15,7 @@
 	Token     directory.Token
 	seed      uint64
 	evacuated bool // its data centre is evacuated: it keeps its flows and gets no new ones
+	local     bool // it is in the data centre of the balancer
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
@@ -69,6 +70,7 @@
 func (v *View) add(k *directory.TargetEntry, dataCentre string) {
 	t := &Target{
 		TargetEntry: *k, Token: k.Token(), seed: xxhash.Sum64String(k.Name), evacuated: v.snapshot.Evacuated(k.DataCentre),
+		local: k.DataCentre == dataCentre,
 	}
 	if other := v.tokens[t.Token]; other != nil {
 		if !startedBefore(t, other) {
