Add up evidence on silent targets and pass decisive changes on early

Reports, replies and a new kind of early report carry evidence on targets that some host doubts; relays add it up over all data centres and poll their hosts before the evidence is acted on. Early reports have a least gap and a cap. No flow of a living target is reset in nine replays with partitions, pauses, loss, long requests, full targets and a restart of all hosts. Tests: go test ./relay pass.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -44,6 +44,11 @@
 	loads       timedLoads    // from the reports of a host of this data centre
 	centreLoads timedLoads    // of the whole data centre, from the relay of another data centre
 	peerLoads   timedLoads    // of all other hosts, from the replies of the relay of this data centre
+
+	silence       timedSilence  // of a host of this data centre
+	centreSilence timedSilence  // of the whole data centre, from the relay of another data centre
+	peerSilence   timedSilence  // of all other hosts, from the relay of this data centre
+	lastReplySent time.Duration // when the newest report was sent to which the host has replied
 }
 
 // isResponsive reports whether the host was seen since it last did not answer.
@@ -67,6 +72,7 @@
 	initialSyncHost  netip.AddrPort
 	initialSyncStart time.Duration
 	serviceOf        func(directory.Token) string
+	silence          silenceExchange
 }
 
 // NewFleet returns a fleet that knows no other host than self.
@@ -280,7 +286,9 @@
 	}
 	m := f.updateMember(r.Host, now)
 	m.state = hostState(&r.Freshness, r.Leaving)
+	f.handleSilence(m, &r.Loads, r.WholeDataCentre, now)
 	switch {
+	case r.Early:
 	case r.Host.DataCentre == f.self.DataCentre:
 		m.loads = timedLoads{r.Loads, now}
 	case r.WholeDataCentre:
@@ -296,6 +304,10 @@
 	f.endInitialSync(r.Host.Address)
 	m := f.updateMember(r.Host, now)
 	m.state = hostState(&r.Freshness, r.Leaving)
+	f.handleSilence(m, &r.Loads, !f.isRelay(), now)
+	if r.Early {
+		return
+	}
 	if r.Host.DataCentre == f.self.DataCentre {
 		m.peerLoads, f.relayHostCount, f.relayKnown = timedLoads{r.Loads, now}, r.HostCount, r.KnownHosts
 	} else if len(r.Loads.Targets) > 0 {
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -27,10 +27,11 @@
 
 func (f *Fleet) maxLoadAge() time.Duration { return maxLoadAge + f.Interval() }
 
-// ReplyLoads returns the loads for a reply to the named host, none if this host is not the relay. own are its own loads.
-func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) directory.Loads {
+// ReplyLoads returns the loads for a reply to the named host, only evidence of silence if this host is not the relay. own are its own loads.
+func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) (loads directory.Loads) {
 	if !f.isRelay() {
-		return directory.Loads{}
+		f.setSilence(&loads, name, dataCentre, now)
+		return loads
 	}
 	sum := newLoadSum()
 	sum.addTargets(own)
@@ -38,7 +39,9 @@
 	if dataCentre == f.self.DataCentre {
 		f.addRemote(sum, now)
 	}
-	return sum.loads(f.serviceOf)
+	loads = sum.loads(f.serviceOf)
+	f.setSilence(&loads, name, dataCentre, now)
+	return loads
 }
 
 // ReportLoads returns the loads for a report to a host, and whether they cover the whole data centre.
@@ -50,7 +53,11 @@
 	}
 	sum := newLoadSum()
 	sum.addTargets(own)
-	return sum.loads(f.serviceOf), false
+	loads = sum.loads(f.serviceOf)
+	if !f.isRelay() {
+		f.setSilence(&loads, "", f.self.DataCentre, now)
+	}
+	return loads, false
 }
 
 // PeerLoads returns the sum of the loads of all other hosts.
--- a/relay/message.go
+++ b/relay/message.go
@@ -36,10 +36,13 @@
 	Leaving   bool
 	Freshness Freshness
 	Loads     directory.Loads
-	// WholeDataCentre reports that Loads cover the sender's whole data centre, as in reports between relays.
+	// WholeDataCentre reports that Loads cover the sender's whole data centre, as in reports between relays, or those of all other
+	// hosts, as in early reports of a relay to a host of its data centre.
 	WholeDataCentre bool
 	// WantsChanges requests the changes after the revision in Freshness.
 	WantsChanges bool
+	// Early reports that the report is sent before its regular time, and that Loads hold only evidence of silence.
+	Early bool
 }
 
 // Reply is the answer to a report.
@@ -55,6 +58,8 @@
 	// KnownHosts is the number of those that the sender itself knows.
 	KnownHosts int
 	Loads      directory.Loads // of all balancers but the recipient
+	// Early reports that this is the reply to an early report. It holds no changes, no hosts, and only evidence of silence.
+	Early bool
 }
 
 // Member describes a balancer that the sender of a reply knows.
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,433 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+)
+
+const (
+	// earlyGap is the least time between two early reports to the same hosts, and earlyGapPerHost the same for each host of the data
+	// centre, which bounds the work of a relay. Evidence on several targets is sent together.
+	earlyGap        = 50 * time.Millisecond
+	earlyGapPerHost = 2 * time.Millisecond
+	// earlyBurst bounds the early reports to the same hosts in a row; later ones wait for Interval each. It covers a second in which
+	// many targets fall silent, while queues that last for long at most double the messages of a relay.
+	earlyBurst = 12
+	// pollTimeout is how long a poll waits for the replies of all hosts. A report that takes longer has failed.
+	pollTimeout = 600 * time.Millisecond
+	// pollRetention is how long the result of a poll is told. Evidence from before it has expired by then.
+	pollRetention = 3 * time.Second
+	// maxHostFlows bounds the flows that one host may count as evidence against one target.
+	maxHostFlows = 4
+	// newsFlows bounds the unanswered flows of a target up to which each further one is news.
+	newsFlows = 4
+	// newAnswer is by how much the newest answer of a doubted target must be newer than the one that was told to be news.
+	newAnswer = 250 * time.Millisecond
+)
+
+// timedSilence is evidence from one message, with the time at which it arrived.
+type timedSilence struct {
+	list       []directory.Silence
+	cutOffs    uint16 // hosts that are cut off from some targets
+	receivedAt time.Duration
+}
+
+// toldSilence is what was told of a target in the last early report.
+type toldSilence struct {
+	flows     uint16
+	answerAt  time.Duration
+	pollAt    time.Duration // 0 without a poll
+	confirmed bool
+}
+
+// poll is a poll of all hosts of this data centre about the targets that were doubted at the time.
+type poll struct {
+	targets []directory.Token
+	at      time.Duration
+}
+
+// earlyLimit limits the rate of early reports.
+type earlyLimit struct {
+	last   time.Duration // time of the last early report, 0 for none
+	unused float64       // reports that may be sent in a row
+}
+
+// silenceExchange is the state of the exchange of evidence on silent targets.
+type silenceExchange struct {
+	own        timedSilence
+	ownChanged bool                            // own evidence that others should know was not sent yet
+	toldCutOff uint16                          // number of cut-off hosts that a relay told to those of its data centre
+	toldRemote uint16                          // the same to the other relays, of its own data centre
+	told       map[directory.Token]toldSilence // by a relay to the hosts of its data centre
+	toldRelays map[directory.Token]toldSilence // by a relay to the other relays
+	pending    *poll                           // the poll that awaits replies, or nil
+	polled     map[directory.Token]time.Duration
+	hosts      earlyLimit // of reports to the hosts of this data centre, or to the relay
+	relays     earlyLimit // of reports to the other relays
+}
+
+// SetOwnSilence sets the evidence of this host, and whether it is cut off from some targets. changed reports that other hosts should
+// know this before the next regular report.
+func (f *Fleet) SetOwnSilence(list []directory.Silence, cutOff, changed bool, now time.Duration) {
+	f.silence.own = timedSilence{list: list, receivedAt: now}
+	if cutOff {
+		f.silence.own.cutOffs = 1
+	}
+	f.silence.ownChanged = f.silence.ownChanged || changed
+}
+
+// handleSilence records the evidence from a message. Evidence from a single host counts as that of one host, whatever it says.
+func (f *Fleet) handleSilence(m *member, loads *directory.Loads, whole bool, now time.Duration) {
+	s := timedSilence{loads.Silence, loads.CutOffs, now}
+	switch {
+	case m.host.DataCentre != f.self.DataCentre:
+		if !s.isEmpty() || !m.centreSilence.isEmpty() {
+			m.centreSilence = s
+		}
+	case whole:
+		m.peerSilence = s
+	default:
+		m.silence = timedSilence{limitToOneHost(s.list), min(s.cutOffs, 1), now}
+	}
+}
+
+func (t *timedSilence) isEmpty() bool { return len(t.list) == 0 && t.cutOffs == 0 }
+
+func limitToOneHost(list []directory.Silence) []directory.Silence {
+	for i := range list {
+		s := &list[i]
+		s.Hosts, s.Near, s.Flows, s.Polls = min(s.Hosts, 1), min(s.Near, 1), min(s.Flows, maxHostFlows), 0
+	}
+	return list
+}
+
+// silenceSum adds up evidence by target.
+type silenceSum struct {
+	targets map[directory.Token]directory.Silence
+	cutOffs uint16
+}
+
+func newSilenceSum() *silenceSum {
+	return &silenceSum{targets: map[directory.Token]directory.Silence{}}
+}
+
+func (s *silenceSum) add(t timedSilence, now, maxAge time.Duration) {
+	if now-t.receivedAt > maxAge {
+		return
+	}
+	s.cutOffs = saturate(s.cutOffs, t.cutOffs)
+	for _, e := range t.list {
+		s.addTarget(e.Aged(now - t.receivedAt))
+	}
+}
+
+func (s *silenceSum) addTarget(e directory.Silence) {
+	if sum, found := s.targets[e.Token]; found {
+		e = sum.Add(e)
+	}
+	s.targets[e.Token] = e
+}
+
+// list returns the evidence on at most maxLoads targets, those with most unanswered flows first.
+func (s *silenceSum) list() []directory.Silence {
+	list := slices.SortedFunc(maps.Values(s.targets), func(a, b directory.Silence) int {
+		return cmp.Or(cmp.Compare(b.Hosts, a.Hosts), cmp.Compare(b.Unopened, a.Unopened), cmp.Compare(a.AnswerAge, b.AnswerAge),
+			cmp.Compare(a.Token, b.Token))
+	})
+	return list[:min(len(list), maxLoads)]
+}
+
+// setSilence sets the evidence in the loads for a message to the named host. A host that is not the relay tells its own evidence to hosts
+// of its data centre. A relay tells the hosts of its data centre the evidence of all others, and other data centres that of its own.
+func (f *Fleet) setSilence(loads *directory.Loads, name, dataCentre string, now time.Duration) {
+	sum, local := newSilenceSum(), dataCentre == f.self.DataCentre
+	switch {
+	case f.isRelay():
+		sum = f.localSilence(name, now)
+	case !local:
+		return
+	}
+	sum.add(f.silence.own, now, f.maxLoadAge())
+	if local && f.isRelay() {
+		f.addRemoteSilence(sum, now)
+		sum.keepDoubted(f.wholeSilence(now))
+	}
+	loads.Silence, loads.CutOffs = sum.list(), sum.cutOffs
+}
+
+// wholeSilence returns the evidence of all hosts, as a relay knows it.
+func (f *Fleet) wholeSilence(now time.Duration) *silenceSum {
+	sum := f.localSilence("", now)
+	sum.add(f.silence.own, now, f.maxLoadAge())
+	f.addRemoteSilence(sum, now)
+	return sum
+}
+
+// keepDoubted removes targets that no host doubts. Hosts would otherwise go on to tell each other of the answers of a target that
+// was doubted once.
+func (s *silenceSum) keepDoubted(whole *silenceSum) {
+	maps.DeleteFunc(s.targets, func(token directory.Token, _ directory.Silence) bool {
+		e := whole.targets[token]
+		return e.Flows == 0 && e.Unopened == 0
+	})
+}
+
+// localSilence returns the evidence that hosts of this data centre have reported, except the named one, with the poll of them.
+func (f *Fleet) localSilence(except string, now time.Duration) *silenceSum {
+	sum := newSilenceSum()
+	for _, m := range f.members {
+		if m.host.Name != except && m.host.DataCentre == f.self.DataCentre {
+			sum.add(m.silence, now, f.maxLoadAge())
+		}
+	}
+	for token, at := range f.silence.polled {
+		if now-at > pollRetention {
+			continue
+		}
+		sum.addTarget(directory.Silence{Token: token, AnswerAge: directory.NoAnswer, Polls: 1, PollAge: directory.SilenceAge(now - at)})
+	}
+	return sum
+}
+
+// addRemoteSilence adds the newest evidence of each other data centre.
+func (f *Fleet) addRemoteSilence(sum *silenceSum, now time.Duration) {
+	newest := map[string]timedSilence{}
+	for _, m := range f.members {
+		if s := m.centreSilence; !s.isEmpty() && s.receivedAt > newest[m.host.DataCentre].receivedAt {
+			newest[m.host.DataCentre] = s
+		}
+	}
+	for _, s := range newest {
+		sum.add(s, now, maxLoadAge+remoteInterval)
+	}
+}
+
+// PeerSilence is the evidence of all other hosts.
+type PeerSilence struct {
+	Targets     []directory.Silence
+	CutOffs     int // hosts that are cut off from some targets
+	DataCentres int // known data centres, which must have been polled before the evidence is acted on
+	Hosts       int // hosts of the fleet, if all data centres have as many as this one
+}
+
+// PeerSilence returns the evidence of all other hosts.
+func (f *Fleet) PeerSilence(now time.Duration) PeerSilence {
+	sum := newSilenceSum()
+	if m := f.members[f.relay]; m != nil && !f.isRelay() {
+		sum.add(m.peerSilence, now, f.maxLoadAge())
+	} else {
+		sum = f.localSilence("", now)
+		f.addRemoteSilence(sum, now)
+		sum.keepDoubted(f.wholeSilence(now))
+	}
+	p := PeerSilence{Targets: sum.list(), CutOffs: int(sum.cutOffs), DataCentres: 1 + len(f.remoteDataCentres())}
+	p.Hosts = p.DataCentres * f.HostCount()
+	return p
+}
+
+// DueSilence returns the hosts to which a report is due before its regular time, because of evidence on a target: from a host the relay,
+// from a relay the hosts of its data centre and the other relays. Replies of hosts hold their evidence on the targets that the report
+// names, so that a report to all hosts is also a poll.
+func (f *Fleet) DueSilence(now time.Duration) []netip.AddrPort {
+	x := &f.silence
+	if !f.isRelay() {
+		if m := f.members[f.relay]; x.ownChanged && m != nil && f.allowEarly(&x.hosts, now) {
+			x.ownChanged = false
+			return []netip.AddrPort{m.host.Address}
+		}
+		return nil
+	}
+	x.ownChanged = false
+	f.completePoll(now)
+	sum := f.localSilence("", now)
+	sum.add(x.own, now, f.maxLoadAge())
+	due := f.dueToRelays(sum, now)
+	f.addRemoteSilence(sum, now)
+	x.toldCutOff = min(x.toldCutOff, sum.cutOffs)
+	forget(x.told, sum)
+	dataCentres, poll := 1+len(f.remoteDataCentres()), f.needsPoll(sum, now)
+	if (poll || sum.cutOffs > x.toldCutOff || hasNews(sum, x.told, dataCentres, now)) && f.allowEarly(&x.hosts, now) {
+		x.told, x.toldCutOff = newToldSilence(sum, dataCentres, now), sum.cutOffs
+		for _, m := range f.members {
+			if m.host.DataCentre == f.self.DataCentre {
+				due = append(due, m.host.Address)
+			}
+		}
+		if poll {
+			f.startPoll(sum, now)
+		}
+	}
+	return due
+}
+
+// dueToRelays returns the other relays, if the evidence of this data centre is news for them.
+func (f *Fleet) dueToRelays(sum *silenceSum, now time.Duration) []netip.AddrPort {
+	x := &f.silence
+	x.toldRemote = min(x.toldRemote, sum.cutOffs)
+	forget(x.toldRelays, sum)
+	news := sum.cutOffs > x.toldRemote || hasNews(sum, x.toldRelays, 1, now) || hasNewPoll(sum, x.toldRelays, now)
+	if !news || !f.allowEarly(&x.relays, now) {
+		return nil
+	}
+	x.toldRelays, x.toldRemote = newToldSilence(sum, 1, now), sum.cutOffs
+	var due []netip.AddrPort
+	for _, dc := range f.remoteDataCentres() {
+		if other, found := f.Relay(dc, HostState{}); found {
+			due = append(due, other.Address)
+		}
+	}
+	return due
+}
+
+// startPoll starts a poll of the hosts of this data centre, which replies to reports sent from now on complete.
+func (f *Fleet) startPoll(sum *silenceSum, now time.Duration) {
+	p := &poll{at: now}
+	for token, s := range sum.targets {
+		if s.Flows > 0 {
+			p.targets = append(p.targets, token)
+		}
+	}
+	f.silence.pending = p
+	f.completePoll(now)
+}
+
+// HandlePollReply records that a host has replied to an early report that was sent at sentAt.
+func (f *Fleet) HandlePollReply(name string, sentAt time.Duration) {
+	if m := f.members[name]; m != nil {
+		m.lastReplySent = max(m.lastReplySent, sentAt)
+	}
+}
+
+// completePoll ends the poll in progress when all hosts have replied, or failed to.
+func (f *Fleet) completePoll(now time.Duration) {
+	p := f.silence.pending
+	if p == nil {
+		return
+	}
+	for _, m := range f.members {
+		replied := m.lastReplySent >= p.at || m.lastFailure > p.at
+		if m.host.DataCentre == f.self.DataCentre && !replied && now-p.at < pollTimeout {
+			return
+		}
+	}
+	f.silence.pending, f.silence.polled = nil, make(map[directory.Token]time.Duration, len(p.targets))
+	for _, token := range p.targets {
+		f.silence.polled[token] = p.at
+	}
+}
+
+// needsPoll reports whether the evidence on a target is decisive, and the hosts of this data centre have not been polled since.
+func (f *Fleet) needsPoll(sum *silenceSum, now time.Duration) bool {
+	if f.silence.pending != nil {
+		return false
+	}
+	for token, s := range sum.targets {
+		age := now
+		if at, found := f.silence.polled[token]; found {
+			age = now - at
+		}
+		if s.NeedsPoll(age) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsDoubtful reports whether DueSilence must be called often: a relay while any host has evidence against a target, another host while
+// its own evidence waits to be sent.
+func (f *Fleet) IsDoubtful(now time.Duration) bool {
+	if !f.isRelay() {
+		return f.silence.ownChanged
+	}
+	return f.silence.pending != nil || slices.ContainsFunc(f.PeerSilence(now).Targets, hasFlows) || slices.ContainsFunc(f.silence.own.list, hasFlows)
+}
+
+func hasFlows(s directory.Silence) bool { return s.Flows > 0 }
+
+// hasNews reports whether evidence differs so much from what was told that hosts should know it at once: unanswered flows of a target,
+// an answer of a target that somebody doubts, or the result of a poll.
+func hasNews(sum *silenceSum, told map[directory.Token]toldSilence, dataCentres int, now time.Duration) bool {
+	for token, s := range sum.targets {
+		old, n := told[token], newTold(s, dataCentres, now)
+		switch {
+		case n.flows > old.flows, s.Flows > 0 && n.answerAt > old.answerAt+newAnswer, n.confirmed && !old.confirmed:
+			return true
+		}
+	}
+	return false
+}
+
+// hasNewPoll reports whether a poll of the hosts of this data centre has ended that other relays do not know.
+func hasNewPoll(sum *silenceSum, told map[directory.Token]toldSilence, now time.Duration) bool {
+	for token, s := range sum.targets {
+		if n := newTold(s, 1, now); n.pollAt > told[token].pollAt+earlyGap {
+			return true
+		}
+	}
+	return false
+}
+
+// forget reduces what was told to evidence that still exists, so that the same evidence is news when it arises again.
+func forget(told map[directory.Token]toldSilence, sum *silenceSum) {
+	for token, t := range told {
+		s := sum.targets[token]
+		t.flows, t.confirmed = min(t.flows, s.Flows), t.confirmed && s.Decisive()
+		told[token] = t
+	}
+}
+
+func newToldSilence(sum *silenceSum, dataCentres int, now time.Duration) map[directory.Token]toldSilence {
+	out := make(map[directory.Token]toldSilence, len(sum.targets))
+	for token, s := range sum.targets {
+		out[token] = newTold(s, dataCentres, now)
+	}
+	return out
+}
+
+func newTold(s directory.Silence, dataCentres int, now time.Duration) toldSilence {
+	t := toldSilence{flows: min(s.Flows, newsFlows), confirmed: s.Confirmed(dataCentres), answerAt: s.AnswerTime(now)}
+	if s.Polls > 0 {
+		t.pollAt = now - time.Duration(s.PollAge)*time.Millisecond
+	}
+	return t
+}
+
+// EarlyReport returns the evidence for an early report to a host, and whether it covers more than this host.
+func (f *Fleet) EarlyReport(to netip.AddrPort, now time.Duration) (loads directory.Loads, whole bool) {
+	name, dataCentre := "", f.self.DataCentre
+	for _, m := range f.members {
+		if m.host.Address == to {
+			name, dataCentre = m.host.Name, m.host.DataCentre
+		}
+	}
+	f.setSilence(&loads, name, dataCentre, now)
+	return loads, f.isRelay()
+}
+
+// EarlyReply returns the evidence for a reply to an early report of the host.
+func (f *Fleet) EarlyReply(to Host, now time.Duration) (loads directory.Loads) {
+	f.setSilence(&loads, to.Name, to.DataCentre, now)
+	return loads
+}
+
+// allowEarly reports whether an early report may be sent now. Each Interval allows one more, up to earlyBurst in a row.
+func (f *Fleet) allowEarly(l *earlyLimit, now time.Duration) bool {
+	interval, gap := f.Interval(), max(earlyGap, time.Duration(f.HostCount())*earlyGapPerHost)
+	if l.last > 0 && now-l.last < gap {
+		return false
+	}
+	if l.last == 0 {
+		l.unused = earlyBurst
+	}
+	unused := min(l.unused+float64(now-l.last)/float64(interval), earlyBurst)
+	if unused < 1 {
+		return false
+	}
+	l.last, l.unused = now, unused-1
+	return true
+}
--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,559 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/marigoldwood/marigoldwood/directory"
+	"github.com/marigoldwood/marigoldwood/steer"
+)
+
+const (
+	silenceStep    = 5 * time.Millisecond  // also the one-way latency of messages and packets
+	controlStep    = 20 * time.Millisecond // between two turns of a control goroutine
+	requestTimeout = 2500 * time.Millisecond
+)
+
+var silenceEndpoint = directory.Endpoint{Address: [4]byte{198, 18, 0, 1}, Port: 443}
+
+// silenceWorld replays 75 balancers in 4 data centres in front of 150 targets, with the real intervals of reports.
+type silenceWorld struct {
+	random   *rand.Rand
+	now      time.Duration
+	hosts    []*silenceHost
+	targets  map[directory.Token]*silenceTarget
+	names    []directory.Token
+	sessions []silenceSession
+	requests []*silenceRequest
+	later    []delivery
+	flows    int // flows opened so far, for the ports of callers
+	loss     float64
+	rate     int // requests per second
+	service  func(*rand.Rand) time.Duration
+	disabled bool // balancers do not exchange evidence
+	cut      func(*silenceHost, *silenceTarget) bool
+	isolated string // data centre whose hosts reach no others
+
+	issued, failed, failedLate, breaksAtLiving int
+	early                                      map[string]int // early reports by sender
+	fallAt                                     time.Duration
+}
+
+type silenceHost struct {
+	self   Host
+	fleet  *Fleet
+	engine *steer.Engine
+	paused time.Duration // until when it is paused
+	queue  []func()      // packets that arrived while it was paused
+	last   time.Duration // time of the last regular reports
+}
+
+type silenceTarget struct {
+	index  int
+	silent bool
+	full   bool
+	slots  [2]time.Duration // when each becomes free
+}
+
+type silenceSession struct {
+	number   int
+	host     *silenceHost
+	token    directory.Token
+	sequence uint32
+	received uint32
+	busy     bool
+}
+
+type silenceRequest struct {
+	session  *silenceSession
+	issued   time.Duration
+	sent     time.Duration // first packet of this attempt
+	copies   int
+	attempts int
+	opening  bool
+	accepted bool // a target has the request
+	done     bool
+}
+
+type delivery struct {
+	at time.Duration
+	do func()
+}
+
+func newSilenceWorld(seed uint64, perDataCentre int) *silenceWorld {
+	w := &silenceWorld{
+		random: rand.New(rand.NewPCG(seed, 3)), now: time.Second, targets: map[directory.Token]*silenceTarget{}, rate: 750,
+		early: map[string]int{}, fallAt: time.Hour, cut: func(*silenceHost, *silenceTarget) bool { return false },
+		service: func(r *rand.Rand) time.Duration { return time.Duration(13+r.IntN(27)) * time.Millisecond },
+	}
+	centres := []string{"a", "b", "c", "d"}
+	s := &directory.Snapshot{Configuration: &directory.Configuration{Version: 1, Routes: []directory.Route{{
+		Endpoint: silenceEndpoint, Services: []directory.WeightedService{{Name: "ingest", Weight: 1}}, Idempotent: true, Timeout: requestTimeout,
+	}}}}
+	for i := range 150 {
+		t := directory.Target{
+			Name: fmt.Sprintf("t-%d", i), ID: directory.TargetID(i + 1), Service: "ingest", DataCentre: centres[i%4], Capacity: 2, StartedMS: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 8, byte(i)}), 80),
+		}
+		s.Targets = append(s.Targets, directory.TargetEntry{Target: t})
+		w.targets[t.Token()] = &silenceTarget{index: i}
+		w.names = append(w.names, t.Token())
+	}
+	var seeds []netip.AddrPort
+	for i := range 4 * perDataCentre {
+		h := &silenceHost{engine: steer.NewEngine(), self: Host{
+			Name: fmt.Sprintf("h-%d", i), DataCentre: centres[i%4], Weight: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7),
+		}}
+		if i < 4 {
+			seeds = append(seeds, h.self.Address)
+		}
+		view := steer.NewView(s, h.self.DataCentre)
+		h.engine.SetView(view)
+		h.fleet = NewFleet(h.self, seeds)
+		h.fleet.SetServices(view.ServiceOf)
+		w.hosts = append(w.hosts, h)
+	}
+	w.sessions = make([]silenceSession, 3000)
+	for i := range w.sessions {
+		w.sessions[i].host = w.hosts[w.random.IntN(len(w.hosts))]
+	}
+	return w
+}
+
+func (w *silenceWorld) after(d time.Duration, do func()) {
+	w.later = append(w.later, delivery{w.now + d, do})
+}
+
+func (w *silenceWorld) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += silenceStep {
+		due := w.later
+		w.later = nil
+		for _, x := range due {
+			if x.at <= w.now {
+				x.do()
+			} else {
+				w.later = append(w.later, x)
+			}
+		}
+		for w.random.Float64() < float64(w.rate)*silenceStep.Seconds()/(1+float64(w.rate)*silenceStep.Seconds()) {
+			w.issue()
+		}
+		kept := w.requests[:0]
+		for _, r := range w.requests {
+			if w.stepRequest(r) {
+				kept = append(kept, r)
+			}
+		}
+		w.requests = kept
+		for _, h := range w.hosts {
+			w.stepHost(h)
+		}
+	}
+}
+
+// issue sends a request on a session that is idle, which opens its flow first if it has none.
+func (w *silenceWorld) issue() {
+	s := &w.sessions[w.random.IntN(len(w.sessions))]
+	if s.busy {
+		return
+	}
+	s.busy = true
+	w.issued++
+	r := &silenceRequest{session: s, issued: w.now}
+	w.requests = append(w.requests, r)
+	w.attempt(r, s.token == 0)
+}
+
+func (w *silenceWorld) attempt(r *silenceRequest, open bool) {
+	r.sent, r.copies, r.opening, r.accepted = w.now, 0, open, false
+	if open {
+		w.flows++
+		r.session.number, r.session.token, r.session.sequence, r.session.received = w.flows, 0, 1, 1
+	} else {
+		r.session.sequence += 100
+	}
+	w.send(r)
+}
+
+func (w *silenceWorld) stepRequest(r *silenceRequest) bool {
+	repeat := []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, time.Hour}
+	switch {
+	case r.done:
+		r.session.busy = false
+		return false
+	case w.now-r.issued >= requestTimeout || r.attempts > 2:
+		r.done, r.session.busy, r.session.token = true, false, 0
+		w.failed++
+		if r.issued >= w.fallAt+time.Second {
+			w.failedLate++
+		}
+		return false
+	case w.now-r.sent >= repeat[r.copies]:
+		r.copies++
+		w.send(r)
+	}
+	return true
+}
+
+func (w *silenceWorld) packet(s *silenceSession) steer.Packet {
+	return steer.Packet{
+		Caller:   directory.Endpoint{Address: [4]byte{100, byte(s.number >> 24), byte(s.number >> 16), byte(s.number >> 8)}, Port: uint16(1000 + s.number&0xff)},
+		Endpoint: silenceEndpoint, Token: s.token, Sequence: s.sequence - 100, Acknowledgement: s.received, Acknowledges: true,
+	}
+}
+
+// send sends the packet of the current attempt to the session's balancer, which gets it when it is not paused.
+func (w *silenceWorld) send(r *silenceRequest) {
+	p := w.packet(r.session)
+	if r.opening {
+		p.Open, p.Acknowledges, p.Acknowledgement, p.Token = true, false, uint32(r.copies), 0
+	} else {
+		p.Payload = 100
+	}
+	sent := r.sent
+	w.toHost(r.session.host, func() { w.decide(r, &p, sent) })
+}
+
+func (w *silenceWorld) toHost(h *silenceHost, do func()) {
+	if w.random.Float64() < w.loss {
+		return
+	}
+	if w.now < h.paused {
+		h.queue = append(h.queue, do)
+		return
+	}
+	do()
+}
+
+func (w *silenceWorld) decide(r *silenceRequest, p *steer.Packet, sent time.Duration) {
+	h := r.session.host
+	d := h.engine.Decide(p, w.now)
+	if d.Action == steer.Break && !w.targets[p.Token].silent {
+		w.breaksAtLiving++
+	}
+	stale := func() bool { return r.done || r.sent != sent }
+	switch d.Action {
+	case steer.Break, steer.Refuse:
+		w.after(silenceStep, func() {
+			if !stale() {
+				r.attempts++
+				w.attempt(r, true)
+			}
+		})
+	case steer.Forward:
+		t := w.targets[d.Target.Token]
+		if t.silent || w.cut(h, t) || w.random.Float64() < w.loss || p.Open && t.full || !p.Open && r.accepted {
+			return
+		}
+		token := d.Target.Token
+		if p.Open {
+			w.after(2*silenceStep, func() {
+				if !stale() && r.opening {
+					r.session.token = token
+					w.acknowledge(r.session)
+					w.attempt(r, false)
+				}
+			})
+			return
+		}
+		r.accepted = true
+		w.serve(t, func() {
+			if !stale() {
+				r.done = true
+				r.session.received += 500
+				w.acknowledge(r.session)
+			}
+		})
+	}
+}
+
+func (w *silenceWorld) acknowledge(s *silenceSession) {
+	p := w.packet(s)
+	w.toHost(s.host, func() { s.host.engine.Decide(&p, w.now) })
+}
+
+// serve answers a request when a slot of the target has worked on it, unless the target falls silent before.
+func (w *silenceWorld) serve(t *silenceTarget, answer func()) {
+	slot := 0
+	if t.slots[1] < t.slots[0] {
+		slot = 1
+	}
+	t.slots[slot] = max(t.slots[slot], w.now) + w.service(w.random)
+	w.after(t.slots[slot]-w.now+silenceStep, func() {
+		if !t.silent {
+			answer()
+		}
+	})
+}
+
+func (w *silenceWorld) stepHost(h *silenceHost) {
+	if w.now < h.paused {
+		return
+	}
+	for _, do := range h.queue {
+		do()
+	}
+	h.queue = nil
+	if w.now%controlStep != 0 {
+		return
+	}
+	state := HostState{Fresh: true, Revision: 1}
+	if w.now-h.last >= h.fleet.ReportInterval(state, w.now) {
+		h.last = w.now
+		for _, to := range h.fleet.DueReports(state, w.now) {
+			w.report(h, to, false)
+		}
+		h.engine.SetPeerLoads(h.fleet.PeerLoads(w.now))
+	}
+	if w.disabled {
+		return
+	}
+	w.exchange(h)
+	for _, to := range h.fleet.DueSilence(w.now) {
+		w.early[h.self.Name]++
+		w.report(h, to, true)
+	}
+}
+
+func (w *silenceWorld) exchange(h *silenceHost) {
+	if w.disabled {
+		return
+	}
+	p := h.fleet.PeerSilence(w.now)
+	h.engine.SetPeerSilence(steer.Peers{Silence: p.Targets, CutOffs: p.CutOffs, DataCentres: p.DataCentres, Hosts: p.Hosts}, w.now)
+	_, tell := h.engine.ReviewSilence(w.now)
+	h.fleet.SetOwnSilence(h.engine.Silence(w.now), h.engine.IsCutOff(w.now), tell, w.now)
+}
+
+func (w *silenceWorld) report(h *silenceHost, to netip.AddrPort, early bool) {
+	var peer *silenceHost
+	for _, other := range w.hosts {
+		if other.self.Address == to {
+			peer = other
+		}
+	}
+	sentAt, fresh := w.now, Freshness{Known: true, Revision: 1}
+	r := &Report{Host: h.self, Freshness: fresh, Early: early}
+	if early {
+		r.Loads, r.WholeDataCentre = h.fleet.EarlyReport(to, w.now)
+	} else {
+		r.Loads, r.WholeDataCentre = h.fleet.ReportLoads(to, h.engine.Loads(w.now), w.now)
+	}
+	w.after(silenceStep, func() {
+		if w.now < peer.paused || h.self.DataCentre != peer.self.DataCentre && (h.self.DataCentre == w.isolated || peer.self.DataCentre == w.isolated) {
+			w.after(600*time.Millisecond, func() { h.fleet.HandleFailure(to, w.now) })
+			return
+		}
+		peer.fleet.HandleReport(r, w.now)
+		w.exchange(peer)
+		reply := &Reply{Host: peer.self, Freshness: fresh, Early: true, Loads: peer.fleet.EarlyReply(h.self, w.now)}
+		if !early {
+			reply = &Reply{
+				Host: peer.self, Freshness: fresh, Hosts: peer.fleet.Candidates(h.self.Name, h.self.DataCentre, w.now),
+				HostCount: peer.fleet.HostCount(), KnownHosts: peer.fleet.KnownHosts(),
+				Loads: peer.fleet.ReplyLoads(h.self.Name, h.self.DataCentre, peer.engine.Loads(w.now), w.now),
+			}
+		}
+		w.after(silenceStep, func() {
+			h.fleet.HandleReply(reply, w.now)
+			if early {
+				h.fleet.HandlePollReply(peer.self.Name, sentAt)
+			}
+		})
+	})
+}
+
+// fall makes every fifth target silent.
+func (w *silenceWorld) fall(silent bool) {
+	for i, token := range w.names {
+		if i%5 == 0 {
+			w.targets[token].silent = silent
+		}
+	}
+}
+
+// fallOutcome lets every fifth target fall silent for 9 s.
+func (w *silenceWorld) fallOutcome() {
+	w.run(5 * time.Second)
+	w.fallAt, w.failed, w.issued = w.now, 0, 0
+	w.fall(true)
+	w.run(9 * time.Second)
+}
+
+// Replays the fall of 30 of 150 targets behind 75 hosts. Guards against requests that go unserved because each host has too few flows at
+// each target to suspect it alone, and against early reports without bound.
+func TestSilentTargetsAreFoundByTheFleet(t *testing.T) {
+	for seed, perDataCentre := range []int{19, 75} {
+		w, before := newSilenceWorld(uint64(seed), perDataCentre), newSilenceWorld(uint64(seed), perDataCentre)
+		before.disabled = true
+		w.fallOutcome()
+		before.fallOutcome()
+		most := 0
+		for _, n := range w.early {
+			most = max(most, n)
+		}
+		t.Logf("seed %d, %d hosts: %d of %d requests failed, %d of those sent later than 1 s after the fall; without evidence of others %d and %d; "+
+			"at most %d early reports from a host", seed, len(w.hosts), w.failed, w.issued, w.failedLate, before.failed, before.failedLate, most)
+		if w.failed >= 150 || w.failedLate*1000 > 2*w.issued || w.breaksAtLiving > 0 {
+			t.Errorf("seed %d: %d failed, %d late, %d flows of living targets reset, want less than 150, 0.002 of %d, none",
+				seed, w.failed, w.failedLate, w.breaksAtLiving, w.issued)
+		}
+		if before.failed < 2*w.failed {
+			t.Errorf("seed %d: %d failed without the evidence of others, want at least twice the %d with it", seed, before.failed, w.failed)
+		}
+		// The relay of a data centre sends a burst and then one report per interval (0.285 s) to the hosts there and 3 relays.
+		if bound := (earlyBurst + 50) * (perDataCentre + 2); most > bound {
+			t.Errorf("seed %d: a host sent %d early reports in 14 s, want at most %d", seed, most, bound)
+		}
+	}
+}
+
+// Guards against a target that is never used again after it was dark, against flows that are reset for long after it answers again, and
+// against hosts that exchange evidence for ever.
+func TestDarkTargetsAreFoundAgain(t *testing.T) {
+	w := newSilenceWorld(1, 19)
+	w.run(4 * time.Second)
+	w.fall(true)
+	w.run(3 * time.Second)
+	if dark := w.darkTargets(); dark < 15*len(w.hosts) {
+		t.Fatalf("30 targets are dark on %d hosts together, want half of them on all", dark)
+	}
+	w.fall(false)
+	w.run(6 * time.Second)
+	w.breaksAtLiving = 0
+	if dark := w.darkTargets(); dark > 0 {
+		t.Errorf("6 s after all targets answer again, targets are dark on %d hosts", dark)
+	}
+	if w.run(4 * time.Second); w.breaksAtLiving > 0 {
+		t.Errorf("%d flows of living targets were reset 6 s after they answered again", w.breaksAtLiving)
+	}
+	doubting := 0
+	for _, h := range w.hosts {
+		if h.engine.Doubting() {
+			doubting++
+		}
+	}
+	if doubting > len(w.hosts)/4 { // a request that takes longer than 0.2 s is doubted for a moment
+		t.Errorf("%d hosts go on to exchange evidence although all targets answer", doubting)
+	}
+}
+
+// darkTargets returns the number of dark targets, added up over all hosts.
+func (w *silenceWorld) darkTargets() int {
+	n := 0
+	for _, h := range w.hosts {
+		n += len(h.engine.DarkTargets(w.now))
+	}
+	return n
+}
+
+// inGroup reports whether the host belongs to one of n groups, each with hosts of all data centres.
+func (h *silenceHost) inGroup(n byte) bool { return h.self.Address.Addr().As4()[3]/4%n == 0 }
+
+// Replays conditions in which many requests go unanswered for long although the targets run. Guards against resets of their flows.
+func TestLivingTargetsKeepTheirFlows(t *testing.T) {
+	for name, disturb := range map[string]func(*silenceWorld){
+		"half of the hosts cut off from 30 targets": func(w *silenceWorld) {
+			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%5 == 0 && h.inGroup(2) }
+		},
+		"a quarter of the hosts cut off": func(w *silenceWorld) {
+			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%5 == 0 && h.inGroup(4) }
+		},
+		"three data centres cut off from the targets of one": func(w *silenceWorld) {
+			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%4 == 0 && h.self.DataCentre != "a" }
+		},
+		"a data centre isolated, hosts and targets": func(w *silenceWorld) {
+			w.isolated = "a"
+			w.cut = func(h *silenceHost, g *silenceTarget) bool { return (g.index%4 == 0) != (h.self.DataCentre == "a") }
+		},
+		"long requests on cold targets with queues": func(w *silenceWorld) {
+			w.service = func(r *rand.Rand) time.Duration { return time.Duration(200+r.IntN(168)) * time.Millisecond }
+		},
+		"3% loss": func(w *silenceWorld) { w.loss = 0.03 },
+		"targets at their limit of flows": func(w *silenceWorld) {
+			for _, g := range w.targets {
+				g.full = g.index%5 == 0
+			}
+		},
+		"hosts paused for 0.8 and 2 s": func(w *silenceWorld) {
+			for i, h := range w.hosts {
+				if h.inGroup(2) {
+					h.paused = w.now + []time.Duration{800 * time.Millisecond, 2 * time.Second}[i%2]
+				}
+			}
+		},
+		"all hosts restarted": func(w *silenceWorld) {
+			fresh := newSilenceWorld(9, 19)
+			for i, h := range w.hosts {
+				h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(1) {
+				w := newSilenceWorld(seed, 19)
+				w.run(3 * time.Second)
+				disturb(w)
+				w.run(5 * time.Second)
+				if w.breaksAtLiving > 0 {
+					t.Errorf("seed %d: %d flows of living targets were reset, want none", seed, w.breaksAtLiving)
+				}
+			}
+		})
+	}
+}
+
+// Guards against one host whose message counts as the evidence of many, and against evidence that is used when it is old.
+func TestEvidenceOfOneHostIsLimited(t *testing.T) {
+	n := newNetwork(2, "a")
+	n.run(2 * time.Second)
+	relay, other := n.hosts[0], n.hosts[1]
+	if !relay.fleet.isRelay() {
+		relay, other = other, relay
+	}
+	claim := directory.Silence{Token: 7, Flows: 900, Hosts: 900, Near: 900, WaitAge: 900, AnswerAge: 1000, Polls: 9}
+	r := &Report{Host: other.self, Early: true, Loads: directory.Loads{Silence: []directory.Silence{claim}, CutOffs: 900}}
+	relay.fleet.HandleReport(r, n.now)
+	p := relay.fleet.PeerSilence(n.now + 100*time.Millisecond)
+	want := directory.Silence{Token: 7, Flows: maxHostFlows, Hosts: 1, Near: 1, WaitAge: 1000, AnswerAge: 1100}
+	if len(p.Targets) != 1 || p.Targets[0] != want || p.CutOffs != 1 {
+		t.Errorf("evidence %+v, want %+v of one host, and 0.1 s older", p, want)
+	}
+	if p := relay.fleet.PeerSilence(n.now + relay.fleet.maxLoadAge() + time.Millisecond); len(p.Targets) > 0 || p.CutOffs > 0 {
+		t.Errorf("evidence of an old report %+v, want none", p)
+	}
+	tooMany := Report{Host: other.self, Loads: directory.Loads{Silence: make([]directory.Silence, maxLoads+1)}}
+	if tooMany.Validate() == nil {
+		t.Errorf("a report with evidence on %d targets is valid, want at most %d", maxLoads+1, maxLoads)
+	}
+}
+
+// Guards against the same evidence that is told again and again, and against a second silence that is not told because of the first.
+func TestEvidenceIsToldOnce(t *testing.T) {
+	n := newNetwork(3, "a")
+	n.run(2 * time.Second)
+	var relay, other *simHost
+	for _, h := range n.hosts {
+		if h.fleet.isRelay() {
+			relay = h
+		} else {
+			other = h
+		}
+	}
+	now := n.now
+	tell := func(list ...directory.Silence) int {
+		now += time.Second
+		relay.fleet.HandleReport(&Report{Host: other.self, Early: true, Loads: directory.Loads{Silence: list}}, now)
+		return len(relay.fleet.DueSilence(now))
+	}
+	doubt := directory.Silence{Token: 7, Flows: 1, Hosts: 1, Near: 1, WaitAge: 400, AnswerAge: directory.NoAnswer}
+	for i, step := range []struct{ got, want int }{{tell(doubt), 2}, {tell(doubt), 0}, {tell(), 0}, {tell(doubt), 2}} {
+		if step.got != step.want {
+			t.Errorf("step %d: %d early reports, want %d", i, step.got, step.want)
+		}
+	}
+}
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -21,6 +21,8 @@
 		return invalid("negative time in freshness %+v", r.Freshness)
 	case len(r.Loads.Targets) > maxLoads || len(r.Loads.Rest) > maxServiceLoads:
 		return invalid("too many loads: %d targets, %d services", len(r.Loads.Targets), len(r.Loads.Rest))
+	case len(r.Loads.Silence) > maxLoads:
+		return invalid("evidence on too many targets: %d", len(r.Loads.Silence))
 	}
 	for _, l := range r.Loads.Rest {
 		if l.Service == "" {
