Exchange evidence on silent targets between traffic, relays and operators

The control goroutine passes evidence between steer and relay, sends early reports, records target-dark and target-alive with the evidence and its ages, and shows dark targets in status and metrics. A queued early report is replaced by a newer one. Tests: go test ./internal/direct pass.

--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -112,6 +112,7 @@
 	for c.state != stateStopped {
 		c.traffic.ControlAlive(c.clock())
 		c.startStoreRead()
+		c.exchangeSilence(ctx)
 		timer.Reset(c.timerDelay())
 		select {
 		case r := <-c.storeReader.results:
@@ -123,6 +124,7 @@
 		case to := <-c.exchange.senderStopped:
 			c.exchange.RemoveSender(to)
 			delete(c.lostPeers, to)
+		case <-c.traffic.silenceNews: // handled before the next event
 		case s := <-c.settingsWatch.updates:
 			c.reload(s)
 		case query := <-c.queries:
@@ -149,6 +151,9 @@
 	if c.leaveStarted > 0 {
 		d = min(d, leaveCheckInterval)
 	}
+	if c.fleet.IsDoubtful(now) {
+		d = min(d, doubtInterval)
+	}
 	return d
 }
 
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// Send queues a report to an address, and drops it if another one is already queued. Only the control goroutine may call it.
+// Send queues a report to an address. It replaces an early report that is still queued, and is dropped if it is early and a regular one is
+// queued, which is about as new. Only the control goroutine may call it.
 func (x *Exchange) Send(ctx context.Context, to netip.AddrPort, report *relay.Report) {
 	reports := x.reportQueues[to]
 	if reports == nil {
@@ -101,9 +102,13 @@
 		go x.runSender(ctx, to, reports)
 	}
 	select {
-	case reports <- report:
+	case queued := <-reports:
+		if !queued.Early && report.Early {
+			report = queued
+		}
 	default:
 	}
+	reports <- report
 }
 
 // RemoveSender removes the queue of an address whose goroutine has returned. Only the control goroutine may call it.
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -28,6 +28,8 @@
 	flows        atomic.Int64
 	version      atomic.Uint64
 	storeAge     atomic.Int64 // ms
+	darkTargets  atomic.Int64
+	earlyReports atomic.Int64
 	queues       atomic.Pointer[[]steer.Queue]
 	batchTimes   metric.Float64Histogram
 	readTimes    metric.Float64Histogram
@@ -93,10 +95,15 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	observables := []metric.Observable{packets}
+	early, err := meter.Int64ObservableCounter(telemetry.DirectEarlyReports.Name, metric.WithDescription(telemetry.DirectEarlyReports.Help))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	observables := []metric.Observable{packets, early}
 	gauges := map[telemetry.Instrument]func() int64{
 		telemetry.DirectFlows:                m.flows.Load,
 		telemetry.DirectPlatformAge:          m.storeAge.Load,
+		telemetry.DirectTargetsDark:          m.darkTargets.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
@@ -122,6 +129,7 @@
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
 		}
 		o.ObserveInt64(packets, int64(m.otherPackets.Load()), metric.WithAttributes(attribute.String("action", "other")))
+		o.ObserveInt64(early, m.earlyReports.Load())
 		for g, value := range observed {
 			o.ObserveInt64(g, value())
 		}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -66,7 +66,7 @@
 	for _, m := range c.fleet.Members(now) {
 		s.Members = append(s.Members, status.Member{Name: m.Host.Name, DataCentre: m.Host.DataCentre, State: memberState(m.State.Leaving)})
 	}
-	s.Services = serviceStatus(c.directory.Snapshot(now), c.traffic.Loads())
+	s.Services = serviceStatus(c.directory.Snapshot(now), c.traffic.Loads(), c.traffic.DarkTargets())
 	return s
 }
 
@@ -77,8 +77,8 @@
 	return stateServing
 }
 
-// serviceStatus returns the targets by service, with the flows of this balancer to them.
-func serviceStatus(s *directory.Snapshot, loads []directory.Load) []status.Service {
+// serviceStatus returns the targets by service, with the flows of this balancer to them. Targets that are suspect or dark are distrusted.
+func serviceStatus(s *directory.Snapshot, loads []directory.Load, dark map[directory.Token]bool) []status.Service {
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -92,9 +92,10 @@
 			byName[t.Service] = service
 		}
 		load := open[t.Token()]
+		distrusted := load.Suspect || dark[t.Token()]
 		service.Targets = append(service.Targets, status.Target{
-			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !load.Suspect,
-			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: load.Suspect,
+			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !distrusted,
+			Share: 1, Reported: float64(load.Pending) / float64(t.Capacity), Flows: int64(load.Open), Distrusted: distrusted,
 		})
 	}
 	out := make([]status.Service, 0, len(byName))
--- a/internal/direct/sources.go
+++ b/internal/direct/sources.go
@@ -165,6 +165,7 @@
 	others := c.fleet.PeerLoads(now)
 	c.traffic.SetOtherLoads(others)
 	c.updateQueues(others, now)
+	c.metrics.darkTargets.Store(c.traffic.darkTargets.Load())
 	if age, known := c.directory.Age(now); known {
 		c.metrics.storeAge.Store(age.Milliseconds())
 	}
@@ -185,6 +186,12 @@
 func (c *Control) handleReport(r *relay.Report) *relay.Reply {
 	now := c.clock()
 	c.fleet.HandleReport(r, now)
+	c.refreshSilence(now)
+	if r.Early {
+		return &relay.Reply{
+			Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now), Early: true, Loads: c.fleet.EarlyReply(r.Host, now),
+		}
+	}
 	reply := &relay.Reply{
 		Host: c.fleet.Self(), Leaving: c.leaving(), Freshness: c.freshness(now),
 		Hosts: c.fleet.Candidates(r.Host.Name, r.Host.DataCentre, now), HostCount: c.fleet.HostCount(), KnownHosts: c.fleet.KnownHosts(),
@@ -218,6 +225,9 @@
 		logRejectedRecord(c.log.WithField("source", reply.Host.Name), err)
 	}
 	c.fleet.HandleReply(reply, now)
+	if reply.Early {
+		c.fleet.HandlePollReply(reply.Host.Name, r.sentAt)
+	}
 	if !reply.Changes.IsEmpty() {
 		c.apply(reply.Changes, reply.Host.Name, now)
 	}
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -55,6 +55,13 @@
 	batches         uint64
 	lastPacket      atomic.Int64
 	lastControlTurn atomic.Int64 // when the control goroutine last ran
+
+	doubting      atomic.Bool          // some balancer has evidence of silence of a target
+	darkTargets   atomic.Int64         // number of targets that are taken to be dark
+	silencePeers  steer.Peers          // evidence of other balancers that the engine has, owned by the control goroutine
+	silenceNews   chan struct{}        // tells the control goroutine that ExchangeSilence has news
+	silenceEvents []steer.SilenceEvent // not yet recorded, guarded by mu
+	tellSilence   bool                 // other hosts should know the evidence of this one at once, guarded by mu
 }
 
 // NewTraffic opens the socket for callers' packets. Metrics are recorded in m.
@@ -68,7 +75,7 @@
 		reader: udpbatch.NewReader(conn, batchPackets, platform.MaxPacketBytes, platform.TargetPrefixBytes),
 		writer: udpbatch.NewWriter(conn, batchPackets),
 		engine: steer.NewEngine(), clock: clock, decisions: newDecisionLog(log), log: log, metrics: m, callerPort: listen.Port(),
-		firstView: make(chan struct{}), loadsCollected: -loadInterval,
+		firstView: make(chan struct{}), loadsCollected: -loadInterval, silenceNews: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -188,6 +195,7 @@
 		t.ownLoads.Store(&own)
 		t.loadsCollected = now
 	}
+	t.reviewSilence(now)
 	t.metrics.flows.Store(int64(t.engine.Flows()))
 	t.batches++
 	t.metrics.recordBatch(t.batches, t.clock()-now)
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -13,6 +13,8 @@
 	DirectPlatformAge          = Instrument{"marigoldwood_platform_age", "ms", "time since the store answered this host or the relay that it follows; -1 when never"}
 	DirectServiceWaiting       = Instrument{"marigoldwood_service_waiting", "{request}", "requests of a service that wait for an answer, as far as the balancers have told each other"}
 	DirectServiceSlots         = Instrument{"marigoldwood_service_slots", "{request}", "requests that the ready targets of a service work on at a time"}
+	DirectTargetsDark          = Instrument{"marigoldwood_targets_dark", "{target}", "targets that get no new flows and whose flows are reset, because they fell silent by the evidence of all balancers"}
+	DirectEarlyReports         = Instrument{"marigoldwood_early_reports", "{report}", "reports to other balancers that were sent before their regular time because of evidence on silent targets"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -20,6 +22,6 @@
 func DirectInstruments() []Instrument {
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge,
-		DirectServiceWaiting, DirectServiceSlots, DirectConfigurationVersion,
+		DirectServiceWaiting, DirectServiceSlots, DirectTargetsDark, DirectEarlyReports, DirectConfigurationVersion,
 	}
 }
