Bound the work of a relay on evidence of silence

The sum over all hosts was made several times for each message, so that a relay of 75 hosts would spend milliseconds on each while targets are doubted. It is now made at most every 10 ms, and for a message only the targets against which the recipient has evidence are added up anew.

--- a/relay/silence.go
+++ b/relay/silence.go
@@ -18,6 +18,8 @@
 	// earlyBurst bounds the early reports to the same hosts in a row; later ones wait for Interval each. It covers a second in which
 	// many targets fall silent, while queues that last for long at most double the messages of a relay.
 	earlyBurst = 12
+	// silenceReview is the least time between two sums of the evidence of all hosts. A sum over 75 hosts takes longer than a message.
+	silenceReview = 10 * time.Millisecond
 	// pollTimeout is how long a poll waits for the replies of all hosts. A report that takes longer has failed.
 	pollTimeout = 600 * time.Millisecond
 	// pollRetention is how long the result of a poll is told. Evidence from before it has expired by then.
@@ -67,8 +69,11 @@
 	toldRelays map[directory.Token]toldSilence // by a relay to the other relays
 	pending    *poll                           // the poll that awaits replies, or nil
 	polled     map[directory.Token]time.Duration
-	hosts      earlyLimit // of reports to the hosts of this data centre, or to the relay
-	relays     earlyLimit // of reports to the other relays
+	hosts      earlyLimit  // of reports to the hosts of this data centre, or to the relay
+	relays     earlyLimit  // of reports to the other relays
+	whole      *silenceSum // evidence of all hosts at wholeAt, as a relay knows it
+	wholeAt    time.Duration
+	reviewed   time.Duration // when DueSilence last looked for news
 }
 
 // SetOwnSilence sets the evidence of this host, and whether it is cut off from some targets. changed reports that other hosts should
@@ -116,13 +121,16 @@
 	return &silenceSum{targets: map[directory.Token]directory.Silence{}}
 }
 
-func (s *silenceSum) add(t timedSilence, now, maxAge time.Duration) {
+// add adds evidence that is not older than maxAge, if only is not nil that on these targets alone.
+func (s *silenceSum) add(t timedSilence, now, maxAge time.Duration, only map[directory.Token]bool) {
 	if now-t.receivedAt > maxAge {
 		return
 	}
 	s.cutOffs = saturate(s.cutOffs, t.cutOffs)
 	for _, e := range t.list {
-		s.addTarget(e.Aged(now - t.receivedAt))
+		if only == nil || only[e.Token] {
+			s.addTarget(e.Aged(now - t.receivedAt))
+		}
 	}
 }
 
@@ -147,55 +155,84 @@
 func (f *Fleet) setSilence(loads *directory.Loads, name, dataCentre string, now time.Duration) {
 	sum, local := newSilenceSum(), dataCentre == f.self.DataCentre
 	switch {
+	case f.isRelay() && local:
+		sum = f.silenceOfOthers(f.members[name], now)
 	case f.isRelay():
-		sum = f.localSilence(name, now)
-	case !local:
-		return
-	}
-	sum.add(f.silence.own, now, f.maxLoadAge())
-	if local && f.isRelay() {
-		f.addRemoteSilence(sum, now)
-		sum.keepDoubted(f.wholeSilence(now))
+		sum = f.dataCentreSilence(now)
+	case local:
+		sum.add(f.silence.own, now, f.maxLoadAge(), nil)
 	}
 	loads.Silence, loads.CutOffs = sum.list(), sum.cutOffs
 }
 
-// wholeSilence returns the evidence of all hosts, as a relay knows it.
-func (f *Fleet) wholeSilence(now time.Duration) *silenceSum {
-	sum := f.localSilence("", now)
-	sum.add(f.silence.own, now, f.maxLoadAge())
-	f.addRemoteSilence(sum, now)
+// dataCentreSilence returns the evidence of all hosts of this data centre.
+func (f *Fleet) dataCentreSilence(now time.Duration) *silenceSum {
+	sum := f.localSilence(nil, now, nil)
+	sum.add(f.silence.own, now, f.maxLoadAge(), nil)
 	return sum
 }
 
-// keepDoubted removes targets that no host doubts. Hosts would otherwise go on to tell each other of the answers of a target that
-// was doubted once.
-func (s *silenceSum) keepDoubted(whole *silenceSum) {
-	maps.DeleteFunc(s.targets, func(token directory.Token, _ directory.Silence) bool {
-		e := whole.targets[token]
-		return e.Flows == 0 && e.Unopened == 0
-	})
+// wholeSilence returns the evidence of all hosts, as a relay knows it, which is at most silenceReview old.
+func (f *Fleet) wholeSilence(now time.Duration) *silenceSum {
+	x := &f.silence
+	if x.whole == nil || now-x.wholeAt >= silenceReview {
+		x.whole, x.wholeAt = f.dataCentreSilence(now), now
+		f.addRemoteSilence(x.whole, now, nil)
+	}
+	return x.whole
 }
 
-// localSilence returns the evidence that hosts of this data centre have reported, except the named one, with the poll of them.
-func (f *Fleet) localSilence(except string, now time.Duration) *silenceSum {
-	sum := newSilenceSum()
+// silenceOfOthers returns the evidence of all hosts but m, on the targets that some host doubts. Hosts would otherwise go on to tell each
+// other of the answers of a target that was doubted once. A nil m stands for this host. The sum is computed anew only for targets
+// against which m itself has evidence: its answers are not counted.
+func (f *Fleet) silenceOfOthers(m *member, now time.Duration) *silenceSum {
+	whole, held := f.wholeSilence(now), now-f.silence.wholeAt
+	sum, from := newSilenceSum(), f.silence.own
+	if m != nil {
+		from = m.silence
+	}
+	against := map[directory.Token]bool{}
+	for _, e := range from.list {
+		against[e.Token] = e.Flows > 0 || e.Unopened > 0
+	}
+	for token, e := range whole.targets {
+		if (e.Flows > 0 || e.Unopened > 0) && !against[token] {
+			sum.targets[token] = e.Aged(held)
+		}
+	}
+	others := f.localSilence(m, now, against)
+	if m != nil {
+		others.add(f.silence.own, now, f.maxLoadAge(), against)
+	}
+	f.addRemoteSilence(others, now, against)
+	for token, e := range others.targets {
+		if against[token] {
+			sum.targets[token] = e
+		}
+	}
+	sum.cutOffs = others.cutOffs
+	return sum
+}
+
+// localSilence returns the evidence that hosts of this data centre have reported, except m, with the poll of them. If only is not nil it
+// is limited to these targets.
+func (f *Fleet) localSilence(except *member, now time.Duration, only map[directory.Token]bool) *silenceSum {
+	sum, age := newSilenceSum(), f.maxLoadAge()
 	for _, m := range f.members {
-		if m.host.Name != except && m.host.DataCentre == f.self.DataCentre {
-			sum.add(m.silence, now, f.maxLoadAge())
+		if m != except && m.host.DataCentre == f.self.DataCentre {
+			sum.add(m.silence, now, age, only)
 		}
 	}
 	for token, at := range f.silence.polled {
-		if now-at > pollRetention {
-			continue
+		if now-at <= pollRetention && (only == nil || only[token]) {
+			sum.addTarget(directory.Silence{Token: token, AnswerAge: directory.NoAnswer, Polls: 1, PollAge: directory.SilenceAge(now - at)})
 		}
-		sum.addTarget(directory.Silence{Token: token, AnswerAge: directory.NoAnswer, Polls: 1, PollAge: directory.SilenceAge(now - at)})
 	}
 	return sum
 }
 
 // addRemoteSilence adds the newest evidence of each other data centre.
-func (f *Fleet) addRemoteSilence(sum *silenceSum, now time.Duration) {
+func (f *Fleet) addRemoteSilence(sum *silenceSum, now time.Duration, only map[directory.Token]bool) {
 	newest := map[string]timedSilence{}
 	for _, m := range f.members {
 		if s := m.centreSilence; !s.isEmpty() && s.receivedAt > newest[m.host.DataCentre].receivedAt {
@@ -203,7 +240,7 @@
 		}
 	}
 	for _, s := range newest {
-		sum.add(s, now, maxLoadAge+remoteInterval)
+		sum.add(s, now, maxLoadAge+remoteInterval, only)
 	}
 }
 
@@ -219,11 +256,9 @@
 func (f *Fleet) PeerSilence(now time.Duration) PeerSilence {
 	sum := newSilenceSum()
 	if m := f.members[f.relay]; m != nil && !f.isRelay() {
-		sum.add(m.peerSilence, now, f.maxLoadAge())
+		sum.add(m.peerSilence, now, f.maxLoadAge(), nil)
 	} else {
-		sum = f.localSilence("", now)
-		f.addRemoteSilence(sum, now)
-		sum.keepDoubted(f.wholeSilence(now))
+		sum = f.silenceOfOthers(nil, now)
 	}
 	p := PeerSilence{Targets: sum.list(), CutOffs: int(sum.cutOffs), DataCentres: 1 + len(f.remoteDataCentres())}
 	p.Hosts = p.DataCentres * f.HostCount()
@@ -242,12 +277,12 @@
 		}
 		return nil
 	}
-	x.ownChanged = false
+	if now-x.reviewed < silenceReview {
+		return nil
+	}
+	x.ownChanged, x.reviewed = false, now
 	f.completePoll(now)
-	sum := f.localSilence("", now)
-	sum.add(x.own, now, f.maxLoadAge())
-	due := f.dueToRelays(sum, now)
-	f.addRemoteSilence(sum, now)
+	due, sum := f.dueToRelays(f.dataCentreSilence(now), now), f.wholeSilence(now)
 	x.toldCutOff = min(x.toldCutOff, sum.cutOffs)
 	forget(x.told, sum)
 	dataCentres, poll := 1+len(f.remoteDataCentres()), f.needsPoll(sum, now)
@@ -344,11 +379,17 @@
 	if !f.isRelay() {
 		return f.silence.ownChanged
 	}
-	return f.silence.pending != nil || slices.ContainsFunc(f.PeerSilence(now).Targets, hasFlows) || slices.ContainsFunc(f.silence.own.list, hasFlows)
+	if f.silence.pending != nil {
+		return true
+	}
+	for _, s := range f.wholeSilence(now).targets {
+		if s.Flows > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-func hasFlows(s directory.Silence) bool { return s.Flows > 0 }
-
 // hasNews reports whether evidence differs so much from what was told that hosts should know it at once: unanswered flows of a target,
 // an answer of a target that somebody doubts, or the result of a poll.
 func hasNews(sum *silenceSum, told map[directory.Token]toldSilence, dataCentres int, now time.Duration) bool {
