--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -12,18 +12,18 @@
 		change func(*Silence)
 		want   bool
 	}{
-		"silent":                                    {func(*Silence) {}, true},
-		"two hosts":                                 {func(s *Silence) { s.Hosts = 2 }, false},
-		"two hosts with many flows after 1 s":       {func(s *Silence) { s.Hosts, s.Flows, s.WaitAge, s.AnswerAge = 2, 4, 1100, 1200 }, true},
-		"one host with many flows":                  {func(s *Silence) { s.Hosts, s.Flows, s.WaitAge, s.AnswerAge = 1, 9, 2000, 2500 }, false},
-		"no host of its data centre":                {func(s *Silence) { s.Near = 0 }, false},
-		"answered someone":                          {func(s *Silence) { s.AnswerAge = 300 }, false},
-		"answered after the data was sent":          {func(s *Silence) { s.WaitAge = 1500 }, false},
-		"no answer known, as after a restart":       {func(s *Silence) { s.AnswerAge = NoAnswer }, false},
-		"a long request":                            {func(s *Silence) { s.WaitAge = 400 }, false},
-		"a data centre not polled":                  {func(s *Silence) { s.Polls = 1 }, false},
-		"polled before it was silent long enough":   {func(s *Silence) { s.PollAge = 250 }, false},
-		"opening packets unanswered, data answered": {func(s *Silence) { s.Flows, s.Hosts, s.Near, s.WaitAge, s.Unopened = 0, 0, 0, 0, 50 }, false},
+		"silent":                                  {func(*Silence) {}, true},
+		"two hosts":                               {func(s *Silence) { s.Hosts = 2 }, false},
+		"two hosts with many flows after 1 s":     {func(s *Silence) { s.Hosts, s.Flows, s.WaitAge, s.AnswerAge = 2, 4, 1100, 1200 }, true},
+		"one host with many flows":                {func(s *Silence) { s.Hosts, s.Flows, s.WaitAge, s.AnswerAge = 1, 9, 2000, 2500 }, false},
+		"no host of its data centre":              {func(s *Silence) { s.Near = 0 }, false},
+		"answered someone":                        {func(s *Silence) { s.AnswerAge = 300 }, false},
+		"answered after the data was sent":        {func(s *Silence) { s.WaitAge = 1500 }, false},
+		"no answer known, as after a restart":     {func(s *Silence) { s.AnswerAge = NoAnswer }, false},
+		"a long request":                          {func(s *Silence) { s.WaitAge = 400 }, false},
+		"a data centre not polled":                {func(s *Silence) { s.Polls = 1 }, false},
+		"polled before it was silent long enough": {func(s *Silence) { s.PollAge = 250 }, false},
+		"only opening packets unanswered":         {func(s *Silence) { s.Flows, s.Hosts, s.Near, s.WaitAge, s.Unopened = 0, 0, 0, 0, 50 }, false},
 	} {
 		s := silent
 		tt.change(&s)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -27,7 +27,8 @@
 
 func (f *Fleet) maxLoadAge() time.Duration { return maxLoadAge + f.Interval() }
 
-// ReplyLoads returns the loads for a reply to the named host, only evidence of silence if this host is not the relay. own are its own loads.
+// ReplyLoads returns the loads for a reply to the named host, only evidence of silence if this host is not the relay. own are its own
+// loads.
 func (f *Fleet) ReplyLoads(name, dataCentre string, own []directory.Load, now time.Duration) (loads directory.Loads) {
 	if !f.isRelay() {
 		f.setSilence(&loads, name, dataCentre, now)
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -200,8 +200,9 @@
 }
 
 func (w *silenceWorld) packet(s *silenceSession) steer.Packet {
+	n := s.number
 	return steer.Packet{
-		Caller:   directory.Endpoint{Address: [4]byte{100, byte(s.number >> 24), byte(s.number >> 16), byte(s.number >> 8)}, Port: uint16(1000 + s.number&0xff)},
+		Caller:   directory.Endpoint{Address: [4]byte{100, byte(n >> 24), byte(n >> 16), byte(n >> 8)}, Port: uint16(1000 + n&0xff)},
 		Endpoint: silenceEndpoint, Token: s.token, Sequence: s.sequence - 100, Acknowledgement: s.received, Acknowledges: true,
 	}
 }
@@ -344,8 +345,9 @@
 		r.Loads, r.WholeDataCentre = h.fleet.ReportLoads(to, h.engine.Loads(w.now), w.now)
 	}
 	w.after(silenceStep, func() {
-		if w.now < peer.paused || h.self.DataCentre != peer.self.DataCentre && (h.self.DataCentre == w.isolated || peer.self.DataCentre == w.isolated) {
-			w.after(600*time.Millisecond, func() { h.fleet.HandleFailure(to, w.now) })
+		from, to := h.self.DataCentre, peer.self.DataCentre
+		if w.now < peer.paused || from != to && (from == w.isolated || to == w.isolated) {
+			w.after(600*time.Millisecond, func() { h.fleet.HandleFailure(peer.self.Address, w.now) })
 			return
 		}
 		peer.fleet.HandleReport(r, w.now)
@@ -396,8 +398,8 @@
 		for _, n := range w.early {
 			most = max(most, n)
 		}
-		t.Logf("seed %d, %d hosts: %d of %d requests failed, %d of those sent later than 1 s after the fall; without evidence of others %d and %d; "+
-			"at most %d early reports from a host", seed, len(w.hosts), w.failed, w.issued, w.failedLate, before.failed, before.failedLate, most)
+		t.Logf("seed %d, %d hosts: %d of %d requests failed, %d of those sent later than 1 s after the fall; "+
+			"without evidence of others %d and %d; at most %d early reports from a host", seed, len(w.hosts), w.failed, w.issued, w.failedLate, before.failed, before.failedLate, most)
 		if w.failed >= 150 || w.failedLate*1000 > 2*w.issued || w.breaksAtLiving > 0 {
 			t.Errorf("seed %d: %d failed, %d late, %d flows of living targets reset, want less than 150, 0.002 of %d, none",
 				seed, w.failed, w.failedLate, w.breaksAtLiving, w.issued)
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -53,15 +53,17 @@
 	view         *View
 	lastDecision time.Duration            // time of the last decision
 	doubted      map[directory.Token]bool // targets on which some balancer has evidence of silence
-	peers        Peers
-	cutOffUntil  time.Duration // until when evidence of silence from here does not count
+	peers        Peers                    // evidence of the other balancers
+	cutOffUntil  time.Duration            // until when evidence of silence from here does not count
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 }
 
 // NewEngine returns an engine without a view, which drops every packet.
 func NewEngine() *Engine {
-	return &Engine{flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}, doubted: map[directory.Token]bool{}}
+	return &Engine{
+		flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{}, doubted: map[directory.Token]bool{},
+	}
 }
 
 // SetView makes a view the current one. Targets that did not restart keep their observed load.
--- a/steer/load.go
+++ b/steer/load.go
@@ -109,8 +109,10 @@
 	if l.silence.isDark(now) {
 		return true
 	}
-	return e.peers.Hosts <= smallFleet && t.local && l.isSilent(now) && l.peers.Suspect && l.peers.Silent && l.lastAnswer > 0 && now-l.newestAnswer() >= lostTimeout &&
-		!e.IsCutOff(now)
+	if e.peers.Hosts > smallFleet || !t.local || e.IsCutOff(now) || l.lastAnswer == 0 {
+		return false
+	}
+	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && now-l.newestAnswer() >= lostTimeout
 }
 
 // clearSuspicions drops the evidence against all targets. After a long time without packets the process may have been
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -52,7 +52,7 @@
 type SilenceEvent struct {
 	Target   *Target
 	Dark     bool
-	Answered bool              // it answered, if not Dark; otherwise there was no more evidence
+	Answered bool              // it is no longer dark because it answered
 	Evidence directory.Silence // of all balancers including this one
 }
 
@@ -219,7 +219,8 @@
 		}
 		if dark := s.isDark(now); dark != s.wasDark {
 			s.wasDark = dark
-			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: t.load.newestAnswer() > s.darkAnswer+answerTolerance})
+			answered := t.load.newestAnswer() > s.darkAnswer+answerTolerance
+			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: !dark && answered})
 		}
 		tell = t.isTelling(e.ownSilence(t, now), now) || tell
 		if s.peersAt == 0 && !s.wasDark && ev.Flows == 0 && ev.Unopened == 0 && s.toldFlows == 0 {
@@ -229,7 +230,8 @@
 	return events, tell
 }
 
-// reviewCutOff finds out whether data from here has been unanswered for long while its target, which has no queue, answered another balancer.
+// reviewCutOff finds out whether data from here has been unanswered for long while its target, which has no queue, answered another
+// balancer.
 func (e *Engine) reviewCutOff(now time.Duration) {
 	for token := range e.doubted {
 		t := e.view.Resolve(token)
