--- a/directory/silence.go
+++ b/directory/silence.go
@@ -54,7 +54,7 @@
 const (
 	// silentAfter is how long a target must leave data unanswered, and send no other answer to any balancer. A running target finishes a
 	// request in each busy slot within 0.37 s (230 ms, 1.6 times that while cold); an answer that is lost once comes 0.2 s later.
-	silentAfter = 600 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 	// silentHosts is the number of balancers that must each have a flow with unanswered data: a few may have faulty links. In a small fleet
 	// two are enough, with fewSilentFlows flows after fewSilentAfter.
 	silentHosts    = 3
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -462,6 +462,10 @@
 		"half of the hosts cut off from 30 targets": func(w *silenceWorld) {
 			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%5 == 0 && h.inGroup(2) }
 		},
+		"half of the hosts cut off, with few requests": func(w *silenceWorld) {
+			w.rate /= 3
+			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%5 == 0 && h.inGroup(2) }
+		},
 		"a quarter of the hosts cut off": func(w *silenceWorld) {
 			w.cut = func(h *silenceHost, g *silenceTarget) bool { return g.index%5 == 0 && h.inGroup(4) }
 		},
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -14,9 +14,11 @@
 	doubtAfter = 370 * time.Millisecond
 	// avoidAfter is how long a target must have been silent at two balancers before new flows go to others.
 	avoidAfter = 350 * time.Millisecond
-	// cutOffAfter is how long data must have been unanswered when the target answers another balancer for the path from here to be in
-	// doubt, not the target. It is above the time of a request without a queue, 0.37 s.
-	cutOffAfter = 450 * time.Millisecond
+	// cutOffAfter is how long data must have been unanswered, while the target answered another balancer at least cutOffMargin after it was
+	// sent, for the path from here to be in doubt, not the target. A request without a queue takes up to 0.37 s, and 0.2 s more if its
+	// first packet was lost. The margin is for ages from other hosts, which are too small by the transit of their messages.
+	cutOffAfter  = 620 * time.Millisecond
+	cutOffMargin = 100 * time.Millisecond
 	// cutOffFor is how long no evidence from here counts after that: the fault is probably near this balancer, and concerns other targets too.
 	cutOffFor = 3 * time.Second
 	// minCutOffs and hostsPerCutOff give the number of balancers that are cut off from which on no target is dark: 2, or one of 40. With
@@ -64,6 +66,11 @@
 	}
 }
 
+// hasMiss reports whether data that went unanswered here was sent recently.
+func (s *silence) hasMiss(now time.Duration) bool {
+	return s.count > 0 && now-s.misses[s.count-1] < missRetention
+}
+
 // clear drops the evidence after an answer here.
 func (s *silence) clear() {
 	s.count, s.avoidUntil, s.darkUntil = 0, 0, 0
@@ -223,15 +230,15 @@
 			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: !dark && answered})
 		}
 		tell = t.isTelling(e.ownSilence(t, now), now) || tell
-		if s.peersAt == 0 && !s.wasDark && ev.Flows == 0 && ev.Unopened == 0 && s.toldFlows == 0 {
+		if s.peersAt == 0 && !s.wasDark && ev.Flows == 0 && ev.Unopened == 0 && s.toldFlows == 0 && !s.hasMiss(now) {
 			delete(e.doubted, token)
 		}
 	}
 	return events, tell
 }
 
-// reviewCutOff finds out whether data from here has been unanswered for long while its target, which has no queue, answered another
-// balancer.
+// reviewCutOff finds out whether data from here has been unanswered for long although its target, which has no queue, answered another
+// balancer after it was sent.
 func (e *Engine) reviewCutOff(now time.Duration) {
 	for token := range e.doubted {
 		t := e.view.Resolve(token)
@@ -240,7 +247,8 @@
 		}
 		s := &t.load.silence
 		for _, start := range s.misses[:s.count] {
-			if s.peerAnswer-start >= cutOffAfter && now-start < missRetention && t.pending() <= float64(t.Capacity) {
+			waited := now - start
+			if waited >= cutOffAfter && waited < missRetention && s.peerAnswer-start >= cutOffMargin && t.pending() <= float64(t.Capacity) {
 				e.cutOffUntil = now + cutOffFor
 			}
 		}
