Do not take acknowledgements of earlier answers for signs of life

Cause: callers acknowledge every second packet. The last bytes of an answer may be acknowledged only with the next request or the end of the flow, seconds after the target fell silent; hosts then took themselves for cut off, and no target for dark.

Change: such acknowledgements count for the time of the caller's previous packet. Bare ones are forwarded also to a dark target, as they may show that it is alive.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -153,7 +153,7 @@
 			return Decision{Action: Drop, Code: resultcode.TargetGone}
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
-	case !p.Reset && !p.Finish && e.isLost(t, now):
+	case !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now): // a bare acknowledgement may be a sign of life
 		e.removeFlow(p.Flow())
 		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t}
 	}
--- a/steer/load.go
+++ b/steer/load.go
@@ -64,6 +64,10 @@
 	}
 }
 
+// recordEarlierAnswer records an answer that arrived at the caller at an unknown time after its previous packet. The acknowledgement of the
+// last bytes of an answer may come only with the next request or with the end of the flow, when the target has been silent for seconds.
+func (l *load) recordEarlierAnswer(after time.Duration) { l.lastAnswer = max(l.lastAnswer, after) }
+
 func (l *load) clearMisses() { l.openMisses, l.dataMisses, l.suspectUntil = 0, 0, 0 }
 
 // recordOpenMiss records that an opening packet went unanswered. It returns t when that makes the target suspect, else nil.
@@ -231,8 +235,8 @@
 		t.load.recordOpened(now)
 		t.demand.lastAnswer = now
 	}
-	f.lastPacket = now
 	f.handleAck(p, t, now)
+	f.lastPacket = now
 	wasWaiting, wasMissed := f.waiting, f.missCounted
 	d.Suspected = f.handleData(p, t, now)
 	if f.missCounted && !wasMissed {
@@ -260,7 +264,11 @@
 		return
 	}
 	f.lastAck = p.Acknowledgement
-	t.load.recordAnswer(now)
+	if p.Payload > 0 || p.Finish {
+		t.load.recordEarlierAnswer(f.lastPacket)
+	} else {
+		t.load.recordAnswer(now)
+	}
 	t.demand.lastAnswer = now
 	if f.waiting {
 		if f.foundFreeSlot {
--- a/steer/silence_test.go
+++ b/steer/silence_test.go
@@ -37,12 +37,13 @@
 	}
 }
 
-// Guards against resets that go on after a sign of life, here or elsewhere, and after the evidence has ended.
+// Guards against resets that go on after a sign of life, here or elsewhere, and after the evidence has ended, and against acknowledgements of
+// earlier answers that pass for one.
 func TestDarkTargetIsAliveAgain(t *testing.T) {
 	now := 20 * time.Second
 	for name, revive := range map[string]func(*Engine, directory.Token){
 		"answer here": func(e *Engine, token directory.Token) {
-			e.Decide(&Packet{Caller: caller(0), Endpoint: endpoint, Finish: true, Acknowledges: true, Acknowledgement: 99, Token: token}, now)
+			e.Decide(&Packet{Caller: caller(0), Endpoint: endpoint, Acknowledges: true, Acknowledgement: 99, Token: token}, now)
 		},
 		"answer elsewhere": func(e *Engine, token directory.Token) {
 			s := silentTarget(token)
@@ -60,6 +61,17 @@
 			t.Errorf("%s: %v, events %+v, want forward, and an event", name, d.Action, events)
 		}
 	}
+	for name, p := range map[string]*Packet{
+		"end of a flow": {Finish: true}, "next request": {Sequence: 200, Payload: 100},
+	} {
+		e, token := darkEngine(now)
+		p.Caller, p.Endpoint, p.Acknowledges, p.Acknowledgement, p.Token = caller(0), endpoint, true, 99, token
+		e.Decide(p, now)
+		e.ReviewSilence(now)
+		if d := e.Decide(dataPacket(3, token, 1), now); d.Action != Break {
+			t.Errorf("%s, with the last bytes of an earlier answer: %v, want a reset", name, d.Action)
+		}
+	}
 	e, token := darkEngine(now)
 	e.SetPeerSilence(Peers{DataCentres: 2, Hosts: 1000}, now)
 	if d := e.Decide(dataPacket(3, token, 1), now+darkFor+time.Millisecond); d.Action != Forward {
