--- a/directory/target.go
+++ b/directory/target.go
@@ -68,6 +68,8 @@
 	Targets []Load
 	Rest    []ServiceLoad // of targets with pending requests that Targets leaves out
 	Times   []TargetTimes // of some of Targets, usually none
+	Silence []Silence     // evidence on targets that may have fallen silent
+	CutOffs uint16        // balancers whose evidence is void, because targets that leave their data unanswered answer others
 }
 
 // ServiceLoad is the load of several targets of a service together.
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -31,6 +31,8 @@
 	storeEra       atomic.Int64
 	evacuations    atomic.Int64 // evacuated data centres that have targets
 	failingTargets atomic.Int64
+	darkTargets    atomic.Int64
+	earlyReports   atomic.Int64
 	// limitedTargets is the number of targets to which opening packets are limited.
 	limitedTargets atomic.Int64
 	queues         atomic.Pointer[[]steer.Queue]
@@ -101,7 +103,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	observables := []metric.Observable{packets}
+	early, err := meter.Int64ObservableCounter(telemetry.DirectEarlyReports.Name, metric.WithDescription(telemetry.DirectEarlyReports.Help))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	observables := []metric.Observable{packets, early}
 	gauges := map[telemetry.Instrument]func() int64{
 		telemetry.DirectFlows:                m.flows.Load,
 		telemetry.DirectPlatformAge:          m.storeAge.Load,
@@ -109,6 +115,7 @@
 		telemetry.DirectFailingTargets:       m.failingTargets.Load,
 		telemetry.DirectLimitedTargets:       m.limitedTargets.Load,
 		telemetry.DirectStoreEra:             m.storeEra.Load,
+		telemetry.DirectTargetsDark:          m.darkTargets.Load,
 		telemetry.DirectConfigurationVersion: func() int64 { return int64(m.version.Load()) },
 	}
 	observed := map[metric.Int64ObservableGauge]func() int64{}
@@ -142,6 +149,7 @@
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
 		}
 		o.ObserveInt64(packets, int64(m.otherPackets.Load()), metric.WithAttributes(attribute.String("action", "other")))
+		o.ObserveInt64(early, m.earlyReports.Load())
 		for g, value := range observed {
 			o.ObserveInt64(g, value())
 		}
--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -91,9 +91,11 @@
 	return until
 }
 
-// serviceStatus returns the targets by service, with the flows of this balancer to them.
+// serviceStatus returns the targets by service, with the flows of this balancer to them. Targets that are suspect, dark or fail requests
+// are distrusted.
 func (c *Control) serviceStatus(s *directory.Snapshot, now time.Duration) []status.Service {
-	loads, limited, failing, slowdowns := c.traffic.Loads(), c.limitedUntil(now), c.traffic.Failing(), c.traffic.Slowdowns()
+	loads, limited, slowdowns := c.traffic.Loads(), c.limitedUntil(now), c.traffic.Slowdowns()
+	failing, dark := c.traffic.Failing(), c.traffic.DarkTargets()
 	open := make(map[directory.Token]directory.Load, len(loads))
 	for _, l := range loads {
 		open[l.Token] = l
@@ -107,7 +109,7 @@
 			byName[t.Service] = service
 		}
 		load := open[t.Token()]
-		distrusted := load.Suspect || failing[t.Token()]
+		distrusted := load.Suspect || failing[t.Token()] || dark[t.Token()]
 		evacuated := s.Evacuated(t.DataCentre)
 		service.Targets = append(service.Targets, status.Target{
 			Address: t.Address.String(), State: t.Presence.String(), Eligible: t.Presence == directory.Ready && !distrusted && !evacuated,
--- a/internal/telemetry/direct.go
+++ b/internal/telemetry/direct.go
@@ -19,6 +19,8 @@
 	DirectLimitedTargets       = Instrument{"marigoldwood_targets_limited", "{target}", "targets to which opening packets are limited because they are cold"}
 	DirectSlowTargets          = Instrument{"marigoldwood_slow_targets", "{target}", "targets of a service that are slower than the others and get less work"}
 	DirectHandedOn             = Instrument{"marigoldwood_handed_on", "%", "part of a service's new flows that this data centre hands on for lack of room"}
+	DirectTargetsDark          = Instrument{"marigoldwood_targets_dark", "{target}", "targets that get no new flows and whose flows are reset, because they fell silent by the evidence of all balancers"}
+	DirectEarlyReports         = Instrument{"marigoldwood_early_reports", "{report}", "reports to other balancers that were sent before their regular time because of evidence on silent targets"}
 	DirectConfigurationVersion = Instrument{"marigoldwood_configuration_in_force", "{version}", "version of the operator's configuration"}
 )
 
@@ -27,6 +29,6 @@
 	return []Instrument{
 		DirectPackets, DirectFlows, DirectBatchSeconds, DirectStoreReadSeconds, DirectOpenSeconds, DirectPlatformAge, DirectStoreEra,
 		DirectServiceWaiting, DirectServiceSlots, DirectEvacuations, DirectFailingTargets, DirectLimitedTargets,
-		DirectSlowTargets, DirectHandedOn, DirectConfigurationVersion,
+		DirectSlowTargets, DirectHandedOn, DirectTargetsDark, DirectEarlyReports, DirectConfigurationVersion,
 	}
 }
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -22,6 +22,8 @@
 	case len(r.Loads.Targets) > maxLoads || len(r.Loads.Rest) > maxServiceLoads || len(r.Loads.Times) > maxLoads:
 		return invalid("too many loads: %d targets, %d services, %d times",
 			len(r.Loads.Targets), len(r.Loads.Rest), len(r.Loads.Times))
+	case len(r.Loads.Silence) > maxLoads:
+		return invalid("evidence on too many targets: %d", len(r.Loads.Silence))
 	}
 	for _, l := range r.Loads.Rest {
 		if l.Service == "" {
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"maps"
 	"time"
 
@@ -60,6 +61,9 @@
 	// slowChanges and handOnChanges are changes that are not yet logged.
 	slowChanges   []SlowChange
 	handOnChanges []HandOnChange
+	doubted       map[directory.Token]bool // targets on which some balancer has evidence of silence
+	peers         Peers                    // evidence of the other balancers
+	cutOffUntil   time.Duration            // until when evidence of silence from here does not count
 	// fenced makes the engine drop opening packets, because the process was paused and its view may be out of date.
 	fenced bool
 	cold   *ColdLimits // nil if opening packets to cold targets are not limited
@@ -69,7 +73,7 @@
 func NewEngine() *Engine {
 	return &Engine{
 		flows: map[FlowKey]flowState{}, loads: map[string]*load{}, demands: map[string]*demand{},
-		answerSizes: map[directory.Endpoint]*answerSizes{},
+		answerSizes: map[directory.Endpoint]*answerSizes{}, doubted: map[directory.Token]bool{},
 	}
 }
 
@@ -178,7 +182,7 @@
 			return Decision{Action: Drop, Code: resultcode.TargetGone}
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
-	case !p.Reset && !p.Finish && t.load.isLost(now):
+	case !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now): // a bare acknowledgement may be a sign of life
 		e.removeFlow(p.Flow())
 		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t}
 	}
@@ -210,6 +214,9 @@
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
+	if p.Acknowledgement == 0 {
+		t = cmp.Or(e.probeTarget(route, key, now), t)
+	}
 	switch {
 	case t == nil && e.view.hasLimited(chooseService(route, key.hash()), now):
 		return withoutPermit(p, suspected)
--- a/steer/load.go
+++ b/steer/load.go
@@ -21,6 +21,8 @@
 	// lostTimeout is how long a target that two balancers suspect must have sent no answer here before its flows are
 	// reset. Few requests take longer.
 	lostTimeout = time.Second
+	// smallFleet is the number of balancers up to which the suspicions of two of them are enough to reset flows.
+	smallFleet = 6
 	// missRetention is how long unanswered data of open flows is evidence of silence, since a flow may move to another balancer and be
 	// answered there, and how long unanswered opening packets outweigh answers on open flows.
 	missRetention = 3 * time.Second
@@ -49,12 +51,14 @@
 	lastSlow     time.Duration // when the target was last slow, 0 for never
 	slow         bool          // answers take markedly longer than usual
 	extra        float64       // factor by which they do, less 1; 0 if the target is not slow
+	silence      silence
 }
 
 // recordOpened records that the target has opened a flow, which clears all evidence against it.
 func (l *load) recordOpened(now time.Duration) {
 	l.lastAnswer, l.lastOpened = now, now
 	l.clearMisses()
+	l.silence.clear()
 }
 
 // recordAnswer records an answer of the target on an open flow. It shows that the target runs, but not that it opens flows: a target at
@@ -62,11 +66,17 @@
 // open flows went unanswered too: the target was silent and is back.
 func (l *load) recordAnswer(now time.Duration) {
 	l.lastAnswer = now
+	l.silence.clear()
 	if l.dataMisses > 0 || now-l.lastOpenMiss >= missRetention {
 		l.clearMisses()
+		l.silence.count = 0
 	}
 }
 
+// recordEarlierAnswer records an answer that arrived at the caller at an unknown time after its previous packet. The acknowledgement of the
+// last bytes of an answer may come only with the next request or with the end of the flow, when the target has been silent for seconds.
+func (l *load) recordEarlierAnswer(after time.Duration) { l.lastAnswer = max(l.lastAnswer, after) }
+
 func (l *load) clearMisses() { l.openMisses, l.dataMisses, l.suspectUntil = 0, 0, 0 }
 
 // recordOpenMiss records that an opening packet went unanswered. It returns t when that makes the target suspect, else nil.
@@ -104,10 +114,18 @@
 	return l.dataMisses > 0 && now-l.lastDataMiss < missRetention
 }
 
-// isLost reports whether the target is taken to have ended: it answered before, but not within lostTimeout, and several flows, open
-// ones among them, went unanswered both here and at another balancer.
-func (l *load) isLost(now time.Duration) bool {
-	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && l.lastAnswer > 0 && now-l.lastAnswer >= lostTimeout
+// isLost reports whether the target is taken to have ended: the evidence of all balancers shows that it is dark, or it answered before,
+// but nobody within lostTimeout, and several flows, open ones among them, went unanswered both here and at another balancer. The latter
+// serves small fleets. It holds only in the target's own data centre: elsewhere a partition between the data centres looks the same.
+func (e *Engine) isLost(t *Target, now time.Duration) bool {
+	l := t.load
+	if l.silence.isDark(now) {
+		return true
+	}
+	if e.peers.Hosts > smallFleet || !t.local || e.IsCutOff(now) || l.lastAnswer == 0 {
+		return false
+	}
+	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && now-l.newestAnswer() >= lostTimeout
 }
 
 // clearSuspicions drops the evidence against all targets. After a long time without packets the process may have been
@@ -128,7 +146,7 @@
 
 // isSuspect reports whether the target gets no new flows because it does not answer here or at another balancer.
 func (l *load) isSuspect(now time.Duration) bool {
-	return now < l.suspectUntil || l.peers.Suspect && now-l.lastAnswer >= answerTimeout
+	return now < l.suspectUntil || now < max(l.silence.avoidUntil, l.silence.darkUntil) || l.peers.Suspect && now-l.lastAnswer >= answerTimeout
 }
 
 // Loads returns the observed loads of the targets that this balancer uses or suspects.
@@ -236,10 +254,13 @@
 		t.load.recordOpened(now)
 		t.demand.lastAnswer = now
 	}
-	f.lastPacket = now
 	f.handleAck(p, t, now)
-	wasWaiting := f.waiting
+	f.lastPacket = now
+	wasWaiting, wasMissed := f.waiting, f.missCounted
 	d.Suspected = f.handleData(p, t, now)
+	if f.missCounted && !wasMissed {
+		e.noteMiss(t, f.waitStart)
+	}
 	if f.waiting && !wasWaiting {
 		e.recordAnswerSize(p, &f, t, now)
 		f.answerStart, f.hasRequest = f.lastAck, true
@@ -285,7 +306,11 @@
 		return
 	}
 	f.lastAck = p.Acknowledgement
-	t.load.recordAnswer(now)
+	if p.Payload > 0 || p.Finish {
+		t.load.recordEarlierAnswer(f.lastPacket)
+	} else {
+		t.load.recordAnswer(now)
+	}
 	t.demand.lastAnswer = now
 	if f.waiting {
 		if f.queued == 0 {
--- a/steer/view.go
+++ b/steer/view.go
@@ -18,6 +18,7 @@
 	// limitedUntil is until when an opening packet needs a permit, because the target is cold; 0 if it never does.
 	limitedUntil  time.Duration
 	coldPerSecond float64 // requests that it can handle per second while it is limited
+	local         bool    // it is in the data centre of the balancer
 
 	// load and demand are shared by all views and owned by the engine.
 	load   *load
@@ -84,6 +85,7 @@
 func (v *View) add(k *directory.TargetEntry, dataCentre string) {
 	t := &Target{
 		TargetEntry: *k, Token: k.Token(), seed: xxhash.Sum64String(k.Name), evacuated: v.snapshot.Evacuated(k.DataCentre),
+		local: k.DataCentre == dataCentre,
 	}
 	if other := v.tokens[t.Token]; other != nil {
 		if !startedBefore(t, other) {
