Spread new flows by their ranking alone while all targets are full

Cause: a full target that rejects requests has few pending and looks idle; all balancers sent it more of the new flows.

--- a/steer/place.go
+++ b/steer/place.go
@@ -114,7 +114,7 @@
 func lessLoaded(targets []*Target, hash uint64, now time.Duration, usable func(*Target) bool) (t *Target, probe bool) {
 	first, second := topTwo(targets, hash, now, usable)
 	switch {
-	case second == nil:
+	case second == nil || first.demand.isSpreading():
 		return first, false
 	case first.load.extra > 0 && second.load.extra == 0 && first.hasFreeSlot(now):
 		return first, true
