Repeat evacuations after a restore of the store in the soak

The balancers had done as the store said.

Change: after a restore all evacuations are written again, as the targets' records and the configuration are. A function without a use is gone.

--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -56,12 +56,13 @@
 	proxy    *proxy.Proxy
 	hosts    []*directHost
 
-	mu       sync.Mutex
-	targets  map[string]*standin.Target
-	rotation []netip.AddrPort // data addresses of the hosts in rotation
-	version  uint64
-	ports    []uint16 // endpoint ports that have a route
-	unused   int      // number of further routes, which no caller uses
+	mu        sync.Mutex
+	targets   map[string]*standin.Target
+	rotation  []netip.AddrPort // data addresses of the hosts in rotation
+	version   uint64
+	ports     []uint16        // endpoint ports that have a route
+	evacuated map[string]bool // by data centre, as the operator wants it
+	unused    int             // number of further routes, which no caller uses
 }
 
 // directHost is a host with its balancer process.
@@ -103,7 +104,7 @@
 	}
 	d := &directDeployment{
 		t: t, block: byte(*firstBlock + int(blocksUsed.Add(1))), dir: t.TempDir(), recorder: standin.NewRecorder(),
-		targets: map[string]*standin.Target{}, ports: []uint16{443, 8443},
+		targets: map[string]*standin.Target{}, ports: []uint16{443, 8443}, evacuated: map[string]bool{},
 	}
 	var err error
 	if d.store, err = standin.NewStore(d.address(storeSubnet, 1, storePort)); err != nil {
@@ -224,7 +225,24 @@
 
 // evacuate writes or removes the operator's request that no new flows go to the targets of a data centre.
 func (d *directDeployment) evacuate(dataCentre string, evacuated bool) {
-	if evacuated {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evacuated[dataCentre] = evacuated
+	d.writeEvacuation(dataCentre)
+}
+
+// repeatEvacuations writes or removes all requests to evacuate a data centre again, as the store may have lost the last changes.
+func (d *directDeployment) repeatEvacuations() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for dataCentre := range d.evacuated {
+		d.writeEvacuation(dataCentre)
+	}
+}
+
+// writeEvacuation writes or removes the request for a data centre. The caller holds d.mu.
+func (d *directDeployment) writeEvacuation(dataCentre string) {
+	if d.evacuated[dataCentre] {
 		d.store.Put("op/evacuate/"+dataCentre, map[string]any{})
 	} else {
 		d.store.Delete("op/evacuate/" + dataCentre)
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -245,6 +245,7 @@
 		}
 	}
 	s.publish()
+	s.repeatEvacuations()
 }
 
 // crashTarget stops a target without a drain notice and starts it again under the same name after the given time.
--- a/steer/spread.go
+++ b/steer/spread.go
@@ -8,13 +8,3 @@
 // isSpreading reports whether new flows of the service go to the first target of their ranking, whatever its load. While all targets are
 // full, the one that looks least loaded is the one that rejects requests or has lost them, and all balancers would choose it.
 func (d *demand) isSpreading() bool { return d.lastUpdate-d.lastNoQueue >= spreadAfter }
-
-// isSpreading reports whether new flows of the pool's service are spread without regard to reported loads.
-func (p *pool) isSpreading() bool {
-	for _, targets := range [...][]*Target{p.local, p.remote} {
-		if len(targets) > 0 {
-			return targets[0].demand.isSpreading()
-		}
-	}
-	return false
-}
