Rank targets for explain under the lock of the engine

Change: the traffic goroutine's engine takes over the view and ranks under its lock.

Measured: TestDirectReloadAndOperatorPort failed before and passes.

--- a/internal/direct/report.go
+++ b/internal/direct/report.go
@@ -151,7 +151,7 @@
 		x.Known, x.Target, x.Service, x.Rule = true, f.Target.Name, f.Target.Service, describeFlow(f)
 		return
 	}
-	ranking := view.Rank(key, c.clock())
+	ranking := c.traffic.Rank(key)
 	x.Service = ranking.Service
 	switch {
 	case !ranking.Routed:
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -195,15 +195,31 @@
 	return t.engine.Lookup(key, t.clock())
 }
 
+// Rank returns the ranking of targets for a new flow. It depends on what the engine knows of the targets.
+func (t *Traffic) Rank(key steer.FlowKey) steer.Ranking {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateView()
+	if v := t.engine.View(); v != nil {
+		return v.Rank(key, t.clock())
+	}
+	return steer.Ranking{}
+}
+
+// updateView makes the engine use the view that was last set. The caller holds t.mu.
+func (t *Traffic) updateView() {
+	if v := t.view.Load(); v != nil && v != t.engine.View() {
+		t.engine.SetView(v)
+	}
+}
+
 func (t *Traffic) forwardBatch(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
 	t.lastPacket.Store(int64(now))
 	t.engine.SetFenced(now-time.Duration(t.lastControlTurn.Load()) > maxControlPause)
-	if v := t.view.Load(); v != nil && v != t.engine.View() {
-		t.engine.SetView(v)
-	}
+	t.updateView()
 	t.engine.SetColdHosts(int(t.coldHosts.Load()), now)
 	if others := t.otherLoads.Load(); others != t.appliedLoads {
 		t.appliedLoads = others
--- a/steer/place.go
+++ b/steer/place.go
@@ -89,7 +89,7 @@
 	First, Second *Target // nil when there is none
 }
 
-// Rank returns the ranking of targets for a flow in this view.
+// Rank returns the ranking of targets for a flow in this view, which must be the current one of an engine.
 func (v *View) Rank(key FlowKey, now time.Duration) Ranking {
 	route := v.Route(key.Endpoint)
 	if route == nil {
