--- a/steer/room.go
+++ b/steer/room.go
@@ -20,7 +20,7 @@
 	maxHandedOn = 0.95
 	// minHandedOn is the part of the new flows below which nothing is handed on.
 	minHandedOn = 0.02
-	// roomAveragingTime is the time constant of the averaged pending requests, about the time between two load reports.
+	// roomAveragingTime is the time constant of the averaged pending requests, the time of several load reports.
 	roomAveragingTime = time.Second
 	// handOnRiseTime and handOnFallTime are the time constants with which the part that is handed on follows the offered load. It falls
 	// more slowly than the loads of other hosts arrive, since a fast reaction to old loads swings.
