--- a/directory/follower.go
+++ b/directory/follower.go
@@ -175,11 +175,8 @@
 
 func (f *Follower) readFailed(now time.Duration, r Read, err error) {
 	f.failures++
-	switch code := resultcode.Of(err); {
-	case code == resultcode.PlatformHistoryGone:
-		f.fullListDone, f.failures = false, 0
-		f.unusableWatches++
-	case code == resultcode.PlatformResponse && r.Kind == ReadWatch:
+	code := resultcode.Of(err)
+	if code == resultcode.PlatformHistoryGone || code == resultcode.PlatformResponse && r.Kind == ReadWatch {
 		f.fullListDone, f.failures = false, 0
 		f.unusableWatches++
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -127,23 +127,21 @@
 		observed[g] = value
 		observables = append(observables, g)
 	}
-	waiting, err := gauge(meter, telemetry.DirectServiceWaiting)
-	if err != nil {
-		return err
-	}
-	slots, err := gauge(meter, telemetry.DirectServiceSlots)
-	if err != nil {
-		return err
-	}
-	slow, err := gauge(meter, telemetry.DirectSlowTargets)
-	if err != nil {
-		return err
-	}
-	handedOn, err := gauge(meter, telemetry.DirectHandedOn)
-	if err != nil {
-		return err
+	var waiting, slots, slow, handedOn metric.Int64ObservableGauge // by service
+	for _, g := range []struct {
+		into       *metric.Int64ObservableGauge
+		instrument telemetry.Instrument
+	}{
+		{&waiting, telemetry.DirectServiceWaiting},
+		{&slots, telemetry.DirectServiceSlots},
+		{&slow, telemetry.DirectSlowTargets},
+		{&handedOn, telemetry.DirectHandedOn},
+	} {
+		if *g.into, err = gauge(meter, g.instrument); err != nil {
+			return err
+		}
+		observables = append(observables, *g.into)
 	}
-	observables = append(observables, waiting, slots, slow, handedOn)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for k, n := range m.packets {
 			o.ObserveInt64(packets, int64(n.Load()), metric.WithAttributes(attribute.String("action", k.action.String()), attribute.String("code", k.code.String())))
--- a/internal/direct/traffic.go
+++ b/internal/direct/traffic.go
@@ -52,8 +52,7 @@
 	otherLoads      atomic.Pointer[directory.Loads]  // loads observed by other balancers
 	coldHosts       atomic.Int64                     // that share the limits for cold targets
 	appliedLoads    *directory.Loads                 // otherLoads that the engine uses
-	failing         atomic.Pointer[map[directory.Token]bool]
-	loadsCollected  time.Duration // when ownLoads was last updated
+	loadsCollected  time.Duration                    // when ownLoads was last updated
 	batches         uint64
 	lastPacket      atomic.Int64
 	lastControlTurn atomic.Int64 // when the control goroutine last ran
@@ -120,6 +119,13 @@
 	return t.engine.Slowdowns()
 }
 
+// Failing returns the targets that get no new flows because they fail requests.
+func (t *Traffic) Failing() map[directory.Token]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.Failing(t.clock())
+}
+
 // HandedOn returns the part of a service's new flows that goes to other data centres for lack of room.
 func (t *Traffic) HandedOn(service string) float64 {
 	t.mu.Lock()
@@ -237,9 +243,7 @@
 	if now-t.loadsCollected >= loadInterval {
 		own := t.engine.Loads(now)
 		t.ownLoads.Store(&own)
-		failing := t.engine.Failing(now)
-		t.failing.Store(&failing)
-		t.metrics.failingTargets.Store(int64(len(failing)))
+		t.metrics.failingTargets.Store(int64(len(t.engine.Failing(now))))
 		t.reportBalance(now)
 		t.loadsCollected = now
 	}
@@ -249,14 +253,6 @@
 	t.metrics.recordBatch(t.batches, t.clock()-now)
 }
 
-// Failing returns the targets that get no new flows because they fail requests. It is at most loadInterval old while packets arrive.
-func (t *Traffic) Failing() map[directory.Token]bool {
-	if failing := t.failing.Load(); failing != nil {
-		return *failing
-	}
-	return nil
-}
-
 // reportBalance updates the metrics of slow targets and of flows that are handed on, and logs what has changed.
 func (t *Traffic) reportBalance(now time.Duration) {
 	balances := t.engine.Balances()
--- a/steer/load.go
+++ b/steer/load.go
@@ -264,8 +264,6 @@
 	if f.waiting && !wasWaiting {
 		e.recordAnswerSize(p, &f, t, now)
 		f.answerStart, f.hasRequest = f.lastAck, true
-	}
-	if f.waiting && !wasWaiting {
 		e.addWait(key, now, now)
 	}
 	e.flows[key] = f
