--- a/review/trial2/backend.go
+++ b/review/trial2/backend.go
@@ -56,6 +56,8 @@
 	queue    []func()
 	full     int // opening packets that were left without an answer
 	stopped  bool
+	cut      bool      // no packet of a machine arrives
+	cutEnd   time.Time // of the last cut
 }
 
 const heartbeat = 770 * time.Millisecond
@@ -128,6 +130,27 @@
 	return b.stopped
 }
 
+func (b *backend) isCut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut
+}
+
+// setCut partitions the backend from all machines, or ends that.
+func (b *backend) setCut(cut bool) {
+	b.mu.Lock()
+	b.cut, b.cutEnd = cut, time.Now()
+	b.mu.Unlock()
+	b.w.record.say("%s (%s) is cut off from all machines: %v", b.name, b.service, cut)
+}
+
+// disturbed reports whether a disruption on the backend's links lasts or has ended within stable_window_ms.
+func (b *backend) disturbed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut || time.Since(b.cutEnd) < stableWindow
+}
+
 // drain reports that the backend is leaving. The store has accepted it on return.
 func (b *backend) drain() {
 	b.mu.Lock()
@@ -177,6 +200,9 @@
 			b.w.record.broken("UNASKED", "%s received %d bytes", b.name, n)
 			continue
 		}
+		if b.isCut() {
+			continue
+		}
 		p, ok := decode(buffer[prefixBytes:n])
 		if id := binary.BigEndian.Uint64(buffer); id != 0 && id != b.id {
 			if ok { // the intended backend is another one: nothing is sent
--- a/review/trial2/cases.go
+++ b/review/trial2/cases.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 )
@@ -139,3 +140,46 @@
 	}
 	w.record.say("another writer has written %d times over the entry of %s", writes, b.name)
 }
+
+// cutTargets: two backends at a time are cut off from all machines for 1.5 s, four times, 9 s apart.
+func cutTargets(w *world) error {
+	w.requestEndsHandshake = os.Getenv("TROUBLE") != "bare" // with "bare" a packet without data comes first
+	w.configure(routeTally, routePull)
+	if err := w.startServices(9, 3, 10*time.Millisecond); err != nil {
+		return err
+	}
+	if err := w.startHosts(); err != nil {
+		return err
+	}
+	clients, err := w.startClients(4)
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(52 * time.Second)
+	busy := w.sessions(clients, 15, w.routeAddr(routeTally.port), between(300*time.Millisecond, 900*time.Millisecond), end)
+	idle := w.sessions(clients, 45, w.routeAddr(routeTally.port), between(5*time.Second, 9*time.Second), end)
+	time.Sleep(8 * time.Second)
+	for i := range 4 {
+		w.cutFor(1500*time.Millisecond, w.backends[2*i], w.backends[2*i+1])
+		time.Sleep(7500 * time.Millisecond)
+	}
+	busy.Wait()
+	idle.Wait()
+	w.copyLog(40, "event=target-dark", "event=target-alive")
+	return nil
+}
+
+// cutFor cuts backends off from all machines for some time.
+func (w *world) cutFor(d time.Duration, backends ...*backend) {
+	if w.trouble {
+		for _, b := range backends {
+			b.setCut(true)
+		}
+	}
+	time.Sleep(d)
+	if w.trouble {
+		for _, b := range backends {
+			b.setCut(false)
+		}
+	}
+}
--- a/review/trial2/client.go
+++ b/review/trial2/client.go
@@ -108,7 +108,9 @@
 		}
 		f.seq, f.ack, f.echo = f.seq+1, p.seq+1, p.echo
 		f.opened, f.lastUse = time.Now(), time.Now()
-		f.send(flagACK, f.ack, nil)
+		if !c.w.requestEndsHandshake {
+			f.send(flagACK, f.ack, nil)
+		}
 		return f, nil
 	}
 	f.forget()
--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(*world) error{
 	"unnamed-service": unnamedService,
+	"cut-targets":     cutTargets,
 }
 
 func main() { os.Exit(run()) }
--- a/review/trial2/world.go
+++ b/review/trial2/world.go
@@ -62,6 +62,8 @@
 	maxConnections int
 	idle           time.Duration // idle_timeout_ms of the configuration
 	strays         map[flowKey]*stray
+	// requestEndsHandshake makes the client's packet after the SYN+ACK carry the request.
+	requestEndsHandshake bool
 }
 
 // addr returns an address of this trial's block.
@@ -260,6 +262,11 @@
 			w.record.line("reset of flow %v>%v is not counted: age %v, idle %v", f.src, f.dst, age, idle)
 			return
 		}
+		if b.disturbed() {
+			w.record.line("reset of flow %v>%v is not counted: %s was cut off within %v", f.src, f.dst, b.name, stableWindow)
+			w.record.count("of them not counted, within 4 s of a cut")
+			return
+		}
 		w.record.broken("FLOW (a)", "flow %v>%v, open at the living backend %s (%s) for %.1f s, is reset by the system through %s",
 			f.src, f.dst, b.name, b.currentState(), age.Seconds(), w.hostAt(f.hop()))
 		return
