review: case 8, an entry without born is used

Cause: platform/records.go requires every field of an entry but born, which a backend always writes.

--- a/review/trial2/cases.go
+++ b/review/trial2/cases.go
@@ -141,6 +141,67 @@
 	w.record.say("another writer has written %d times over the entry of %s", writes, b.name)
 }
 
+// entryWithoutStart: another writer writes an entry in which born is missing over that of a living backend of archive. Its service is ingest. It
+// stands until the backend's next heartbeat; there are four of them, 1.3 s apart.
+func entryWithoutStart(w *world) error {
+	w.configure(routeTally, routePull)
+	if err := w.startServices(6, 3, 34*time.Millisecond); err != nil {
+		return err
+	}
+	if err := w.startHosts(); err != nil {
+		return err
+	}
+	clients, err := w.startClients(3)
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(18 * time.Second)
+	tally := w.sessions(clients, 20, w.routeAddr(routeTally.port), between(300*time.Millisecond, 900*time.Millisecond), end)
+	pull := w.sessions(clients, 4, w.routeAddr(routePull.port), between(300*time.Millisecond, 900*time.Millisecond), end)
+	fresh := w.freshFlows(clients, w.routeAddr(routeTally.port), between(100*time.Millisecond, 200*time.Millisecond), end)
+	time.Sleep(8 * time.Second)
+	own := w.backends[6]
+	for range 4 {
+		if w.trouble {
+			value, _ := json.Marshal(map[string]any{
+				"service": "ingest", "address": own.address.String(), "zone": own.zone, "version": "v1", "capacity": 3, "state": "ready",
+				"cold_remaining_ms": 0, "sequence_number": 1,
+			})
+			w.store.put(own.key(), value, 3*heartbeat)
+			w.record.say("another writer writes an entry without born over that of %s (%s): %s", own.name, own.service, value)
+		}
+		time.Sleep(1300 * time.Millisecond)
+	}
+	tally.Wait()
+	pull.Wait()
+	fresh.Wait()
+	w.copyLog(8, "record-rejected", own.name)
+	return nil
+}
+
+// freshFlows starts one client loop on each client that opens a flow for each request.
+func (w *world) freshFlows(clients []*client, route netip.AddrPort, pause func() time.Duration, end time.Time) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for _, c := range clients {
+		wg.Go(func() {
+			for ; time.Now().Before(end); time.Sleep(pause()) {
+				f, err := c.open(route, nil)
+				if err != nil {
+					w.record.count("flows that did not open")
+					continue
+				}
+				if _, err := f.request(requestLimit); err != nil {
+					w.record.count("requests without an answer")
+				} else {
+					w.record.count("requests answered")
+				}
+				f.close()
+			}
+		})
+	}
+	return &wg
+}
+
 // cutTargets: two backends at a time are cut off from all machines for 1.5 s, four times, 9 s apart.
 func cutTargets(w *world) error {
 	w.requestEndsHandshake = os.Getenv("TROUBLE") != "bare" // with "bare" a packet without data comes first
--- a/review/trial2/main.go
+++ b/review/trial2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*world) error{
 	"unnamed-service": unnamedService,
 	"cut-targets":     cutTargets,
+	"no-start":        entryWithoutStart,
 }
 
 func main() { os.Exit(run()) }
