direct: log probes of dark targets and their resets

flow-placed now says probe=true for a flow that is offered to a dark target, and flow-break says it for a flow that was placed here and not yet open.

--- a/internal/direct/decisionlog.go
+++ b/internal/direct/decisionlog.go
@@ -51,6 +51,9 @@
 	if p.Open {
 		fields["copy"] = p.Acknowledgement
 	}
+	if d.Probe {
+		fields["probe"] = true
+	}
 	if v != nil {
 		s := v.Snapshot()
 		if d.Code == resultcode.RefusedNoSlot {
--- a/internal/direct/decisionlog_test.go
+++ b/internal/direct/decisionlog_test.go
@@ -67,3 +67,19 @@
 		}
 	}
 }
+
+// Guards against probes of dark targets that the log cannot tell from other flows, and resets of probes from other resets.
+func TestProbesAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	log, err := logging.New(&out, "info", "h")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newDecisionLog(log)
+	l.logDecision(&steer.Packet{Open: true}, &steer.Decision{Action: steer.Forward, Target: &steer.Target{}, Placed: true, Probe: true}, nil, 0)
+	l.logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Break, Code: resultcode.TargetLost, Probe: true}, nil, 0)
+	l.logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Break, Code: resultcode.TargetLost}, nil, 0)
+	if n := strings.Count(out.String(), "probe=true"); n != 2 {
+		t.Errorf("%d of 3 lines tell of a probe, want 2:\n%s", n, out.String())
+	}
+}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -183,8 +183,9 @@
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
 	case !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now): // a bare acknowledgement may be a sign of life
+		f, found := e.flows[p.Flow()]
 		e.removeFlow(p.Flow())
-		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t}
+		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: found && !f.opened}
 	}
 	d := Decision{Action: Forward, Target: t}
 	e.observe(p, &d, now)
@@ -214,8 +215,10 @@
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
+	probed := (*Target)(nil)
 	if p.Acknowledgement == 0 {
-		t = cmp.Or(e.probeTarget(route, key, now), t)
+		probed = e.probeTarget(route, key, now)
+		t = cmp.Or(probed, t)
 	}
 	switch {
 	case t == nil && e.view.hasLimited(chooseService(route, key.hash()), now):
@@ -235,7 +238,7 @@
 		e.addWait(key, now, now)
 		t.load.pending++
 	}
-	return Decision{Action: Forward, Target: t, Placed: true, Suspected: suspected}
+	return Decision{Action: Forward, Target: t, Placed: true, Probe: probed != nil, Suspected: suspected}
 }
 
 // earlierTarget returns the target of an earlier copy of an opening packet, or nil when there is none, and whether the
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -54,6 +54,9 @@
 	Placed bool
 	// Adopted reports that the flow was open at another balancer before this packet.
 	Adopted bool
+	// Probe reports that a new flow goes to a dark target to find out whether it answers. For a packet that is reset, it reports that the
+	// flow was placed here and not yet open, as that of a probe is.
+	Probe bool
 	// OpenLatency is how long the target took to answer the opening packet. It is set for the packet that shows the
 	// answer, and 0 for all others.
 	OpenLatency time.Duration
