steer: the end of a probe's handshake shows that a dark target answers

Cause: a dark target is used again when it answers a new flow that is offered to it. The caller's next packet ends the handshake; when it holds the request, it counted as data to a dark target and was reset before the engine looked at it. So no probe could succeed, unless its caller ended the handshake without data, and each probe during the cut prolonged the darkness.

The engine now observes a packet before it decides whether to reset its flow. A handshake that ends shows that the target answered after the opening packet was placed here: since data may be a copy, its own time shows nothing. An answer drops only evidence that is older.

Before: TestProbeOfDarkTargetIsNotReset fails for both forms with data.

--- a/steer/engine.go
+++ b/steer/engine.go
@@ -182,13 +182,14 @@
 			return Decision{Action: Drop, Code: resultcode.TargetGone}
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
-	case !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now): // a bare acknowledgement may be a sign of life
-		f, found := e.flows[p.Flow()]
+	}
+	f, found := e.flows[p.Flow()]
+	d := Decision{Action: Forward, Target: t}
+	e.observe(p, &d, now)                                           // before isLost: the packet may show that the target answers
+	if !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now) { // a bare acknowledgement may be a sign of life
 		e.removeFlow(p.Flow())
 		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: found && !f.opened}
 	}
-	d := Decision{Action: Forward, Target: t}
-	e.observe(p, &d, now)
 	return d
 }
 
--- a/steer/load.go
+++ b/steer/load.go
@@ -54,11 +54,14 @@
 	silence      silence
 }
 
-// recordOpened records that the target has opened a flow, which clears all evidence against it.
-func (l *load) recordOpened(now time.Duration) {
-	l.lastAnswer, l.lastOpened = now, now
-	l.clearMisses()
-	l.silence.clear()
+// recordOpened records that the target has opened a flow later than since. Unless it has left data unanswered that was sent after since, this
+// clears all evidence against it.
+func (l *load) recordOpened(since time.Duration) {
+	l.lastAnswer, l.lastOpened = max(l.lastAnswer, since), max(l.lastOpened, since)
+	if since >= l.lastDataMiss {
+		l.clearMisses()
+	}
+	l.silence.noteAnswer(since)
 }
 
 // recordAnswer records an answer of the target on an open flow. It shows that the target runs, but not that it opens flows: a target at
@@ -66,16 +69,18 @@
 // open flows went unanswered too: the target was silent and is back.
 func (l *load) recordAnswer(now time.Duration) {
 	l.lastAnswer = now
-	l.silence.clear()
+	l.silence.noteAnswer(now)
 	if l.dataMisses > 0 || now-l.lastOpenMiss >= missRetention {
 		l.clearMisses()
-		l.silence.count = 0
 	}
 }
 
 // recordEarlierAnswer records an answer that arrived at the caller at an unknown time after its previous packet. The acknowledgement of the
 // last bytes of an answer may come only with the next request or with the end of the flow, when the target has been silent for seconds.
-func (l *load) recordEarlierAnswer(after time.Duration) { l.lastAnswer = max(l.lastAnswer, after) }
+func (l *load) recordEarlierAnswer(after time.Duration) {
+	l.lastAnswer = max(l.lastAnswer, after)
+	l.silence.noteAnswer(after)
+}
 
 func (l *load) clearMisses() { l.openMisses, l.dataMisses, l.suspectUntil = 0, 0, 0 }
 
@@ -251,7 +256,7 @@
 		f.sentEnd, f.lastAck = p.Sequence, p.Acknowledgement
 		t.load.pending = max(t.load.pending-1, 0)
 		t.load.open++
-		t.load.recordOpened(now)
+		t.load.recordOpened(f.openedSince(p, now))
 		t.demand.lastAnswer = now
 	}
 	f.handleAck(p, t, now)
@@ -269,6 +274,15 @@
 	e.flows[key] = f
 }
 
+// openedSince returns a time after which the target answered the opening packet of the flow, when p ends the handshake. With data it may be
+// a copy of a packet that was lost, and come long after the answer.
+func (f *flowState) openedSince(p *Packet, now time.Duration) time.Duration {
+	if p.Payload > 0 {
+		return f.waitStart
+	}
+	return now
+}
+
 // adopt starts to track an open flow whose earlier packets went through another balancer.
 func (e *Engine) adopt(p *Packet, t *Target, now time.Duration) {
 	e.removeFlow(p.Flow())
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -71,9 +71,19 @@
 	return s.count > 0 && now-s.misses[s.count-1] < missRetention
 }
 
-// clear drops the evidence after an answer here.
-func (s *silence) clear() {
-	s.count, s.avoidUntil, s.darkUntil = 0, 0, 0
+// noteAnswer drops the evidence that an answer at the given time refutes. The target is no longer dark if it is newer than the one known then.
+func (s *silence) noteAnswer(at time.Duration) {
+	kept := 0
+	for _, start := range s.misses[:s.count] {
+		if start > at {
+			s.misses[kept] = start
+			kept++
+		}
+	}
+	s.count = kept
+	if at > s.darkAnswer+answerTolerance {
+		s.darkUntil, s.avoidUntil = 0, 0
+	}
 }
 
 // isDark reports whether the target is taken to be dark.
--- a/steer/silence_test.go
+++ b/steer/silence_test.go
@@ -122,3 +122,49 @@
 		t.Errorf("one of 100 balancers probed the target %d times in 1,000 s, want about 10", probes)
 	}
 }
+
+// Guards against a probe of a dark target that is reset when its caller ends the handshake, so that no probe can show that the target
+// answers again: case review/6.
+func TestProbeOfDarkTargetIsNotReset(t *testing.T) {
+	for name, end := range map[string]Packet{
+		"with the request":           {Payload: 100},
+		"without data":               {},
+		"with a copy of the request": {Payload: 100},
+	} {
+		now := 20 * time.Second
+		e, token := darkEngine(now)
+		e.peers.Hosts = 1 // each balancer probes
+		probe := openingPacket(1)
+		if d := e.Decide(probe, now+time.Millisecond); d.Target.Token != token || !d.Probe {
+			t.Fatalf("%s: the new flow goes to %s, want a probe of the dark target", name, d.Target.Name)
+		}
+		at := now + 10*time.Millisecond
+		if name == "with a copy of the request" { // the first one was lost on the way to the balancer
+			at += 200 * time.Millisecond
+		}
+		end.Caller, end.Endpoint, end.Acknowledges, end.Acknowledgement, end.Sequence, end.Token = probe.Caller, endpoint, true, 7, 1, token
+		if d := e.Decide(&end, at); d.Action != Forward {
+			t.Errorf("%s: end of the handshake: %v, want forward", name, d.Action)
+		}
+		if d := e.Decide(dataPacket(3, token, 1), at); d.Action != Forward {
+			t.Errorf("%s: flow of another caller after the answer: %v, want forward", name, d.Action)
+		}
+		if events, tell := e.ReviewSilence(at); len(events) != 1 || !events[0].Answered || !tell {
+			t.Errorf("%s: events %+v, told at once: %v, want that it answered, told to the others", name, events, tell)
+		}
+	}
+}
+
+// Guards against a late copy of the packet that ended a handshake, long before the target fell silent, that passes for an answer.
+func TestLateCopyOfHandshakeIsNoAnswer(t *testing.T) {
+	now := 20 * time.Second
+	e, token := darkEngine(now)
+	e.flows[openingPacket(1).Flow()] = flowState{token: token, waiting: true, waitStart: now - 1300*time.Millisecond, lastPacket: now - time.Second}
+	if d := e.Decide(dataPacket(1, token, 1), now); d.Action != Break || !d.Probe {
+		t.Errorf("%v, want a reset: the handshake began before the newest answer known", d.Action)
+	}
+	e.ReviewSilence(now)
+	if d := e.Decide(dataPacket(3, token, 1), now); d.Action != Break {
+		t.Errorf("flow of another caller: %v, want a reset", d.Action)
+	}
+}
