relay: tell the answer of a silent target to hosts without evidence

Cause: a relay names only targets against which some host has evidence. Once the hosts with evidence have heard of the answer and dropped it, the relay no longer names the target, and a host without evidence that missed the one early report never hears of the answer. It resets flows until the evidence has lapsed. A host that gets the answer itself told it at once only while others had evidence.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -80,7 +80,7 @@
 func NewFleet(self Host, seeds []netip.AddrPort) *Fleet {
 	return &Fleet{
 		self: self, seeds: seeds, members: map[string]*member{}, lastReports: map[netip.AddrPort]time.Duration{},
-		serviceOf: func(directory.Token) string { return "" },
+		serviceOf: func(directory.Token) string { return "" }, silence: silenceExchange{silent: silentTargets{}},
 	}
 }
 
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -74,6 +74,7 @@
 	whole      *silenceSum // evidence of all hosts at wholeAt, as a relay knows it
 	wholeAt    time.Duration
 	reviewed   time.Duration // when DueSilence last looked for news
+	silent     silentTargets // as a relay knows them
 }
 
 // SetOwnSilence sets the evidence of this host, and whether it is cut off from some targets. changed reports that other hosts should
@@ -178,13 +179,15 @@
 	if x.whole == nil || now-x.wholeAt >= silenceReview {
 		x.whole, x.wholeAt = f.dataCentreSilence(now), now
 		f.addRemoteSilence(x.whole, now, nil)
+		x.silent.note(x.whole, now)
 	}
 	return x.whole
 }
 
-// silenceOfOthers returns the evidence of all hosts but m, on the targets that some host doubts. Hosts would otherwise go on to tell each
-// other of the answers of a target that was doubted once. A nil m stands for this host. The sum is computed anew only for targets
-// against which m itself has evidence: its answers are not counted.
+// silenceOfOthers returns the evidence of all hosts but m, on the targets that some host doubts or recently took for silent: hosts that have
+// no evidence of their own must hear of the answer that ends it. Hosts would otherwise go on to tell each other of the answers of a
+// target that was doubted once. A nil m stands for this host. The sum is computed anew only for targets against which m itself has
+// evidence: its answers are not counted.
 func (f *Fleet) silenceOfOthers(m *member, now time.Duration) *silenceSum {
 	whole, held := f.wholeSilence(now), now-f.silence.wholeAt
 	sum, from := newSilenceSum(), f.silence.own
@@ -196,7 +199,7 @@
 		against[e.Token] = e.Flows > 0 || e.Unopened > 0
 	}
 	for token, e := range whole.targets {
-		if (e.Flows > 0 || e.Unopened > 0) && !against[token] {
+		if (e.Flows > 0 || e.Unopened > 0 || f.silence.silent.isRecent(token, now)) && !against[token] {
 			sum.targets[token] = e.Aged(held)
 		}
 	}
@@ -286,7 +289,7 @@
 	x.toldCutOff = min(x.toldCutOff, sum.cutOffs)
 	forget(x.told, sum)
 	dataCentres, poll := 1+len(f.remoteDataCentres()), f.needsPoll(sum, now)
-	if (poll || sum.cutOffs > x.toldCutOff || hasNews(sum, x.told, dataCentres, now)) && f.allowEarly(&x.hosts, now) {
+	if (poll || sum.cutOffs > x.toldCutOff || hasNews(sum, x.told, x.silent, dataCentres, now)) && f.allowEarly(&x.hosts, now) {
 		x.told, x.toldCutOff = newToldSilence(sum, dataCentres, now), sum.cutOffs
 		for _, m := range f.members {
 			if m.host.DataCentre == f.self.DataCentre {
@@ -305,7 +308,7 @@
 	x := &f.silence
 	x.toldRemote = min(x.toldRemote, sum.cutOffs)
 	forget(x.toldRelays, sum)
-	news := sum.cutOffs > x.toldRemote || hasNews(sum, x.toldRelays, 1, now) || hasNewPoll(sum, x.toldRelays, now)
+	news := sum.cutOffs > x.toldRemote || hasNews(sum, x.toldRelays, x.silent, 1, now) || hasNewPoll(sum, x.toldRelays, now)
 	if !news || !f.allowEarly(&x.relays, now) {
 		return nil
 	}
@@ -387,15 +390,17 @@
 			return true
 		}
 	}
-	return false
+	return len(f.silence.silent) > 0
 }
 
 // hasNews reports whether evidence differs so much from what was told that hosts should know it at once: unanswered flows of a target,
-// an answer of a target that somebody doubts, or the result of a poll.
-func hasNews(sum *silenceSum, told map[directory.Token]toldSilence, dataCentres int, now time.Duration) bool {
+// an answer of a target that somebody doubts, the first answer of one that was silent, or the result of a poll.
+func hasNews(sum *silenceSum, told map[directory.Token]toldSilence, silent silentTargets, dataCentres int, now time.Duration) bool {
 	for token, s := range sum.targets {
 		old, n := told[token], newTold(s, dataCentres, now)
 		switch {
+		case silent.hasAnswered(token, n.answerAt) && !silent.hasAnswered(token, old.answerAt):
+			return true
 		case n.flows > old.flows, s.Flows > 0 && n.answerAt > old.answerAt+newAnswer, n.confirmed && !old.confirmed:
 			return true
 		}
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -234,12 +234,13 @@
 		if partitioned {
 			s.darkUntil = 0
 		}
-		if dark := s.isDark(now); dark != s.wasDark {
+		dark, wasDark := s.isDark(now), s.wasDark
+		if dark != wasDark {
 			s.wasDark = dark
 			answered := t.load.newestAnswer() > s.darkAnswer+answerTolerance
 			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: !dark && answered})
 		}
-		tell = t.isTelling(e.ownSilence(t, now), now) || tell
+		tell = t.isTelling(e.ownSilence(t, now), wasDark, now) || tell
 		if s.peersAt == 0 && !s.wasDark && ev.Flows == 0 && ev.Unopened == 0 && s.toldFlows == 0 && !s.hasMiss(now) {
 			delete(e.doubted, token)
 		}
@@ -282,10 +283,10 @@
 }
 
 // isTelling reports whether other hosts should know the evidence of this balancer at once: a flow has waited for long, or longer
-// than the answer takes of a target that others doubt; or the target that others doubt has answered here.
-func (t *Target) isTelling(own directory.Silence, now time.Duration) bool {
+// than the answer takes of a target that others doubt; or the target that others doubt or that was dark has answered here.
+func (t *Target) isTelling(own directory.Silence, wasDark bool, now time.Duration) bool {
 	s := &t.load.silence
-	doubted := s.peersAt > 0 && s.peers.Flows > 0 || s.toldFlows > 0
+	doubted := s.peersAt > 0 && s.peers.Flows > 0 || s.toldFlows > 0 || wasDark
 	waited := own.Flows >= suspectThreshold || time.Duration(own.WaitAge)*time.Millisecond >= doubtAfter
 	answered := t.load.lastAnswer > s.peerAnswer+answerTolerance && t.load.lastAnswer > s.toldAnswer+answerTolerance
 	switch {
--- a/steer/silence_test.go
+++ b/steer/silence_test.go
@@ -168,3 +168,15 @@
 		t.Errorf("flow of another caller: %v, want a reset", d.Action)
 	}
 }
+
+// Guards against an answer that others hear late, because the balancer that gets it has no evidence and hears of none any more.
+func TestAnswerOfDarkTargetIsTold(t *testing.T) {
+	now := 20 * time.Second
+	e, token := darkEngine(now)
+	e.SetPeerSilence(Peers{DataCentres: 2, Hosts: 1000}, now)
+	e.ReviewSilence(now)
+	e.Decide(&Packet{Caller: caller(0), Endpoint: endpoint, Acknowledges: true, Acknowledgement: 99, Token: token}, now)
+	if events, tell := e.ReviewSilence(now); !tell || len(events) != 1 || !events[0].Answered {
+		t.Errorf("told at once: %v, events %+v, want that the target answered, told at once", tell, events)
+	}
+}
