steer: reset flows of a silent target only while recent packets go unanswered

Callers still saw resets at targets that answered again, up to 4.5 s after the cut: with few callers, on hosts that hear late or not at all, beside pauses of hosts.

Cause: evidence against a target justified resets for up to 3 s after its data was sent, and 1.5 s more after the last of it. Meanwhile every packet with data was reset, so that only a probe could show that the target answers. Probes are rare where new flows are: one in the number of hosts for each host and second.

Evidence now tells when the newest copy of unanswered data was sent. Flows of a dark target are reset for 1 s from then on. A later packet is forwarded; if it goes unanswered too, that is new evidence, and its next copy is reset, as are all other flows for another second. So the reset of flows ends 1 s after the silence, whatever a host knows of answers. New flows go to other targets for 3 s, as before. Small fleets, which judge by suspicion, have the same limit. Peer messages have a new field (SentAge).

TestEvidenceOfOneHostIsLimited expects the new field.

--- a/directory/silence.go
+++ b/directory/silence.go
@@ -13,6 +13,7 @@
 	Hosts     uint16 // balancers that count Flows
 	Near      uint16 // those of them in the data centre of the target
 	WaitAge   uint16 // ms since the oldest unanswered data was sent, 0 without Flows
+	SentAge   uint16 // ms since the newest copy of unanswered data was sent, 0 without Flows
 	AnswerAge uint16 // ms since the newest answer, NoAnswer if none is known
 	// Polls is the number of data centres whose relay has asked all hosts for their evidence on this target, PollAge how long ago
 	// the earliest of these polls was, ms. Answers until then are included in AnswerAge.
@@ -27,11 +28,22 @@
 	return Silence{
 		Token: s.Token, Flows: addSaturated(s.Flows, other.Flows), Unopened: addSaturated(s.Unopened, other.Unopened),
 		Hosts: addSaturated(s.Hosts, other.Hosts), Near: addSaturated(s.Near, other.Near),
-		WaitAge: max(s.WaitAge, other.WaitAge), AnswerAge: min(s.AnswerAge, other.AnswerAge),
+		WaitAge: max(s.WaitAge, other.WaitAge), SentAge: newestSent(s, other), AnswerAge: min(s.AnswerAge, other.AnswerAge),
 		Polls: addSaturated(s.Polls, other.Polls), PollAge: max(s.PollAge, other.PollAge),
 	}
 }
 
+// newestSent returns the SentAge of both together. Evidence without flows has none.
+func newestSent(a, b Silence) uint16 {
+	switch {
+	case a.Flows == 0:
+		return b.SentAge
+	case b.Flows == 0:
+		return a.SentAge
+	}
+	return min(a.SentAge, b.SentAge)
+}
+
 // Aged returns the evidence d later.
 func (s Silence) Aged(d time.Duration) Silence {
 	if s.AnswerAge != NoAnswer {
@@ -39,6 +51,7 @@
 	}
 	if s.Flows > 0 {
 		s.WaitAge = SilenceAge(time.Duration(s.WaitAge)*time.Millisecond + d)
+		s.SentAge = SilenceAge(time.Duration(s.SentAge)*time.Millisecond + d)
 	}
 	if s.Polls > 0 {
 		s.PollAge = SilenceAge(time.Duration(s.PollAge)*time.Millisecond + d)
@@ -51,7 +64,17 @@
 	return time.Duration(min(s.WaitAge, s.AnswerAge)) * time.Millisecond
 }
 
+// RemainingValidity returns for how much longer the evidence justifies resets: a target that has been sent nothing since may answer again.
+func (s Silence) RemainingValidity() time.Duration {
+	if s.Flows == 0 {
+		return 0
+	}
+	return max(EvidenceValidity-time.Duration(s.SentAge)*time.Millisecond, 0)
+}
+
 const (
+	// EvidenceValidity is how long a packet that went unanswered shows, from the time at which it was sent, that its target is silent.
+	EvidenceValidity = time.Second
 	// silentAfter is how long a target must leave data unanswered, and send no other answer to any balancer. A running target finishes a
 	// request in each busy slot within 0.37 s (230 ms, 1.6 times that while cold); an answer that is lost once comes 0.2 s later.
 	silentAfter = 800 * time.Millisecond
--- a/directory/silence_test.go
+++ b/directory/silence_test.go
@@ -39,3 +39,25 @@
 		t.Errorf("sum with no evidence is %+v, want %+v", sum, silent)
 	}
 }
+
+// Guards against old evidence that passes for new, and against evidence without flows that does.
+func TestValidityOfEvidence(t *testing.T) {
+	old, recent := Silence{Flows: 1, WaitAge: 900, SentAge: 700}, Silence{Flows: 2, WaitAge: 300, SentAge: 100}
+	answer := Silence{AnswerAge: 10}
+	for name, tt := range map[string]struct {
+		evidence Silence
+		want     time.Duration
+	}{
+		"old":             {old, 300 * time.Millisecond},
+		"both":            {old.Add(recent), 900 * time.Millisecond},
+		"with an answer":  {answer.Add(old).Add(answer), 300 * time.Millisecond},
+		"later":           {recent.Aged(500 * time.Millisecond), 400 * time.Millisecond},
+		"too late":        {old.Aged(400 * time.Millisecond), 0},
+		"no flows":        {answer, 0},
+		"no flows, later": {answer.Aged(time.Second), 0},
+	} {
+		if got := tt.evidence.RemainingValidity(); got != tt.want {
+			t.Errorf("%s: valid for %v, want %v", name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/relay/recovery_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// briefSilences lets two targets at a time fall silent for 1.5 s, count times, 9 s apart. during is called in the middle of each.
+func (w *silenceWorld) briefSilences(count int, during func(*silenceWorld)) {
+	w.run(4 * time.Second)
+	for i := range count {
+		first, second := w.targets[w.names[2*i%len(w.names)]], w.targets[w.names[(2*i+1)%len(w.names)]]
+		w.setSilent(first, true)
+		w.setSilent(second, true)
+		w.run(1200 * time.Millisecond)
+		during(w)
+		w.run(300 * time.Millisecond)
+		w.setSilent(first, false)
+		w.setSilent(second, false)
+		w.run(7500 * time.Millisecond)
+	}
+}
+
+// callerForms are the ways in which the callers of a world acknowledge.
+var callerForms = map[string]func(*rand.Rand) sessionForm{
+	"handshakes end without data": func(*rand.Rand) sessionForm { return sessionForm{} },
+	"handshakes end with data":    func(*rand.Rand) sessionForm { return sessionForm{dataEndsHandshake: true} },
+	"answers acknowledged late":   func(*rand.Rand) sessionForm { return sessionForm{dataEndsHandshake: true, lazy: true} },
+	"all forms": func(r *rand.Rand) sessionForm {
+		return sessionForm{dataEndsHandshake: r.IntN(2) == 0, lazy: r.IntN(2) == 0}
+	},
+}
+
+// Guards against resets of open flows at a target that answers again after a brief silence: later than recoveryLimit after its first answer or
+// stableWindow after the silence, whatever the packets of its callers look like, and on hosts of all kinds.
+func TestFlowsAreKeptAfterBriefSilence(t *testing.T) {
+	for form, forms := range callerForms {
+		for size, world := range map[string]*silenceWorld{
+			"8 hosts": newSizedWorld(1, 2, 12, 720, 400), "8 hosts, few callers": newSizedWorld(1, 2, 6, 60, 30),
+			"76 hosts": newSizedWorld(1, 19, 30, 1500, 750), "300 hosts, few callers": newSizedWorld(1, 75, 12, 600, 120),
+		} {
+			if len(world.hosts) > 76 && form != "all forms" {
+				continue // for the time that it takes
+			}
+			t.Run(fmt.Sprintf("%s, %s", size, form), func(t *testing.T) {
+				t.Parallel()
+				expectKeptFlows(t, world, forms, func(*silenceWorld) {})
+			})
+		}
+	}
+}
+
+// The same beside further trouble. Guards against hosts that go by what they knew before.
+func TestFlowsAreKeptAfterBriefSilenceBesideTrouble(t *testing.T) {
+	for name, disturb := range map[string]func(*silenceWorld){
+		"copies and loss": func(w *silenceWorld) { w.duplicate, w.loss = 0.2, 0.01 },
+		"a quarter of the hosts restart": func(w *silenceWorld) {
+			fresh := newSizedWorld(9, 19, 30, 1, 1)
+			for i, h := range w.hosts {
+				if h.inGroup(4) {
+					h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
+				}
+			}
+		},
+		"the relays restart": func(w *silenceWorld) {
+			fresh := newSizedWorld(9, 19, 30, 1, 1)
+			for i, h := range w.hosts {
+				if h.fleet.isRelay() {
+					h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
+				}
+			}
+		},
+		"a quarter of the hosts hear nothing for 3 s": func(w *silenceWorld) {
+			until := w.now + 3*time.Second
+			w.deaf = func(h *silenceHost) bool { return w.now < until && h.inGroup(4) }
+		},
+		"half of the hosts are paused": func(w *silenceWorld) {
+			for _, h := range w.hosts {
+				if h.inGroup(2) {
+					h.paused = w.now + 700*time.Millisecond
+				}
+			}
+		},
+		"another target crashes": func(w *silenceWorld) {
+			w.setSilent(w.targets[w.names[29]], true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectKeptFlows(t, newSizedWorld(2, 19, 30, 1500, 750), callerForms["all forms"], disturb)
+		})
+	}
+}
+
+func expectKeptFlows(t *testing.T, w *silenceWorld, forms func(*rand.Rand) sessionForm, disturb func(*silenceWorld)) {
+	for i := range w.sessions {
+		w.sessions[i].sessionForm = forms(w.random)
+	}
+	w.briefSilences(3, disturb)
+	t.Logf("%d requests, %d failed; %d flows of living targets were reset, %d of them late", w.issued, w.failed, w.breaksAtLiving, w.lateBreaks)
+	if w.lateBreaks > 0 {
+		t.Errorf("%d flows of targets that answer again were reset late, want none", w.lateBreaks)
+	}
+}
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -15,11 +15,15 @@
 	silenceStep    = 5 * time.Millisecond  // also the one-way latency of messages and packets
 	controlStep    = 20 * time.Millisecond // between two turns of a control goroutine
 	requestTimeout = 2500 * time.Millisecond
+	// recoveryLimit is the time from the first answer of a target that was silent until no host resets its flows any more, and
+	// stableWindow the time from the end of its silence, whether it has answered or not.
+	recoveryLimit = time.Second
+	stableWindow  = 4 * time.Second
 )
 
 var silenceEndpoint = directory.Endpoint{Address: [4]byte{198, 18, 0, 1}, Port: 443}
 
-// silenceWorld replays 75 balancers in 4 data centres in front of 150 targets, with the real intervals of reports.
+// silenceWorld replays balancers in 4 data centres in front of targets, with the real intervals of reports.
 type silenceWorld struct {
 	random   *rand.Rand
 	now      time.Duration
@@ -36,11 +40,17 @@
 	disabled bool // balancers do not exchange evidence
 	cut      func(*silenceHost, *silenceTarget) bool
 	isolated string // data centre whose hosts reach no others
+	// duplicate is the share of the packets that arrive twice. deaf hosts receive no messages of other hosts.
+	duplicate float64
+	deaf      func(*silenceHost) bool
 
 	issued, failed, breaksAtLiving int
-	issuedLate, failedLate         int            // sent later than 1 s after the fall
-	early                          map[string]int // early reports by sender
-	fallAt                         time.Duration
+	// lateBreaks are those of breaksAtLiving that came later than recoveryLimit after the first answer of the target since it was silent, or
+	// later than stableWindow after it was.
+	lateBreaks             int
+	issuedLate, failedLate int            // sent later than 1 s after the fall
+	early                  map[string]int // early reports by sender
+	fallAt                 time.Duration
 }
 
 type silenceHost struct {
@@ -53,13 +63,29 @@
 }
 
 type silenceTarget struct {
-	index  int
-	silent bool
-	full   bool
-	slots  [2]time.Duration // when each becomes free
+	index    int
+	silent   bool
+	full     bool
+	slots    [2]time.Duration // when each becomes free
+	endedAt  time.Duration    // when it was last silent
+	answered time.Duration    // time of the first answer after that, 0 before it
+}
+
+// answer notes that the target answers a caller.
+func (t *silenceTarget) answer(now time.Duration) {
+	if t.answered == 0 {
+		t.answered = now
+	}
+}
+
+// sessionForm tells how the caller of a session acknowledges.
+type sessionForm struct {
+	dataEndsHandshake bool // the packet that ends the handshake holds the request
+	lazy              bool // answers are acknowledged by the next request only
 }
 
 type silenceSession struct {
+	sessionForm
 	number   int
 	host     *silenceHost
 	token    directory.Token
@@ -85,16 +111,22 @@
 }
 
 func newSilenceWorld(seed uint64, perDataCentre int) *silenceWorld {
+	return newSizedWorld(seed, perDataCentre, 150, 3000, 750)
+}
+
+// newSizedWorld returns a world with these numbers, and with rate requests a second.
+func newSizedWorld(seed uint64, perDataCentre, targets, sessions, rate int) *silenceWorld {
 	w := &silenceWorld{
-		random: rand.New(rand.NewPCG(seed, 3)), now: time.Second, targets: map[directory.Token]*silenceTarget{}, rate: 750,
+		random: rand.New(rand.NewPCG(seed, 3)), now: time.Second, targets: map[directory.Token]*silenceTarget{}, rate: rate,
 		early: map[string]int{}, fallAt: time.Hour, cut: func(*silenceHost, *silenceTarget) bool { return false },
+		deaf:    func(*silenceHost) bool { return false },
 		service: func(r *rand.Rand) time.Duration { return time.Duration(13+r.IntN(27)) * time.Millisecond },
 	}
 	centres := []string{"a", "b", "c", "d"}
 	s := &directory.Snapshot{Configuration: &directory.Configuration{Version: 1, Routes: []directory.Route{{
 		Endpoint: silenceEndpoint, Services: []directory.WeightedService{{Name: "ingest", Weight: 1}}, Idempotent: true, Timeout: requestTimeout,
 	}}}}
-	for i := range 150 {
+	for i := range targets {
 		t := directory.Target{
 			Name: fmt.Sprintf("t-%d", i), ID: directory.TargetID(i + 1), Service: "ingest", DataCentre: centres[i%4], Capacity: 2, StartedMS: 1,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 8, byte(i)}), 80),
@@ -118,7 +150,7 @@
 		h.fleet.SetServices(view.ServiceOf)
 		w.hosts = append(w.hosts, h)
 	}
-	w.sessions = make([]silenceSession, 3000)
+	w.sessions = make([]silenceSession, sessions)
 	for i := range w.sessions {
 		w.sessions[i].host = w.hosts[w.random.IntN(len(w.hosts))]
 	}
@@ -221,6 +253,9 @@
 	}
 	sent := r.sent
 	w.toHost(r.session.host, func() { w.decide(r, &p, sent) })
+	if w.duplicate > 0 && w.random.Float64() < w.duplicate {
+		w.toHost(r.session.host, func() { w.decide(r, &p, sent) })
+	}
 }
 
 func (w *silenceWorld) toHost(h *silenceHost, do func()) {
@@ -237,8 +272,11 @@
 func (w *silenceWorld) decide(r *silenceRequest, p *steer.Packet, sent time.Duration) {
 	h := r.session.host
 	d := h.engine.Decide(p, w.now)
-	if d.Action == steer.Break && !w.targets[p.Token].silent {
+	if t := w.targets[p.Token]; d.Action == steer.Break && !t.silent {
 		w.breaksAtLiving++
+		if t.answered > 0 && w.now > t.answered+recoveryLimit || w.now > t.endedAt+stableWindow {
+			w.lateBreaks++
+		}
 	}
 	stale := func() bool { return r.done || r.sent != sent }
 	switch d.Action {
@@ -256,10 +294,13 @@
 		}
 		token := d.Target.Token
 		if p.Open {
+			t.answer(w.now)
 			w.after(2*silenceStep, func() {
 				if !stale() && r.opening {
 					r.session.token = token
-					w.acknowledge(r.session)
+					if !r.session.dataEndsHandshake {
+						w.acknowledge(r.session)
+					}
 					w.attempt(r, false)
 				}
 			})
@@ -270,7 +311,9 @@
 			if !stale() {
 				r.done = true
 				r.session.received += 500
-				w.acknowledge(r.session)
+				if !r.session.lazy {
+					w.acknowledge(r.session)
+				}
 			}
 		})
 	}
@@ -290,6 +333,7 @@
 	t.slots[slot] = max(t.slots[slot], w.now) + w.service(w.random)
 	w.after(t.slots[slot]-w.now+silenceStep, func() {
 		if !t.silent {
+			t.answer(w.now)
 			answer()
 		}
 	})
@@ -350,7 +394,7 @@
 	}
 	w.after(silenceStep, func() {
 		from, to := h.self.DataCentre, peer.self.DataCentre
-		if w.now < peer.paused || from != to && (from == w.isolated || to == w.isolated) {
+		if w.now < peer.paused || w.deaf(peer) || from != to && (from == w.isolated || to == w.isolated) {
 			w.after(600*time.Millisecond, func() { h.fleet.HandleFailure(peer.self.Address, w.now) })
 			return
 		}
@@ -365,6 +409,9 @@
 			}
 		}
 		w.after(silenceStep, func() {
+			if w.deaf(h) {
+				return
+			}
 			h.fleet.HandleReply(reply, w.now)
 			if early {
 				h.fleet.HandlePollReply(peer.self.Name, sentAt)
@@ -377,11 +424,18 @@
 func (w *silenceWorld) fall(silent bool) {
 	for i, token := range w.names {
 		if i%5 == 0 {
-			w.targets[token].silent = silent
+			w.setSilent(w.targets[token], silent)
 		}
 	}
 }
 
+func (w *silenceWorld) setSilent(t *silenceTarget, silent bool) {
+	if t.silent && !silent {
+		t.endedAt, t.answered = w.now, 0
+	}
+	t.silent = silent
+}
+
 // fallOutcome lets every fifth target fall silent for 9 s.
 func (w *silenceWorld) fallOutcome() {
 	w.run(5 * time.Second)
@@ -534,7 +588,7 @@
 	r := &Report{Host: other.self, Early: true, Loads: directory.Loads{Silence: []directory.Silence{claim}, CutOffs: 900}}
 	relay.fleet.HandleReport(r, n.now)
 	p := relay.fleet.PeerSilence(n.now + 100*time.Millisecond)
-	want := directory.Silence{Token: 7, Flows: maxHostFlows, Hosts: 1, Near: 1, WaitAge: 1000, AnswerAge: 1100}
+	want := directory.Silence{Token: 7, Flows: maxHostFlows, Hosts: 1, Near: 1, WaitAge: 1000, SentAge: 100, AnswerAge: 1100}
 	if len(p.Targets) != 1 || p.Targets[0] != want || p.CutOffs != 1 {
 		t.Errorf("evidence %+v, want %+v of one host, and 0.1 s older", p, want)
 	}
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -183,12 +183,15 @@
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
 	}
-	f, found := e.flows[p.Flow()]
+	earlier, found := e.flows[p.Flow()]
 	d := Decision{Action: Forward, Target: t}
-	e.observe(p, &d, now)                                           // before isLost: the packet may show that the target answers
+	e.observe(p, &d, now) // before isLost: the packet may show that the target answers, or that it still does not
+	if e.flows[p.Flow()].missCounted && t.load.silence.isDark(now) {
+		e.reviewTarget(t, now)
+	}
 	if !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now) { // a bare acknowledgement may be a sign of life
 		e.removeFlow(p.Flow())
-		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: found && !f.opened}
+		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: found && !earlier.opened}
 	}
 	return d
 }
--- a/steer/load.go
+++ b/steer/load.go
@@ -124,13 +124,14 @@
 // serves small fleets. It holds only in the target's own data centre: elsewhere a partition between the data centres looks the same.
 func (e *Engine) isLost(t *Target, now time.Duration) bool {
 	l := t.load
-	if l.silence.isDark(now) {
+	if l.silence.isResetting(now) {
 		return true
 	}
 	if e.peers.Hosts > smallFleet || !t.local || e.IsCutOff(now) || l.lastAnswer == 0 {
 		return false
 	}
-	return l.isSilent(now) && l.peers.Suspect && l.peers.Silent && now-l.newestAnswer() >= lostTimeout
+	return l.isSilent(now) && now-l.silence.missSent < directory.EvidenceValidity && l.peers.Suspect && l.peers.Silent &&
+		now-l.newestAnswer() >= lostTimeout
 }
 
 // clearSuspicions drops the evidence against all targets. After a long time without packets the process may have been
@@ -260,11 +261,15 @@
 		t.demand.lastAnswer = now
 	}
 	f.handleAck(p, t, now)
+	sent := f.lastPacket
 	f.lastPacket = now
 	wasWaiting, wasMissed := f.waiting, f.missCounted
 	d.Suspected = f.handleData(p, t, now)
-	if f.missCounted && !wasMissed {
-		e.noteMiss(t, f.waitStart)
+	if f.missCounted && p.Payload > 0 {
+		if now-sent < answerTimeout { // another packet of the flow came between the copies
+			sent = f.waitStart
+		}
+		e.noteMiss(t, f.waitStart, sent, !wasMissed)
 	}
 	if f.waiting && !wasWaiting {
 		e.recordAnswerSize(p, &f, t, now)
@@ -290,9 +295,21 @@
 		token: p.Token, opened: true, sentEnd: p.endSequence(), lastAck: p.Acknowledgement, waitStart: now, lastPacket: now,
 	}) {
 		t.load.open++
+		if t.load.silence.isDark(now) {
+			e.awaitAnswer(p.Flow(), t, now)
+		}
 	}
 }
 
+// awaitAnswer makes the data of an adopted flow count as unanswered when it is sent again, to find out whether its target answers.
+func (e *Engine) awaitAnswer(key FlowKey, t *Target, now time.Duration) {
+	f := e.flows[key]
+	f.waiting = true
+	e.flows[key] = f
+	e.addWait(key, now, now)
+	t.load.pending++
+}
+
 // recordAnswerSize counts the answer to the last request of a flow, of which the caller has acknowledged the last byte.
 func (e *Engine) recordAnswerSize(p *Packet, f *flowState, t *Target, now time.Duration) {
 	if !f.hasRequest || f.lastAck == f.answerStart {
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -38,11 +38,13 @@
 type silence struct {
 	misses     [maxMisses]time.Duration // when unanswered data of open flows was first sent, since the last answer here
 	count      int                      // number of misses in use
+	missSent   time.Duration            // when the newest copy of such data was sent, 0 for never
 	peers      directory.Silence        // of the other balancers, at peersAt
 	peersAt    time.Duration
 	peerAnswer time.Duration // newest answer at other balancers
 	avoidUntil time.Duration // until when new flows go to other targets
 	darkUntil  time.Duration // until when the target is dark
+	resetUntil time.Duration // until when flows of the dark target are reset, unless more data goes unanswered
 	darkAnswer time.Duration // newest answer that was known when it became dark
 	wasDark    bool          // the change to dark was reported as an event
 	toldFlows  uint16        // flows in the evidence that other hosts were told at once
@@ -82,13 +84,19 @@
 	}
 	s.count = kept
 	if at > s.darkAnswer+answerTolerance {
-		s.darkUntil, s.avoidUntil = 0, 0
+		s.setAlive()
 	}
 }
 
+// setAlive ends the darkness of the target.
+func (s *silence) setAlive() { s.darkUntil, s.resetUntil, s.avoidUntil = 0, 0, 0 }
+
 // isDark reports whether the target is taken to be dark.
 func (s *silence) isDark(now time.Duration) bool { return now < s.darkUntil }
 
+// isResetting reports whether flows of the dark target are reset.
+func (s *silence) isResetting(now time.Duration) bool { return now < min(s.darkUntil, s.resetUntil) }
+
 // newestAnswer returns the time of the newest answer of the target anywhere.
 func (l *load) newestAnswer() time.Duration { return max(l.lastAnswer, l.silence.peerAnswer) }
 
@@ -114,7 +122,7 @@
 		}
 	}
 	if own.Flows > 0 {
-		own.Hosts = 1
+		own.Hosts, own.SentAge = 1, directory.SilenceAge(now-s.missSent)
 		if t.local {
 			own.Near = 1
 		}
@@ -131,9 +139,14 @@
 	return own.Add(s.peers.Aged(now - s.peersAt))
 }
 
-// noteMiss records unanswered data of a flow at a target.
-func (e *Engine) noteMiss(t *Target, start time.Duration) {
-	t.load.silence.addMiss(start)
+// noteMiss records unanswered data of a flow at a target, of which the last copy was sent at sent. first reports that no copy was recorded
+// before.
+func (e *Engine) noteMiss(t *Target, start, sent time.Duration, first bool) {
+	s := &t.load.silence
+	s.missSent = max(s.missSent, sent)
+	if first {
+		s.addMiss(start)
+	}
 	e.doubted[t.Token] = true
 }
 
@@ -222,18 +235,13 @@
 	}
 	e.reviewCutOff(now)
 	tell = e.IsCutOff(now) && !wasCutOff
-	partitioned := e.isPartitioned(now)
 	for token := range e.doubted {
 		t := e.view.Resolve(token)
 		if t == nil {
 			delete(e.doubted, token)
 			continue
 		}
-		s, ev := &t.load.silence, e.evidence(t, now)
-		t.reviewDark(ev, e.peers.DataCentres, now)
-		if partitioned {
-			s.darkUntil = 0
-		}
+		s, ev := &t.load.silence, e.reviewTarget(t, now)
 		dark, wasDark := s.isDark(now), s.wasDark
 		if dark != wasDark {
 			s.wasDark = dark
@@ -248,6 +256,16 @@
 	return events, tell
 }
 
+// reviewTarget decides whether the target is dark, and returns the evidence of all balancers.
+func (e *Engine) reviewTarget(t *Target, now time.Duration) directory.Silence {
+	ev := e.evidence(t, now)
+	t.reviewDark(ev, e.peers.DataCentres, now)
+	if e.isPartitioned(now) {
+		t.load.silence.setAlive()
+	}
+	return ev
+}
+
 // reviewCutOff finds out whether data from here has been unanswered for long although its target, which has no queue, answered another
 // balancer after it was sent.
 func (e *Engine) reviewCutOff(now time.Duration) {
@@ -266,28 +284,39 @@
 	}
 }
 
-// reviewDark decides by the evidence whether the target is dark, and whether new flows avoid it.
+// reviewDark decides by the evidence whether the target is dark, and whether new flows avoid it. Flows of a dark target are reset only while data
+// that was sent to it within directory.EvidenceValidity is unanswered. Packets that come later are forwarded and show whether it answers
+// again, so that no balancer goes on to reset its flows for want of an answer that it knows.
 func (t *Target) reviewDark(ev directory.Silence, dataCentres int, now time.Duration) {
 	s, answer := &t.load.silence, t.load.newestAnswer()
-	if ev.Hosts >= 2 && ev.SilentFor() >= avoidAfter {
+	valid := ev.RemainingValidity()
+	if ev.Hosts >= 2 && ev.SilentFor() >= avoidAfter && valid > 0 {
 		s.avoidUntil = now + avoidAfter
 	}
 	switch {
 	case s.isDark(now) && answer > s.darkAnswer+answerTolerance:
-		s.darkUntil, s.avoidUntil = 0, 0
-	case s.isDark(now) && (ev.Flows > 0 || ev.Unopened > 0):
-		s.darkUntil = max(s.darkUntil, now+darkFor/2)
+		s.setAlive()
+		t.load.clearMisses()
 	case !s.isDark(now) && ev.Confirmed(dataCentres):
-		s.darkUntil, s.darkAnswer = now+darkFor, answer
+		s.darkUntil, s.resetUntil, s.darkAnswer = now+darkFor, now+valid, answer
+	case s.isDark(now) && valid > 0 && isDoubtful(ev):
+		s.darkUntil, s.resetUntil = now+darkFor, max(s.resetUntil, now+valid)
+	case s.isDark(now) && ev.Unopened > 0:
+		s.darkUntil = max(s.darkUntil, now+darkFor/2)
 	}
 }
 
+// isDoubtful reports whether the evidence is more than that of one lost datagram.
+func isDoubtful(ev directory.Silence) bool {
+	return ev.Flows >= suspectThreshold || time.Duration(ev.WaitAge)*time.Millisecond >= doubtAfter
+}
+
 // isTelling reports whether other hosts should know the evidence of this balancer at once: a flow has waited for long, or longer
 // than the answer takes of a target that others doubt; or the target that others doubt or that was dark has answered here.
 func (t *Target) isTelling(own directory.Silence, wasDark bool, now time.Duration) bool {
 	s := &t.load.silence
 	doubted := s.peersAt > 0 && s.peers.Flows > 0 || s.toldFlows > 0 || wasDark
-	waited := own.Flows >= suspectThreshold || time.Duration(own.WaitAge)*time.Millisecond >= doubtAfter
+	waited := isDoubtful(own)
 	answered := t.load.lastAnswer > s.peerAnswer+answerTolerance && t.load.lastAnswer > s.toldAnswer+answerTolerance
 	switch {
 	case own.Flows > s.toldFlows && (waited || doubted), own.Flows < s.toldFlows:
--- a/steer/silence_test.go
+++ b/steer/silence_test.go
@@ -180,3 +180,28 @@
 		t.Errorf("told at once: %v, events %+v, want that the target answered, told at once", tell, events)
 	}
 }
+
+// Guards against resets that go on because nobody sends the target anything that it could answer: few callers, or hosts that no longer hear
+// from others. What goes unanswered then must still be found at once.
+func TestResetsEndWithoutNewEvidence(t *testing.T) {
+	now := 20 * time.Second
+	e, token := darkEngine(now)
+	later := now + directory.EvidenceValidity
+	if d := e.Decide(dataPacket(1, token, 1), later-time.Millisecond); d.Action != Break {
+		t.Errorf("while the evidence is valid: %v, want a reset", d.Action)
+	}
+	if d := e.Decide(dataPacket(2, token, 1), later); d.Action != Forward {
+		t.Errorf("after that: %v, want forward", d.Action)
+	}
+	for n := range 200 {
+		if d := e.Decide(openingPacket(10+n), later); d.Target.Token == token {
+			t.Errorf("new flow %d goes to the dark target", n)
+		}
+	}
+	if d := e.Decide(dataPacket(2, token, 1), later+200*time.Millisecond); d.Action != Break {
+		t.Errorf("copy of data that went unanswered: %v, want a reset", d.Action)
+	}
+	if d := e.Decide(dataPacket(3, token, 1), later+210*time.Millisecond); d.Action != Break {
+		t.Errorf("another flow after that: %v, want a reset", d.Action)
+	}
+}
