steer: a silent target that answers others again is no sign of a cut-off balancer

Cause: a balancer with data unanswered for 0.62 s at a target that answers others takes itself for cut off, which voids its evidence for 3 s; two such balancers stop all verdicts. The same holds when the target was silent for all and is back: its first answer elsewhere made every balancer with evidence cut off.

Answers of a dark target no longer count for it, and end the evidence from before them.

--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -104,3 +104,20 @@
 		t.Errorf("%d flows of targets that answer again were reset late, want none", w.lateBreaks)
 	}
 }
+
+// Guards against hosts that take themselves for cut off when a target that was silent answers others again, and that therefore overlook the
+// crash of another one.
+func TestCrashIsFoundWhileOthersAnswerAgain(t *testing.T) {
+	w := newSizedWorld(2, 19, 30, 1500, 750)
+	for i := range w.sessions {
+		w.sessions[i].sessionForm = callerForms["all forms"](w.random)
+	}
+	w.briefSilences(1, func(w *silenceWorld) {
+		w.fallAt = w.now
+		w.setSilent(w.targets[w.names[29]], true)
+	})
+	t.Logf("%d of %d requests failed that were sent later than 1 s after the crash", w.failedLate, w.issuedLate)
+	if w.failedLate*1000 > 2*w.issuedLate {
+		t.Errorf("%d of %d requests failed that were sent later than 1 s after the crash, want at most 2 of 1,000", w.failedLate, w.issuedLate)
+	}
+}
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -267,11 +267,11 @@
 }
 
 // reviewCutOff finds out whether data from here has been unanswered for long although its target, which has no queue, answered another
-// balancer after it was sent.
+// balancer after it was sent. A dark target that answers others was silent and is back, which says nothing about the path from here.
 func (e *Engine) reviewCutOff(now time.Duration) {
 	for token := range e.doubted {
 		t := e.view.Resolve(token)
-		if t == nil {
+		if t == nil || t.load.silence.isDark(now) {
 			continue
 		}
 		s := &t.load.silence
@@ -295,7 +295,7 @@
 	}
 	switch {
 	case s.isDark(now) && answer > s.darkAnswer+answerTolerance:
-		s.setAlive()
+		s.noteAnswer(answer)
 		t.load.clearMisses()
 	case !s.isDark(now) && ev.Confirmed(dataCentres):
 		s.darkUntil, s.resetUntil, s.darkAnswer = now+darkFor, now+valid, answer
--- a/steer/silence_test.go
+++ b/steer/silence_test.go
@@ -205,3 +205,22 @@
 		t.Errorf("another flow after that: %v, want a reset", d.Action)
 	}
 }
+
+// Guards against a balancer that takes itself for cut off because a target that was silent answers others again.
+func TestReturnOfSilentTargetIsNoCutOff(t *testing.T) {
+	now := 20 * time.Second
+	e := engine(knownTarget(1, local))
+	token := leaveUnanswered(e, 3, now-2*time.Second, now) // data of 3 flows was first sent 0.2 s ago
+	dark := silentTarget(token)
+	e.SetPeerSilence(Peers{Silence: []directory.Silence{dark}, DataCentres: 2, Hosts: 9}, now)
+	if events, _ := e.ReviewSilence(now); len(events) != 1 || !events[0].Dark {
+		t.Fatalf("events %+v, want a dark target", events)
+	}
+	later := now + 450*time.Millisecond
+	e.View().Resolve(token).load.pending = 1 // no queue, which would explain the wait
+	answered := directory.Silence{Token: token, AnswerAge: 1}
+	e.SetPeerSilence(Peers{Silence: []directory.Silence{answered}, DataCentres: 2, Hosts: 9}, later)
+	if events, _ := e.ReviewSilence(later); e.IsCutOff(later) || len(events) != 1 || !events[0].Answered {
+		t.Errorf("cut off: %v, events %+v, want not, and an answer", e.IsCutOff(later), events)
+	}
+}
