peer: reset the connection of a failed call

A call that fails now resets its connection, which discards what the system has not sent. The server takes such an end for that of a peer that gave up, as it does for a closed connection.

Before: TestFailedCallResetsItsConnection sees an orderly end.

--- a/internal/peer/rpc.go
+++ b/internal/peer/rpc.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/marigoldwood/marigoldwood/resultcode"
@@ -43,13 +44,13 @@
 	return &Client{identity: identity, to: to, timeout: timeout}
 }
 
-// Call sends m and returns the response. On an error, which is a *resultcode.Error, it closes the connection.
+// Call sends m and returns the response. On an error, which is a *resultcode.Error, it resets the connection.
 func (c *Client) Call(ctx context.Context, m Message) (Message, error) {
 	response, err := c.call(ctx, m)
 	if err == nil {
 		return response, nil
 	}
-	c.Close()
+	c.abort()
 	return nil, resultcode.Errorf(codeOf(err), c.to.String(), "%v", err)
 }
 
@@ -96,6 +97,15 @@
 	return r.conn.Read(b)
 }
 
+// abort resets the connection, which discards bytes that the system has not sent: a request that arrives after a partition, when its caller
+// has given up, holds ages that are too small by the time that it was held up.
+func (c *Client) abort() {
+	if conn, ok := c.conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // Close closes the connection. The next Call opens a new one.
 func (c *Client) Close() {
 	if c.conn != nil {
@@ -188,7 +198,7 @@
 			return err
 		}
 		f, err := ReadFrame(conn, nil)
-		if errors.Is(err, io.EOF) || isTimeout(err) {
+		if errors.Is(err, io.EOF) || isAborted(err) || isTimeout(err) {
 			return nil
 		}
 		if err != nil {
@@ -202,12 +212,19 @@
 		if err != nil {
 			return err
 		}
-		if err := s.respond(conn, response); err != nil {
+		if err := s.respond(conn, response); isAborted(err) {
+			return nil
+		} else if err != nil {
 			return err
 		}
 	}
 }
 
+// isAborted reports whether the peer has reset the connection, because it has given up on its request. It logs that itself.
+func isAborted(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // respond writes a response, or its reduced form if it is too large for a frame.
 func (s *Server) respond(conn net.Conn, response Message) error {
 	err := writeMessage(conn, s.Identity, response)
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -72,6 +73,24 @@
 	}
 }
 
+// Guards against a request that is delivered after a partition although its caller gave up long ago: the ages that it holds would make old
+// evidence look new.
+func TestFailedCallResetsItsConnection(t *testing.T) {
+	listener, address := listenLoopback(t)
+	client := NewClient(NewIdentity("a", "x", 1), address, 100*time.Millisecond)
+	if _, err := client.Call(t.Context(), &RelayReport{}); resultcode.Of(err) != resultcode.PeerUnreachable {
+		t.Fatalf("call to a peer that does not answer: %v, want peer-unreachable", err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.Copy(io.Discard, conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection of the failed call ends with %v, want a reset", err)
+	}
+}
+
 // Guards against a list that is too large for a frame and costs the whole response: hosts would lose contact with each other. The largest
 // configuration and the targets of the planned fleet must fit.
 func TestTooLargeReplyIsReduced(t *testing.T) {
