steer: look up the flow before a packet only for dark targets

Keeps the cost of a packet to a target that answers as it was, and the end of darkness in a partition apart from the avoidance of new flows, as before. New flows avoid a target until an answer that is newer than all unanswered data: the acknowledgement of an earlier answer showed nothing.

--- a/relay/silent.go
+++ b/relay/silent.go
@@ -7,8 +7,8 @@
 	"github.com/marigoldwood/marigoldwood/directory"
 )
 
-// silentRetention is how long after the last decisive evidence against a target its answers are told to all hosts. No host resets its flows
-// by that evidence any longer.
+// silentRetention is how long after the last decisive evidence against a target its answers are told to all hosts. Some hosts may take it for
+// dark for that long.
 const silentRetention = 4 * time.Second
 
 // silentTarget is a target that the evidence of all hosts has shown to be silent.
@@ -17,6 +17,7 @@
 	answerAt time.Duration // newest answer known then, 0 for none
 }
 
+// silentTargets holds the targets that were shown to be silent within silentRetention.
 type silentTargets map[directory.Token]silentTarget
 
 // note records which targets the evidence shows to be silent, and forgets those for which it has not for silentRetention.
--- a/steer/engine.go
+++ b/steer/engine.go
@@ -183,15 +183,19 @@
 		}
 		return Decision{Action: Break, Code: resultcode.TargetGone, Target: t}
 	}
-	earlier, found := e.flows[p.Flow()]
 	d := Decision{Action: Forward, Target: t}
+	dark, probe := t.load.silence.isDark(now), false
+	if dark {
+		f, found := e.flows[p.Flow()]
+		probe = found && !f.opened
+	}
 	e.observe(p, &d, now) // before isLost: the packet may show that the target answers, or that it still does not
-	if e.flows[p.Flow()].missCounted && t.load.silence.isDark(now) {
+	if dark && e.flows[p.Flow()].missCounted {
 		e.reviewTarget(t, now)
 	}
 	if !p.Reset && !p.Finish && p.Payload > 0 && e.isLost(t, now) { // a bare acknowledgement may be a sign of life
 		e.removeFlow(p.Flow())
-		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: found && !earlier.opened}
+		return Decision{Action: Break, Code: resultcode.TargetLost, Target: t, Probe: probe}
 	}
 	return d
 }
@@ -219,7 +223,7 @@
 	}
 	e.removeFlow(key)
 	t := e.view.pick(route, key, now, earlier)
-	probed := (*Target)(nil)
+	var probed *Target
 	if p.Acknowledgement == 0 {
 		probed = e.probeTarget(route, key, now)
 		t = cmp.Or(probed, t)
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -73,7 +73,8 @@
 	return s.count > 0 && now-s.misses[s.count-1] < missRetention
 }
 
-// noteAnswer drops the evidence that an answer at the given time refutes. The target is no longer dark if it is newer than the one known then.
+// noteAnswer drops the evidence that an answer at the given time refutes. The target is no longer dark if it is newer than the one known then,
+// and new flows no longer avoid it if it is newer than all unanswered data.
 func (s *silence) noteAnswer(at time.Duration) {
 	kept := 0
 	for _, start := range s.misses[:s.count] {
@@ -86,10 +87,13 @@
 	if at > s.darkAnswer+answerTolerance {
 		s.setAlive()
 	}
+	if at > s.missSent {
+		s.avoidUntil = 0
+	}
 }
 
 // setAlive ends the darkness of the target.
-func (s *silence) setAlive() { s.darkUntil, s.resetUntil, s.avoidUntil = 0, 0, 0 }
+func (s *silence) setAlive() { s.darkUntil, s.resetUntil = 0, 0 }
 
 // isDark reports whether the target is taken to be dark.
 func (s *silence) isDark(now time.Duration) bool { return now < s.darkUntil }
