integration: callers that end handshakes with their request, brief cuts of targets in tests and soak

Callers with odd numbers now end it with their first request, in all tests of the direct balancer and in the soak. The soak has more sessions and cuts targets off for 0.5 to 2 s in series, beside its other faults, from a random source of its own.

Until now targets were not cut off.

--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -63,6 +63,9 @@
 	ports     []uint16        // endpoint ports that have a route
 	evacuated map[string]bool // by data centre, as the operator wants it
 	unused    int             // number of further routes, which no caller uses
+	cuts      targetCuts
+	// requestsEndHandshakes makes all callers end handshakes with their first request.
+	requestsEndHandshakes bool
 }
 
 // directHost is a host with its balancer process.
@@ -105,6 +108,7 @@
 	d := &directDeployment{
 		t: t, block: byte(*firstBlock + int(blocksUsed.Add(1))), dir: t.TempDir(), recorder: standin.NewRecorder(),
 		targets: map[string]*standin.Target{}, ports: []uint16{443, 8443}, evacuated: map[string]bool{},
+		cuts: targetCuts{ends: map[string]time.Time{}},
 	}
 	var err error
 	if d.store, err = standin.NewStore(d.address(storeSubnet, 1, storePort)); err != nil {
@@ -357,11 +361,13 @@
 	return d.rotation[(int(flow.Port())*7+int(flow.Addr().As4()[3]))%len(d.rotation)]
 }
 
+// newCaller starts a caller. Callers with odd numbers end handshakes with their first request, the others without data, unless all do.
 func (d *directDeployment) newCaller(number int) *standin.Caller {
 	c, err := standin.NewCaller(d.address(callerSubnet, number, dataPort), d.nextHop)
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	c.RequestEndsHandshake = number%2 == 1 || d.requestsEndHandshakes
 	d.t.Cleanup(c.Close)
 	return c
 }
--- a/integration/direct_test.go
+++ b/integration/direct_test.go
@@ -39,7 +39,7 @@
 	tr := &traffic{d: d, stop: make(chan struct{}), sessionInterval: 100 * time.Millisecond, requestInterval: 20 * time.Millisecond}
 	for i := range sessions {
 		c := d.newCaller(i + 1)
-		tr.wg.Go(func() { tr.runSession(c, i) })
+		tr.wg.Go(func() { tr.runSession(c, i, tr.sessionInterval) })
 	}
 	for i := range requesters {
 		c := d.newCaller(100 + i)
@@ -48,6 +48,14 @@
 	return tr
 }
 
+// addIdleSessions adds sessions with a request every 3 to 6 s. They use the addresses of the callers from 110 on.
+func (tr *traffic) addIdleSessions(sessions int) {
+	for i := range sessions {
+		c := tr.d.newCaller(110 + i)
+		tr.wg.Go(func() { tr.runSession(c, 110+i, 3*time.Second+time.Duration(i)*3*time.Second/time.Duration(sessions)) })
+	}
+}
+
 func (tr *traffic) finish() {
 	close(tr.stop)
 	tr.wg.Wait()
@@ -67,18 +75,18 @@
 
 // runSession sends requests over one flow, and opens a new flow after an error other than a timeout. It records responses that
 // come from another target than the first one of the flow, and resets by a balancer while the flow's target is live.
-func (tr *traffic) runSession(c *standin.Caller, number int) {
-	for !tr.stoppedWithin(tr.sessionInterval) {
+func (tr *traffic) runSession(c *standin.Caller, number int, interval time.Duration) {
+	for !tr.stoppedWithin(interval) {
 		f, err := c.Open(tr.d.endpoint(443))
 		if err != nil {
 			tr.countResult(err)
 			continue
 		}
 		firstTarget := ""
-		for n := 0; !tr.stoppedWithin(tr.sessionInterval); n++ {
+		for n := 0; !tr.stoppedWithin(interval); n++ {
 			target, err := f.Request(fmt.Sprintf("feed-%d-%d", number, n), 2*time.Second)
 			tr.countResult(err)
-			if errors.Is(err, standin.ErrBalancerReset) && tr.recorder != nil && f.HasLiveTarget(tr.recorder) {
+			if errors.Is(err, standin.ErrBalancerReset) && tr.recorder != nil && tr.d.mustKeepFlows(f.LiveTarget(tr.recorder)) {
 				tr.mu.Lock()
 				tr.resetsWithLiveTarget = append(tr.resetsWithLiveTarget, fmt.Sprintf(
 					"%s session %d was reset by a balancer while its target %s is live", time.Now().Format("05.000"), number, firstTarget))
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -47,6 +47,7 @@
 	silences    *rand.Rand // of the silent connections, apart so that the other faults of a seed stay the same
 	evacuations *rand.Rand // of the evacuations, apart for the same reason
 	restores    *rand.Rand // of the restores of the store, apart for the same reason
+	cutTimes    *rand.Rand // of the brief cuts of targets, apart for the same reason
 	wg          sync.WaitGroup
 	hostLocks   [soakHosts]sync.Mutex // held while a signal to the host takes effect
 	targetLocks [soakTargets]sync.Mutex
@@ -73,8 +74,9 @@
 	s := &soak{
 		directDeployment: startDirect(t, soakHosts, soakTargets), random: rand.New(rand.NewPCG(seed, 0)),
 		silences: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 2)), evacuations: rand.New(rand.NewPCG(seed, 3)),
+		cutTimes: rand.New(rand.NewPCG(seed, 4)),
 	}
-	tr := s.startTraffic(12, 4)
+	tr := s.startTraffic(32, 4)
 	tr.recorder = s.recorder
 	for range 2 {
 		s.injectFaults(faultPhase)
@@ -105,6 +107,7 @@
 	s.undoAfter(time.Duration(s.silences.Int64N(int64(d))), s.silenceConnections)
 	s.evacuateFor(time.Duration(s.evacuations.Int64N(int64(d))))
 	s.undoAfter(time.Duration(s.restores.Int64N(int64(d))), s.restoreStore)
+	s.wg.Go(s.cutTargetsInTurn)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
 		faults[s.random.IntN(len(faults))](time.Duration(300+s.random.IntN(2500)) * time.Millisecond)
@@ -259,6 +262,21 @@
 	s.undoAfter(d, func() { s.startTarget(i + 1); s.targetLocks[i].Unlock() })
 }
 
+// cutTargetsInTurn cuts two targets at a time off from the balancers, three times.
+func (s *soak) cutTargetsInTurn() {
+	for range 3 {
+		time.Sleep(time.Duration(s.cutTimes.IntN(1000)) * time.Millisecond)
+		duration := time.Duration(500+s.cutTimes.IntN(1500)) * time.Millisecond
+		var wg sync.WaitGroup
+		for _, i := range s.cutTimes.Perm(soakTargets)[:2] {
+			if s.targetLocks[i].TryLock() {
+				wg.Go(func() { s.cutTarget(i+1, duration); s.targetLocks[i].Unlock() })
+			}
+		}
+		wg.Wait()
+	}
+}
+
 // removeTargetRecord removes the record of a live target for a shorter time than balancers wait for a record to return.
 func (s *soak) removeTargetRecord(time.Duration) {
 	i := s.random.IntN(soakTargets)
