--- a/internal/direct/silence.go
+++ b/internal/direct/silence.go
@@ -95,7 +95,7 @@
 	ms := func(age uint16) time.Duration { return time.Duration(age) * time.Millisecond }
 	inputs := logrus.Fields{
 		"flows": e.Evidence.Flows, "unopened": e.Evidence.Unopened, "hosts": e.Evidence.Hosts, "near": e.Evidence.Near,
-		"wait_age": ms(e.Evidence.WaitAge), "polls": e.Evidence.Polls, "poll_age": ms(e.Evidence.PollAge),
+		"wait_age": ms(e.Evidence.WaitAge), "sent_age": ms(e.Evidence.SentAge), "polls": e.Evidence.Polls, "poll_age": ms(e.Evidence.PollAge),
 	}
 	if e.Evidence.AnswerAge != directory.NoAnswer {
 		inputs["answer_age"] = ms(e.Evidence.AnswerAge)
