settings: a panic of the YAML library is a syntax error

The library dereferences nil on such text, and decode did not recover. It now returns settings-syntax with the position of the first tag; a reload is rejected. By hand: '101 settings-syntax: [1:16] tag !x: cannot be decoded', exit status 1.

The new row of TestParseRejectsInvalidSettings panicked before. FuzzParse, which now covers the settings of the direct balancer too, passed three runs of 20,000 inputs.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/token"
 
 	"github.com/marigoldwood/marigoldwood/resultcode"
 )
@@ -82,11 +84,34 @@
 	if err := setDefaults(reflect.ValueOf(s).Elem()); err != nil {
 		return err
 	}
+	if err := decodeYAML(data, s); err != nil {
+		return err
+	}
+	return checkFields(s)
+}
+
+// decodeYAML decodes data into s. The library panics on some texts, such as a tag before text where a list is expected.
+func decodeYAML(data []byte, s any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = resultcode.Errorf(resultcode.SettingsSyntax, "", "%scannot be decoded: %v", positionOfTag(data), p)
+		}
+	}()
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
 	if err := decoder.Decode(s); err != nil {
 		return yamlError(err)
 	}
-	return checkFields(s)
+	return nil
+}
+
+// positionOfTag returns the position of the first tag as the start of a message, or "" if there is none: it is the likely cause of a panic.
+func positionOfTag(data []byte) string {
+	for _, t := range lexer.Tokenize(string(data)) {
+		if t.Type == token.TagType {
+			return fmt.Sprintf("[%d:%d] tag %s: ", t.Position.Line, t.Position.Column, strings.TrimSpace(t.Value))
+		}
+	}
+	return ""
 }
 
 // yamlError returns a YAML error as a *resultcode.Error, which distinguishes unknown fields from syntax errors.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,7 @@
 		{"too many workers", "traffic: {}", "traffic: {workers: 1000}", resultcode.SettingsInvalidValue, "traffic.workers"},
 		{"fabric without port", `"127.0.0.2:6081"`, `"127.0.0.2"`, resultcode.SettingsSyntax, ""},
 		{"no certificate", "peers: {plain: true}", "peers: {}", resultcode.SettingsInvalidValue, "peers.tls.certificate"},
+		{"tag before text for a list", `[{id: k1, public: "AAAA"}]`, "!x y", resultcode.SettingsSyntax, "[8:16] tag !x"},
 		{"no bundle key", `[{id: k1, public: "AAAA"}]`, "[]", resultcode.SettingsInvalidValue, "bundle.keys"},
 	}
 	for _, tt := range tests {
@@ -71,7 +72,12 @@
 // Guards against a panic on arbitrary input, and against a nil result without an error.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
+	f.Add([]byte("peers: {seeds: !x y}"))
+	f.Add([]byte("bundle: {keys: !x y}"))
 	f.Fuzz(func(t *testing.T, data []byte) {
+		if direct, err := ParseDirect(data); (direct == nil) == (err == nil) && err == nil {
+			t.Fatal("ParseDirect returned neither settings nor an error")
+		}
 		s, err := Parse(data)
 		if (s == nil) == (err == nil) && err == nil {
 			t.Fatal("Parse returned neither settings nor an error")
