--- a/internal/safedecode/safedecode.go
+++ b/internal/safedecode/safedecode.go
@@ -17,8 +17,14 @@
 // maxDepth is the maximum nesting of arrays and maps. The messages of this project nest less deeply.
 const maxDepth = 32
 
-// Msgpack decodes exactly one value into v. Before that it checks that the data holds as many bytes and elements as it claims.
-func Msgpack(data []byte, v any) error {
+// Msgpack decodes exactly one value into v. Before that it checks that the data holds as many bytes and elements as it claims. A panic of the
+// library, such as on an extension in place of a slice, is returned as an error.
+func Msgpack(data []byte, v any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = Error.New("panic: %v", p)
+		}
+	}()
 	if err := check(data); err != nil {
 		return err
 	}
--- a/internal/safedecode/safedecode_test.go
+++ b/internal/safedecode/safedecode_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// panics holds data on which the library panics.
+var panics = map[string]string{
+	"second value of a field of type any": "\x87\xa700000000\xa5000000\xa00\xa100\xa3Any\xd6\xff0000\xa3Any\xd6\xff000000",
+	"time in place of bytes":              "\x81\xa5Bytes\xc7\f\xff\x00\x00\x00\x00\xff\xff\xff\xf1\x88n\t\x00",
+}
+
+// Guards against a panic of the library that ends the process.
+func TestPanicsOfLibrary(t *testing.T) {
+	for name, data := range panics {
+		if err := Msgpack([]byte(data), &sample{}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
 // FuzzMsgpack guards against data that the check lets through and that the library decodes from more bytes than there are, or to
 // values of a size out of proportion to the data.
 func FuzzMsgpack(f *testing.F) {
@@ -101,6 +116,9 @@
 	}
 	f.Add(data)
 	f.Add([]byte("\x81\xa7Numbers\xdd\x04\x00\x00\x00"))
+	for _, data := range panics {
+		f.Add([]byte(data))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var out sample
 		if Msgpack(data, &out) != nil {
