relay: a test for the return of new flows, known to fail

A target that answers again must be taken back within a second of its first answer. Open flows are kept, on all hosts. New flows return within the second where an answer is acknowledged at once, which the end of a probe's handshake always is, but not when the only answers are acknowledged with the next request, nor on hosts that hear nothing.

--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// Guards against hosts that keep new flows from a target for longer than recoveryLimit after its first answer: the first answer may be one that
+// its caller acknowledges only with the next request, and some hosts may hear nothing.
+func TestNewFlowsReturnAfterBriefSilence(t *testing.T) {
+	for name, disturb := range map[string]func(*silenceWorld){
+		"undisturbed": func(*silenceWorld) {},
+		"half of the hosts hear nothing for 3 s": func(w *silenceWorld) {
+			until := w.now + 3*time.Second
+			w.deaf = func(h *silenceHost) bool { return w.now < until && h.inGroup(2) }
+		},
+	} {
+		for form, forms := range callerForms {
+			w := newSizedWorld(20, 19, 30, 1500, 750)
+			for i := range w.sessions {
+				w.sessions[i].sessionForm = forms(w.random)
+			}
+			if w.briefSilences(2, disturb); w.stillDark > 0 {
+				t.Errorf("%s, %s: a target is dark on %d hosts, added up over 4 targets, %v after its first answer", name, form, w.stillDark, recoveryLimit)
+			}
+		}
+	}
+}
+
 // Guards against hosts that take themselves for cut off when a target that was silent answers others again, and that therefore overlook the
 // crash of another one.
 func TestCrashIsFoundWhileOthersAnswerAgain(t *testing.T) {
--- a/relay/silenceworld_test.go
+++ b/relay/silenceworld_test.go
@@ -47,6 +47,7 @@
 	// lateBreaks are those of breaksAtLiving that came later than recoveryLimit after the first answer of the target since it was silent, or
 	// later than stableWindow after it was.
 	lateBreaks             int
+	stillDark              int            // hosts that took a target for dark recoveryLimit after its first answer, added up
 	issuedLate, failedLate int            // sent later than 1 s after the fall
 	early                  map[string]int // early reports by sender
 	fallAt                 time.Duration
@@ -184,6 +185,21 @@
 		for _, h := range w.hosts {
 			w.stepHost(h)
 		}
+		w.countStillDark()
+	}
+}
+
+// countStillDark counts the hosts that keep new flows from a target that answered again recoveryLimit ago.
+func (w *silenceWorld) countStillDark() {
+	for _, token := range w.names {
+		if t := w.targets[token]; t.endedAt == 0 || t.answered == 0 || w.now != t.answered+recoveryLimit {
+			continue
+		}
+		for _, h := range w.hosts {
+			if h.engine.DarkTargets(w.now)[token] {
+				w.stillDark++
+			}
+		}
 	}
 }
 
