steer: track an adopted flow at a dark target in one step

An adopted flow was added, read again and written again to make it wait for an answer. It is now added with that state. The comparison of an answer with the one known when a target became dark stood in three places and has a name. No change of behaviour.

--- a/steer/load.go
+++ b/steer/load.go
@@ -291,23 +291,17 @@
 // adopt starts to track an open flow whose earlier packets went through another balancer.
 func (e *Engine) adopt(p *Packet, t *Target, now time.Duration) {
 	e.removeFlow(p.Flow())
-	if e.addFlow(p.Flow(), flowState{
-		token: p.Token, opened: true, sentEnd: p.endSequence(), lastAck: p.Acknowledgement, waitStart: now, lastPacket: now,
+	waiting := t.load.silence.isDark(now) // a copy of the data then shows that the target still does not answer
+	if !e.addFlow(p.Flow(), flowState{
+		token: p.Token, opened: true, waiting: waiting, sentEnd: p.endSequence(), lastAck: p.Acknowledgement, waitStart: now, lastPacket: now,
 	}) {
-		t.load.open++
-		if t.load.silence.isDark(now) {
-			e.awaitAnswer(p.Flow(), t, now)
-		}
+		return
+	}
+	t.load.open++
+	if waiting {
+		e.addWait(p.Flow(), now, now)
+		t.load.pending++
 	}
-}
-
-// awaitAnswer makes the data of an adopted flow count as unanswered when it is sent again, to find out whether its target answers.
-func (e *Engine) awaitAnswer(key FlowKey, t *Target, now time.Duration) {
-	f := e.flows[key]
-	f.waiting = true
-	e.flows[key] = f
-	e.addWait(key, now, now)
-	t.load.pending++
 }
 
 // recordAnswerSize counts the answer to the last request of a flow, of which the caller has acknowledged the last byte.
--- a/steer/silence.go
+++ b/steer/silence.go
@@ -84,7 +84,7 @@
 		}
 	}
 	s.count = kept
-	if at > s.darkAnswer+answerTolerance {
+	if s.isEndedBy(at) {
 		s.setAlive()
 	}
 	if at > s.missSent {
@@ -92,6 +92,9 @@
 	}
 }
 
+// isEndedBy reports whether an answer at the given time is newer than the one that was known when the target became dark.
+func (s *silence) isEndedBy(answer time.Duration) bool { return answer > s.darkAnswer+answerTolerance }
+
 // setAlive ends the darkness of the target.
 func (s *silence) setAlive() { s.darkUntil, s.resetUntil = 0, 0 }
 
@@ -249,8 +252,8 @@
 		dark, wasDark := s.isDark(now), s.wasDark
 		if dark != wasDark {
 			s.wasDark = dark
-			answered := t.load.newestAnswer() > s.darkAnswer+answerTolerance
-			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: !dark && answered})
+			answered := !dark && s.isEndedBy(t.load.newestAnswer())
+			events = append(events, SilenceEvent{Target: t, Dark: dark, Evidence: ev, Answered: answered})
 		}
 		tell = t.isTelling(e.ownSilence(t, now), wasDark, now) || tell
 		if s.peersAt == 0 && !s.wasDark && ev.Flows == 0 && ev.Unopened == 0 && s.toldFlows == 0 && !s.hasMiss(now) {
@@ -298,7 +301,7 @@
 		s.avoidUntil = now + avoidAfter
 	}
 	switch {
-	case s.isDark(now) && answer > s.darkAnswer+answerTolerance:
+	case s.isDark(now) && s.isEndedBy(answer):
 		s.noteAnswer(answer)
 		t.load.clearMisses()
 	case !s.isDark(now) && ev.Confirmed(dataCentres):
