--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -57,25 +57,12 @@
 	for name, disturb := range map[string]func(*silenceWorld){
 		"copies and loss": func(w *silenceWorld) { w.duplicate, w.loss = 0.2, 0.01 },
 		"a quarter of the hosts restart": func(w *silenceWorld) {
-			fresh := newSizedWorld(9, 19, 30, 1, 1)
-			for i, h := range w.hosts {
-				if h.inGroup(4) {
-					h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
-				}
-			}
+			w.restart(newSizedWorld(9, 19, 30, 1, 1), func(h *silenceHost) bool { return h.inGroup(4) })
 		},
 		"the relays restart": func(w *silenceWorld) {
-			fresh := newSizedWorld(9, 19, 30, 1, 1)
-			for i, h := range w.hosts {
-				if h.fleet.isRelay() {
-					h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
-				}
-			}
-		},
-		"a quarter of the hosts hear nothing for 3 s": func(w *silenceWorld) {
-			until := w.now + 3*time.Second
-			w.deaf = func(h *silenceHost) bool { return w.now < until && h.inGroup(4) }
+			w.restart(newSizedWorld(9, 19, 30, 1, 1), func(h *silenceHost) bool { return h.fleet.isRelay() })
 		},
+		"a quarter of the hosts hear nothing for 3 s": func(w *silenceWorld) { w.deafen(4, 3*time.Second) },
 		"half of the hosts are paused": func(w *silenceWorld) {
 			for _, h := range w.hosts {
 				if h.inGroup(2) {
@@ -95,9 +82,7 @@
 }
 
 func expectKeptFlows(t *testing.T, w *silenceWorld, forms func(*rand.Rand) sessionForm, disturb func(*silenceWorld)) {
-	for i := range w.sessions {
-		w.sessions[i].sessionForm = forms(w.random)
-	}
+	w.setForms(forms)
 	w.briefSilences(3, disturb)
 	t.Logf("%d requests, %d failed; %d flows of living targets were reset, %d of them late", w.issued, w.failed, w.breaksAtLiving, w.lateBreaks)
 	if w.lateBreaks > 0 {
@@ -109,17 +94,12 @@
 // its caller acknowledges only with the next request, and some hosts may hear nothing.
 func TestNewFlowsReturnAfterBriefSilence(t *testing.T) {
 	for name, disturb := range map[string]func(*silenceWorld){
-		"undisturbed": func(*silenceWorld) {},
-		"half of the hosts hear nothing for 3 s": func(w *silenceWorld) {
-			until := w.now + 3*time.Second
-			w.deaf = func(h *silenceHost) bool { return w.now < until && h.inGroup(2) }
-		},
+		"undisturbed":                            func(*silenceWorld) {},
+		"half of the hosts hear nothing for 3 s": func(w *silenceWorld) { w.deafen(2, 3*time.Second) },
 	} {
 		for form, forms := range callerForms {
 			w := newSizedWorld(20, 19, 30, 1500, 750)
-			for i := range w.sessions {
-				w.sessions[i].sessionForm = forms(w.random)
-			}
+			w.setForms(forms)
 			if w.briefSilences(2, disturb); w.stillDark > 0 {
 				t.Errorf("%s, %s: a target is dark on %d hosts, added up over 4 targets, %v after its first answer", name, form, w.stillDark, recoveryLimit)
 			}
@@ -131,9 +111,7 @@
 // crash of another one.
 func TestCrashIsFoundWhileOthersAnswerAgain(t *testing.T) {
 	w := newSizedWorld(2, 19, 30, 1500, 750)
-	for i := range w.sessions {
-		w.sessions[i].sessionForm = callerForms["all forms"](w.random)
-	}
+	w.setForms(callerForms["all forms"])
 	w.briefSilences(1, func(w *silenceWorld) {
 		w.fallAt = w.now
 		w.setSilent(w.targets[w.names[29]], true)
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -108,10 +108,7 @@
 			}
 		},
 		"all hosts restarted": func(w *silenceWorld) {
-			fresh := newSilenceWorld(9, 19)
-			for i, h := range w.hosts {
-				h.engine, h.fleet, h.last = fresh.hosts[i].engine, fresh.hosts[i].fleet, 0
-			}
+			w.restart(newSilenceWorld(9, 19), func(*silenceHost) bool { return true })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
