--- a/integration/direct_cuts_test.go
+++ b/integration/direct_cuts_test.go
@@ -34,9 +34,7 @@
 }
 
 func (d *directDeployment) setTargetCut(number int, cut bool) {
-	d.mu.Lock()
-	target := d.targets[targetName(number)]
-	d.mu.Unlock()
+	target := d.target(number)
 	d.cuts.mu.Lock()
 	defer d.cuts.mu.Unlock()
 	d.proxy.SetFaults(fmt.Sprint("target-", number), netip.Addr{}, proxy.LinkFaults{Forward: proxy.Faults{Cut: cut}})
@@ -119,9 +117,7 @@
 // expectTakenBack fails the test unless the target, which was cut off before, has received new flows since takenBackWithin after its first
 // answer.
 func (d *directDeployment) expectTakenBack(number int) {
-	d.mu.Lock()
-	target := d.targets[targetName(number)]
-	d.mu.Unlock()
+	target := d.target(number)
 	first := target.FirstAnswer()
 	for _, o := range d.recorder.OpeningPackets() {
 		if o.Target == target.Name && !first.IsZero() && o.At.After(first.Add(takenBackWithin)) && o.At.Before(first.Add(2*takenBackWithin)) {
--- a/integration/direct_harness_test.go
+++ b/integration/direct_harness_test.go
@@ -201,6 +201,12 @@
 	d.publish()
 }
 
+func (d *directDeployment) target(number int) *standin.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[targetName(number)]
+}
+
 func targetName(number int) string { return fmt.Sprintf("i-%08x", 0xa0000000+number) }
 
 func (d *directDeployment) startTarget(number int) {
@@ -221,9 +227,7 @@
 // putTargetRecord writes the record of a target to the store. The record has the address of the target's link, so that
 // balancers reach the target through the proxy.
 func (d *directDeployment) putTargetRecord(number int, state string) {
-	d.mu.Lock()
-	target := d.targets[targetName(number)]
-	d.mu.Unlock()
+	target := d.target(number)
 	d.store.Put("servers/"+target.Name, target.Record(state, d.address(targetLinkSubnet, number, targetPort)))
 }
 
@@ -266,9 +270,7 @@
 
 // stopTarget stops a target and deletes its record from the store.
 func (d *directDeployment) stopTarget(number int) {
-	d.mu.Lock()
-	target := d.targets[targetName(number)]
-	d.mu.Unlock()
+	target := d.target(number)
 	target.Stop()
 	d.store.Delete("servers/" + target.Name)
 }
--- a/internal/direct/decisionlog_test.go
+++ b/internal/direct/decisionlog_test.go
@@ -11,14 +11,20 @@
 	"github.com/marigoldwood/marigoldwood/steer"
 )
 
-// Guards against a flood of flows that fills the log, and against omitted lines that are not reported.
-func TestDecisionLogIsBounded(t *testing.T) {
-	var out bytes.Buffer
-	log, err := logging.New(&out, "info", "h")
+// testDecisionLog returns a decision log and what it has written.
+func testDecisionLog(t *testing.T) (*decisionLog, *bytes.Buffer) {
+	t.Helper()
+	out := &bytes.Buffer{}
+	log, err := logging.New(out, "info", "h")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newDecisionLog(log)
+	return newDecisionLog(log), out
+}
+
+// Guards against a flood of flows that fills the log, and against omitted lines that are not reported.
+func TestDecisionLogIsBounded(t *testing.T) {
+	l, out := testDecisionLog(t)
 	refused := steer.Decision{Action: steer.Refuse, Code: resultcode.RefusedNoTarget}
 	for range 10 * maxDecisionLines {
 		l.logDecision(&steer.Packet{Open: true}, &refused, nil, 10*time.Second)
@@ -35,12 +41,8 @@
 
 // Guards against a log line for each packet that follows an earlier decision.
 func TestForwardedPacketsAreNotLogged(t *testing.T) {
-	var out bytes.Buffer
-	log, err := logging.New(&out, "info", "h")
-	if err != nil {
-		t.Fatal(err)
-	}
-	newDecisionLog(log).logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Forward, Target: &steer.Target{}}, nil, 0)
+	l, out := testDecisionLog(t)
+	l.logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Forward, Target: &steer.Target{}}, nil, 0)
 	if out.Len() > 0 {
 		t.Errorf("got log output %q, want none", out.String())
 	}
@@ -48,14 +50,10 @@
 
 // Guards against a change of belief about a target, or of the room for a service, that is not logged with its inputs.
 func TestChangesOfBalanceAreLogged(t *testing.T) {
-	var out bytes.Buffer
-	log, err := logging.New(&out, "info", "h")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l, out := testDecisionLog(t)
 	target := &steer.Target{}
 	target.Name, target.Service = "i-1", "ingest"
-	newDecisionLog(log).logBalance(
+	l.logBalance(
 		[]steer.SlowChange{{Target: target, Slow: true, Factor: 4.125, OwnAnswers: 2, PeerAnswers: 30}, {Target: target, Factor: 1}},
 		[]steer.HandOnChange{{Service: "ingest", HandedOn: 0.25, LocalPending: 70, LocalSlots: 40}, {Service: "ingest"}}, time.Second)
 	for _, want := range []string{
@@ -70,12 +68,7 @@
 
 // Guards against probes of dark targets that the log cannot tell from other flows, and resets of probes from other resets.
 func TestProbesAreLogged(t *testing.T) {
-	var out bytes.Buffer
-	log, err := logging.New(&out, "info", "h")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := newDecisionLog(log)
+	l, out := testDecisionLog(t)
 	l.logDecision(&steer.Packet{Open: true}, &steer.Decision{Action: steer.Forward, Target: &steer.Target{}, Placed: true, Probe: true}, nil, 0)
 	l.logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Break, Code: resultcode.TargetLost, Probe: true}, nil, 0)
 	l.logDecision(&steer.Packet{}, &steer.Decision{Action: steer.Break, Code: resultcode.TargetLost}, nil, 0)
