--- a/review/trial3/backend.go
+++ b/review/trial3/backend.go
@@ -59,14 +59,14 @@
 	ended    bool
 }
 
-func startBackend(number int, zone string, address netip.AddrPort, clientPort uint16, r *recorder) (*backend, error) {
+func startBackend(number int, service, zone string, address netip.AddrPort, clientPort uint16, r *recorder) (*backend, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, err
 	}
 	id := uint64(0x5a0000000 + number)
 	b := &backend{
-		name: fmt.Sprintf("i-%x", id), id: id, service: "rounds", zone: zone, address: address, clientPort: clientPort, conn: conn,
+		name: fmt.Sprintf("i-%x", id), id: id, service: service, zone: zone, address: address, clientPort: clientPort, conn: conn,
 		record: r, born: time.Now().UnixMilli(), flows: map[flowKey]*backendFlow{},
 	}
 	go b.run()
@@ -187,7 +187,7 @@
 	b.busy++
 	id, ms, _ := strings.Cut(j.text, " ")
 	n, _ := strconv.Atoi(strings.TrimSpace(ms))
-	b.record.ran(id, b)
+	b.record.ran(id, j.key, b)
 	time.AfterFunc(time.Duration(n)*time.Millisecond, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/review/trial3/main.go
+++ b/review/trial3/main.go
@@ -150,19 +150,28 @@
 const (
 	confirmPort = 443
 	pullPort    = 8443
+	photoPort   = 8080
+)
+
+// Services of the configuration.
+const (
+	roundsService = "rounds"
+	claimsService = "claims"
 )
 
 func (d *deployment) putConfiguration(version int) {
-	route := func(name, kind string, port, timeout, objective, priority int) map[string]any {
+	route := func(name, kind string, port, timeout, objective, priority int, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": d.at(9, 1, 0).Addr().String(), "prefix": fmt.Sprintf("/%d/", port), "route_type": kind, "timeout_ms": timeout,
-			"target_latency_ms": objective, "priority": priority, "service": "rounds", "max_attempts": 2,
+			"target_latency_ms": objective, "priority": priority, "service": service, "max_attempts": 2,
 		}
 	}
 	d.store.Put("op/config", map[string]any{
-		"version": version, "services": []map[string]any{{"name": "rounds"}}, "limits": map[string]any{"idle_timeout_ms": 12000},
+		"version": version, "services": []map[string]any{{"name": roundsService}, {"name": claimsService}}, "limits": map[string]any{"idle_timeout_ms": 12000},
 		"routes": []map[string]any{
-			route("r-confirm", "unsafe", confirmPort, 3000, 500, 1), route("r-pull", "download", pullPort, 8000, 1200, 2),
+			route("r-confirm", "unsafe", confirmPort, 3000, 500, 1, roundsService),
+			route("r-pull", "download", pullPort, 8000, 1200, 2, roundsService),
+			route("r-photo", "download", photoPort, 3000, 500, 2, claimsService),
 		},
 	})
 }
@@ -174,7 +183,7 @@
 	}
 	d.putConfiguration(3)
 	for i := range backendsPerZone * len(zones) {
-		b, err := startBackend(i+1, zones[i%len(zones)], d.at(3, i+1, backendPort), dataPort, d.record)
+		b, err := startBackend(i+1, roundsService, zones[i%len(zones)], d.at(3, i+1, backendPort), dataPort, d.record)
 		if err != nil {
 			return err
 		}
--- a/review/trial3/recorder.go
+++ b/review/trial3/recorder.go
@@ -63,14 +63,21 @@
 	}
 }
 
-func (r *recorder) ran(id string, b *backend) {
+// serviceOf is the service to which the configuration sends the flows of a route, by the port of the route.
+var serviceOf = map[uint16]string{confirmPort: roundsService, pullPort: roundsService, photoPort: claimsService}
+
+func (r *recorder) ran(id string, k flowKey, b *backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.runs[id]++; r.lost[id] {
 		r.counts["run after the client got a reset"]++
 	}
 	r.counts["run"]++
-	r.line("run %s at %s", id, b.name)
+	r.line("run %s at %s of %s", id, b.name, b.service)
+	if allowed := serviceOf[k.endpoint.Port()]; b.service != allowed {
+		r.breaks = append(r.breaks, fmt.Sprintf("ROUTE: request %s of a route to %s was run by %s of %s", id, allowed, b.name, b.service))
+		r.line("BROKEN %s", r.breaks[len(r.breaks)-1])
+	}
 }
 
 func (r *recorder) sent(id string, k flowKey, ms int) {
